--- /dev/null
+++ b/internal/cwadmin/status.go
@@ -0,0 +1,94 @@
+package cwadmin
+
+import (
+	"time"
+)
+
+// Status is what an instance believes, and how old each belief is.
+type Status struct {
+	// Incarnation identifies the process life.
+	Incarnation uint64 `json:"incarnation"`
+	// Region and Domain say where the instance runs.
+	Region string `json:"region"`
+	Domain string `json:"domain"`
+	// Ready and Leaving are the instance's own state.
+	Ready   bool `json:"ready"`
+	Leaving bool `json:"leaving"`
+	// InFlight is the number of requests that it works on.
+	InFlight int `json:"inFlight"`
+	// Config is the version in force; ConfigConfirmed is set if the platform or a
+	// peer confirmed it within a minute.
+	Config          string `json:"config"`
+	ConfigConfirmed bool   `json:"configConfirmed"`
+	// Peers and Endpoints are what it believes of others.
+	Peers     []PeerStatus     `json:"peers"`
+	Endpoints []EndpointStatus `json:"endpoints"`
+}
+
+// PeerStatus is another instance.
+type PeerStatus struct {
+	// Address, Region and Domain say which.
+	Address string `json:"address"`
+	Region  string `json:"region"`
+	Domain  string `json:"domain"`
+	// Incarnation, Leaving and Listed are as last known.
+	Incarnation uint64 `json:"incarnation"`
+	Leaving     bool   `json:"leaving"`
+	Listed      bool   `json:"listed"`
+	// HeardSecondsAgo is the age of its last answer.
+	HeardSecondsAgo float64 `json:"heardSecondsAgo"`
+	// Failing is set if the last contact failed.
+	Failing bool `json:"failing"`
+}
+
+// EndpointStatus is one endpoint of the own domain.
+type EndpointStatus struct {
+	// Address and Pool say which.
+	Address string `json:"address"`
+	Pool    string `json:"pool"`
+	// Incarnation, Leaving, Listed and Loading are as last known.
+	Incarnation uint64 `json:"incarnation"`
+	Leaving     bool   `json:"leaving"`
+	Listed      bool   `json:"listed"`
+	Loading     bool   `json:"loading"`
+	// Running and Slots are from the last report; ReportSecondsAgo is its age.
+	Running          int     `json:"running"`
+	Slots            int     `json:"slots"`
+	ReportSecondsAgo float64 `json:"reportSecondsAgo"`
+	// Failing is set if the last contact failed.
+	Failing bool `json:"failing"`
+}
+
+const confirmedWithin = time.Minute
+
+// Status returns the state at this time.
+func (h *Handler) Status(now time.Time) Status {
+	s := h.control.Snapshot()
+	out := Status{
+		Incarnation:     h.Incarnation,
+		Region:          h.Settings.Region,
+		Domain:          h.Settings.Domain,
+		Ready:           s.Ready,
+		Leaving:         s.Self.Leaving,
+		InFlight:        h.dispatcher.InFlight(),
+		Config:          s.Order.Accepted().String(),
+		ConfigConfirmed: s.Order.FreshWithin(now, confirmedWithin),
+		Peers:           []PeerStatus{},
+		Endpoints:       []EndpointStatus{},
+	}
+	for _, m := range s.Members {
+		out.Peers = append(out.Peers, PeerStatus{
+			Address: m.Address, Region: m.Region, Domain: m.Domain,
+			Incarnation: m.Incarnation, Leaving: m.Leaving, Listed: m.Listed,
+			HeardSecondsAgo: now.Sub(m.HeardAt).Seconds(), Failing: !m.FailedAt.IsZero(),
+		})
+	}
+	for _, e := range s.Endpoints {
+		out.Endpoints = append(out.Endpoints, EndpointStatus{
+			Address: e.Address, Pool: e.Pool, Incarnation: e.Incarnation, Leaving: e.Leaving,
+			Listed: e.Listed, Loading: e.Loading, Running: e.Report.Running, Slots: e.Report.Slots,
+			ReportSecondsAgo: now.Sub(e.Report.At).Seconds(), Failing: !e.FailedAt.IsZero(),
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/cwapp/shutdown.go
@@ -0,0 +1,87 @@
+package cwapp
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/clementinewell/clementinewell/internal/cwcontrol"
+	"github.com/clementinewell/clementinewell/internal/cwpolicy"
+)
+
+// closeTimeout bounds the closing of connections after the last request.
+const closeTimeout = 2 * time.Second
+
+// shutdown leaves without cutting off a request: peers and callers are told, the
+// tickets go to a successor, and requests in flight are waited for.
+func (a *App) shutdown(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, a.Settings.DrainTimeout+closeTimeout)
+	defer cancel()
+	a.Log.Info("shutdown begins", zap.Int("inFlight", a.Dispatcher.InFlight()))
+	a.Control.Post(ctx, cwcontrol.SelfLeaving{})
+	a.Control.Settle(ctx)
+	successor := a.handOver(ctx, nil)
+	a.exchanger.Round(ctx, true)
+	select {
+	case <-a.Dispatcher.Drained():
+	case <-time.After(a.Settings.DrainTimeout):
+		a.Log.Warn("drain timeout", zap.Int("inFlight", a.Dispatcher.InFlight()))
+	}
+	// The outcomes of requests that ended since then go to the same successor.
+	a.handOver(ctx, successor)
+	closeCtx, cancelClose := context.WithTimeout(ctx, closeTimeout)
+	defer cancelClose()
+	for _, s := range a.servers {
+		if err := s.Shutdown(closeCtx); err != nil {
+			_ = s.Close()
+		}
+	}
+	a.Log.Info("shutdown done")
+}
+
+// handOver gives the tickets to one successor. Once an attempt may have reached
+// a successor no other is tried: there are never two owners.
+func (a *App) handOver(ctx context.Context, successor *cwpolicy.Member) *cwpolicy.Member {
+	if successor == nil {
+		successor = a.successor()
+	}
+	handovers := a.Dispatcher.GiveUp()
+	if successor == nil {
+		a.Log.Warn("no successor for tickets")
+		return nil
+	}
+	incarnation, err := a.client.TakeOver(ctx, successor.Address, handovers)
+	if err != nil {
+		a.Log.Warn("tickets not handed over", zap.Error(err))
+		return successor
+	}
+	a.Dispatcher.Moved(ctx, handovers, incarnation)
+	a.Control.Settle(ctx)
+	return successor
+}
+
+// successor returns the usable member of the own domain that was heard last,
+// else of the own region.
+func (a *App) successor() *cwpolicy.Member {
+	s := a.Control.Snapshot()
+	now := time.Now()
+	var best *cwpolicy.Member
+	for i := range s.Members {
+		m := &s.Members[i]
+		if m.Region != a.Settings.Region || m.Incarnation == 0 || !m.Usable(now, cwpolicy.MemberSilence) {
+			continue
+		}
+		if best == nil || better(m, best, a.Settings.Domain) {
+			best = m
+		}
+	}
+	return best
+}
+
+func better(m, best *cwpolicy.Member, domain string) bool {
+	if (m.Domain == domain) != (best.Domain == domain) {
+		return m.Domain == domain
+	}
+	return m.HeardAt.After(best.HeardAt)
+}
--- /dev/null
+++ b/internal/cwburn/join.go
@@ -0,0 +1,52 @@
+package cwburn
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Join adds the reports of several instances. Quantiles can't be added: the
+// joined ones are the largest of any instance, an upper bound.
+func Join(reports []Report) Report {
+	joined := Report{}
+	byKey := make(map[[2]string]*SeriesReport)
+	for _, r := range reports {
+		joined.SinceSeconds = max(joined.SinceSeconds, r.SinceSeconds)
+		for _, s := range r.Series {
+			key := [2]string{s.Service, s.Region}
+			if byKey[key] == nil {
+				copied := s
+				copied.Windows = slices.Clone(s.Windows)
+				copied.Reasons = slices.Clone(s.Reasons)
+				byKey[key] = &copied
+				continue
+			}
+			byKey[key].join(s)
+		}
+	}
+	for _, s := range byKey {
+		s.finish()
+		joined.Series = append(joined.Series, *s)
+	}
+	slices.SortFunc(joined.Series, func(a, b SeriesReport) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Region, b.Region))
+	})
+	return joined
+}
+
+func (s *SeriesReport) join(other SeriesReport) {
+	for i := range s.Windows {
+		s.Windows[i].Add(other.Windows[i].Counts)
+	}
+	for _, r := range other.Reasons {
+		i := slices.IndexFunc(s.Reasons, func(have ReasonCount) bool { return have.Reason == r.Reason })
+		if i < 0 {
+			s.Reasons = append(s.Reasons, r)
+			continue
+		}
+		s.Reasons[i].Count += r.Count
+	}
+	s.FirstByteP50Millis = max(s.FirstByteP50Millis, other.FirstByteP50Millis)
+	s.FirstByteP95Millis = max(s.FirstByteP95Millis, other.FirstByteP95Millis)
+	s.FirstByteP99Millis = max(s.FirstByteP99Millis, other.FirstByteP99Millis)
+}
--- /dev/null
+++ b/internal/cwcommand/operator.go
@@ -0,0 +1,145 @@
+package cwcommand
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/clementinewell/clementinewell/internal/cwburn"
+	"github.com/clementinewell/clementinewell/internal/cwsetting"
+)
+
+const operatorTimeout = 3 * time.Second
+
+const defaultAdmin = "127.0.0.1:8082"
+
+func getJSON(ctx context.Context, address, path string, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return fmt.Errorf("ask %s: %w", address, err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return fmt.Errorf("ask %s: %w", address, err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, 512))
+		return fmt.Errorf("ask %s for %s: status %d: %s", address, path, resp.StatusCode, strings.TrimSpace(string(text)))
+	}
+	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+		return fmt.Errorf("ask %s for %s: %w", address, path, err)
+	}
+	return nil
+}
+
+func newBurn() *cobra.Command {
+	var instances []string
+	var asJSON bool
+	cmd := &cobra.Command{
+		Use:   "burn",
+		Short: "Report how fast services use up their error budgets",
+		Long: "Ask the operator interface of each instance for its counts and join them.\n" +
+			"An instance counts since its own start only; the report says how long that is.",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			reports := make([]cwburn.Report, 0, len(instances))
+			for _, address := range instances {
+				r := cwburn.Report{}
+				if err := getJSON(cmd.Context(), address, "/burn", &r); err != nil {
+					cmd.PrintErrln("left out:", err)
+					continue
+				}
+				reports = append(reports, r)
+			}
+			joined := cwburn.Join(reports)
+			if asJSON {
+				return json.NewEncoder(cmd.OutOrStdout()).Encode(joined)
+			}
+			printBurn(cmd.OutOrStdout(), joined, len(reports), len(instances))
+			return nil
+		},
+	}
+	cmd.Flags().StringSliceVar(&instances, "instance", []string{defaultAdmin}, "operator address of an instance; may be given more than once")
+	cmd.Flags().BoolVar(&asJSON, "json", false, "print JSON")
+	return cmd
+}
+
+func printBurn(out io.Writer, r cwburn.Report, answered, asked int) {
+	fmt.Fprintf(out, "%d of %d instances answered; counts go back %s at most\n", answered, asked, r.Uptime().Round(time.Second))
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	header := "SERVICE\tREGION\tREQUESTS\tBAD\tAWAY\tP50 ms\tP99 ms"
+	for _, window := range cwburn.Windows() {
+		header += "\tBURN " + window.Name
+	}
+	fmt.Fprintln(w, header+"\tBUDGET LEFT\tALARMS\tREASONS")
+	for _, s := range r.Series {
+		longest := s.Windows[len(s.Windows)-1]
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%.1f\t%.1f", s.Service, s.Region, longest.Total, longest.Bad, longest.Away, s.FirstByteP50Millis, s.FirstByteP99Millis)
+		for _, window := range s.Windows {
+			fmt.Fprintf(w, "\t%.2f", window.Rate)
+		}
+		reasons := make([]string, 0, len(s.Reasons))
+		for _, reason := range s.Reasons {
+			reasons = append(reasons, fmt.Sprintf("%s %d", reason.Reason, reason.Count))
+		}
+		fmt.Fprintf(w, "\t%.0f%%\t%s\t%s\n", 100*s.BudgetLeft, strings.Join(s.Firing, ","), strings.Join(reasons, ", "))
+	}
+	_ = w.Flush()
+}
+
+func newStatus() *cobra.Command {
+	var instance string
+	cmd := &cobra.Command{
+		Use:   "status",
+		Short: "Print what an instance believes, and how old each belief is",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return printJSON(cmd, instance, "/status")
+		},
+	}
+	cmd.Flags().StringVar(&instance, "instance", defaultAdmin, "operator address of the instance")
+	return cmd
+}
+
+func newExplain() *cobra.Command {
+	var instance, account string
+	cmd := &cobra.Command{
+		Use:   "explain SERVICE",
+		Short: "Decide on a request without sending it, and say why",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return printJSON(cmd, instance, "/explain?service="+args[0]+"&account="+account)
+		},
+	}
+	cmd.Flags().StringVar(&instance, "instance", defaultAdmin, "operator address of the instance")
+	cmd.Flags().StringVar(&account, "account", "", "account whose home bounds the places")
+	return cmd
+}
+
+func printJSON(cmd *cobra.Command, address, path string) error {
+	var raw json.RawMessage
+	if err := getJSON(cmd.Context(), address, path, &raw); err != nil {
+		return err
+	}
+	cmd.Println(string(raw))
+	return nil
+}
+
+func newSettings() *cobra.Command {
+	return &cobra.Command{
+		Use:   "settings",
+		Short: "Print the settings page in Markdown",
+		Args:  cobra.NoArgs,
+		Run:   func(cmd *cobra.Command, _ []string) { cmd.Print(cwsetting.Page()) },
+	}
+}
--- /dev/null
+++ b/internal/cwcommand/serve.go
@@ -0,0 +1,59 @@
+package cwcommand
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/clementinewell/clementinewell/internal/cwapp"
+	"github.com/clementinewell/clementinewell/internal/cwnet"
+	"github.com/clementinewell/clementinewell/internal/cwsetting"
+)
+
+func newServe() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "serve",
+		Short: "Run an instance",
+		Long:  "Run an instance until SIGTERM or SIGINT, then shut down gracefully.",
+		Args:  cobra.NoArgs,
+	}
+	cwsetting.AddFlags(cmd.Flags())
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		settings, err := cwsetting.Load(cmd.Flags(), os.LookupEnv)
+		if err != nil {
+			return fmt.Errorf("settings are wrong:\n%w", err)
+		}
+		log, flush := newLogger(settings.LogLevel)
+		defer flush()
+		ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, os.Interrupt)
+		defer stop()
+		return cwapp.NewApp(settings, log, cwnet.NewTCP()).Run(ctx)
+	}
+	return cmd
+}
+
+// newLogger writes JSON lines to standard error, buffered so that the traffic
+// path does not wait for each line. The level was checked with the settings.
+func newLogger(level string) (*zap.Logger, func()) {
+	parsed, _ := zapcore.ParseLevel(level)
+	cfg := zap.NewProductionEncoderConfig()
+	cfg.EncodeTime = zapcore.ISO8601TimeEncoder
+	sink := &zapcore.BufferedWriteSyncer{WS: zapcore.Lock(os.Stderr)}
+	log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(cfg), sink, parsed))
+	return log, func() { _ = sink.Stop() }
+}
+
+// Execute runs the command line and returns the exit status.
+func Execute(ctx context.Context) int {
+	if err := NewRoot().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "clementinewell:", err)
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/cwcontrol/endpoint_record.go
@@ -0,0 +1,64 @@
+package cwcontrol
+
+import (
+	"time"
+
+	"github.com/clementinewell/clementinewell/internal/cwpolicy"
+)
+
+// EndpointRecord is what control knows of one endpoint.
+type EndpointRecord struct {
+	cwpolicy.Presence
+	// Address is the host and port.
+	Address string
+	// Pool is the model of an engine or the name of a plain service.
+	Pool string
+	// Accelerators is the number of accelerators.
+	Accelerators float64
+	// Report is the latest load report.
+	Report cwpolicy.LoadReport
+	// Loaded are the models that are ready; Loading is set while one is not.
+	Loaded  []string
+	Loading bool
+	// Fence is the highest fencing number that the endpoint has seen.
+	Fence uint64
+	// Generation rises with each change of this record.
+	Generation uint64
+}
+
+// EndpointReport is a load report with the endpoint's life signs.
+type EndpointReport struct {
+	// Address is the endpoint's host and port.
+	Address string
+	// Incarnation identifies the endpoint's process life.
+	Incarnation uint64
+	// Leaving is set once the endpoint takes no new work.
+	Leaving bool
+	// Report is the load; its time is by this instance's clock.
+	Report cwpolicy.LoadReport
+	// Loaded, Loading and Fence describe engines.
+	Loaded  []string
+	Loading bool
+	Fence   uint64
+	// Short is set if the report does not tell what is loaded.
+	Short bool
+	// Relayed is set if another instance passed the report on.
+	Relayed bool
+}
+
+func (r *EndpointRecord) apply(report EndpointReport, now time.Time) {
+	heardAt := now
+	if report.Relayed {
+		heardAt = report.Report.At
+		if !heardAt.After(r.HeardAt) && report.Incarnation <= r.Incarnation && !report.Leaving {
+			return
+		}
+	}
+	if !r.Heard(report.Incarnation, report.Leaving, heardAt) {
+		return
+	}
+	r.Report = report.Report
+	if !report.Short {
+		r.Loaded, r.Loading, r.Fence = report.Loaded, report.Loading, report.Fence
+	}
+}
--- /dev/null
+++ b/internal/cwcontrol/snapshot.go
@@ -0,0 +1,68 @@
+// Package cwcontrol runs the one goroutine that owns the control state of an
+// instance. It takes in events and publishes immutable snapshots, which the
+// traffic path reads without a lock.
+package cwcontrol
+
+import (
+	"time"
+
+	"github.com/clementinewell/clementinewell/internal/cwpolicy"
+	"github.com/clementinewell/clementinewell/pkg/cwconfig"
+)
+
+// Snapshot is the control state at one moment. It is never changed; parts that
+// did not change are shared with the snapshot before.
+type Snapshot struct {
+	// Generation rises with every snapshot.
+	Generation uint64
+	// Config is the configuration in force; nil before the first.
+	Config *cwconfig.State
+	// Order tells whether the configuration was confirmed, and when.
+	Order cwpolicy.ConfigOrder
+	// Self describes this instance.
+	Self cwpolicy.Member
+	// Members are the other instances, ordered by address.
+	Members []cwpolicy.Member
+	// Endpoints are those of the own failure domain.
+	Endpoints []EndpointRecord
+	// Rooms are the summaries from other domains, by pool.
+	Rooms RoomTable
+	// Moves are the handovers of tickets.
+	Moves []cwpolicy.Move
+	// Demands are what the other instances see for each limit.
+	Demands DemandTable
+	// AllHeard is set while every listed instance of the own domain answers.
+	AllHeard bool
+	// Ready is set once the instance may serve.
+	Ready bool
+}
+
+// RoomTable lists the summaries of each pool.
+type RoomTable map[string][]cwpolicy.DomainRoom
+
+// DemandTable holds the demand of other instances for each limit, in requests
+// per second.
+type DemandTable map[cwpolicy.LimitKey]float64
+
+// Owner returns the member that owns the tickets of an incarnation, or nil.
+func (s *Snapshot) Owner(incarnation uint64) *cwpolicy.Member {
+	return cwpolicy.OwnerOf(s.Members, s.Moves, incarnation)
+}
+
+// Exits returns the usable members of a domain.
+func (s *Snapshot) Exits(domain string, now time.Time) []cwpolicy.Member {
+	var exits []cwpolicy.Member
+	for _, m := range s.Members {
+		if m.Domain == domain && m.Incarnation != 0 && m.Usable(now, cwpolicy.MemberSilence) {
+			exits = append(exits, m)
+		}
+	}
+	return exits
+}
+
+// MembersWithSelf returns all members and this instance.
+func (s *Snapshot) MembersWithSelf() []cwpolicy.Member {
+	all := make([]cwpolicy.Member, 0, len(s.Members)+1)
+	all = append(all, s.Members...)
+	return append(all, s.Self)
+}
--- /dev/null
+++ b/internal/cwcontrol/state.go
@@ -0,0 +1,140 @@
+package cwcontrol
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/clementinewell/clementinewell/internal/cwpolicy"
+	"github.com/clementinewell/clementinewell/pkg/cwconfig"
+)
+
+// state is owned by the control goroutine.
+type state struct {
+	self       cwpolicy.Member
+	order      cwpolicy.ConfigOrder
+	config     *cwconfig.State
+	membership *cwpolicy.Membership
+	endpoints  map[string]*EndpointRecord
+	rooms      map[string][]cwpolicy.DomainRoom
+	demands    map[string][]cwpolicy.LimitDemand
+	generation uint64
+	asked      bool
+	barriers   []barrier
+
+	membersDirty   bool
+	endpointsDirty bool
+	roomsDirty     bool
+	last           *Snapshot
+}
+
+func newState(self cwpolicy.Member) *state {
+	return &state{
+		self:           self,
+		membership:     cwpolicy.NewMembership(self.Address),
+		endpoints:      make(map[string]*EndpointRecord),
+		rooms:          make(map[string][]cwpolicy.DomainRoom),
+		demands:        make(map[string][]cwpolicy.LimitDemand),
+		membersDirty:   true,
+		endpointsDirty: true,
+		roomsDirty:     true,
+		last:           &Snapshot{},
+	}
+}
+
+func (s *state) endpointAt(address string, now time.Time) *EndpointRecord {
+	r := s.endpoints[address]
+	if r == nil {
+		r = &EndpointRecord{Address: address}
+		r.HeardAt = now
+		s.endpoints[address] = r
+	}
+	return r
+}
+
+// touch marks a record as changed in the generation that is being built.
+func (s *state) touch(r *EndpointRecord) {
+	r.Generation = s.generation + 1
+	s.endpointsDirty = true
+}
+
+func (s *state) forgetEndpoints(now time.Time) {
+	for address, r := range s.endpoints {
+		if r.Forgettable(now, cwpolicy.MemberForget) {
+			delete(s.endpoints, address)
+			s.endpointsDirty = true
+		}
+	}
+}
+
+// setRooms replaces what is known of the peer's domain. Only the instances of a
+// domain speak for it, and the latest word counts.
+func (s *state) setRooms(e PeerHeard, now time.Time) {
+	for pool, rooms := range s.rooms {
+		s.rooms[pool] = slices.DeleteFunc(slices.Clone(rooms), func(r cwpolicy.DomainRoom) bool {
+			return r.Domain == e.Member.Domain
+		})
+	}
+	for _, r := range e.Rooms {
+		s.rooms[r.Pool] = append(s.rooms[r.Pool], cwpolicy.DomainRoom{
+			Room:      r.Room,
+			Domain:    e.Member.Domain,
+			Region:    e.Member.Region,
+			At:        now,
+			RoundTrip: e.RoundTrip,
+		})
+	}
+	s.roomsDirty = true
+}
+
+// publish builds the next snapshot and shares the parts that did not change.
+func (s *state) publish(now time.Time) *Snapshot {
+	s.generation++
+	next := *s.last
+	next.Generation = s.generation
+	next.Config, next.Order, next.Self = s.config, s.order, s.self
+	next.Ready = s.order.Ready() && s.asked && !s.self.Leaving
+	if s.membersDirty {
+		s.publishMembers(&next, now)
+	}
+	if s.endpointsDirty {
+		next.Endpoints = s.endpointList()
+	}
+	if s.roomsDirty {
+		next.Rooms = make(RoomTable, len(s.rooms))
+		for pool, rooms := range s.rooms {
+			next.Rooms[pool] = slices.Clone(rooms)
+		}
+	}
+	s.membersDirty, s.endpointsDirty, s.roomsDirty = false, false, false
+	s.last = &next
+	return &next
+}
+
+func (s *state) publishMembers(next *Snapshot, now time.Time) {
+	next.Members = s.membership.All()
+	next.Moves = s.membership.Moves()
+	next.Demands, next.AllHeard = make(DemandTable), true
+	for i := range next.Members {
+		m := &next.Members[i]
+		usable := m.Usable(now, cwpolicy.MemberSilence)
+		if !usable && !m.Leaving {
+			next.AllHeard = false
+		}
+		if !usable {
+			continue
+		}
+		for _, d := range s.demands[m.Address] {
+			next.Demands[d.Key] += d.PerSecond
+		}
+	}
+}
+
+func (s *state) endpointList() []EndpointRecord {
+	list := make([]EndpointRecord, 0, len(s.endpoints))
+	for _, r := range s.endpoints {
+		list = append(list, *r)
+	}
+	slices.SortFunc(list, func(a, b EndpointRecord) int { return cmp.Compare(a.Address, b.Address) })
+	return list
+}
--- /dev/null
+++ b/internal/cwdispatch/accept.go
@@ -0,0 +1,23 @@
+package cwdispatch
+
+import (
+	"time"
+
+	"github.com/clementinewell/clementinewell/internal/cwpolicy"
+	"github.com/clementinewell/clementinewell/pkg/cwservice"
+)
+
+// Accepts reports whether this domain takes a request for the service that
+// another domain sends by choice.
+func (d *Dispatcher) Accepts(service *cwservice.Service) bool {
+	name := service.Model
+	if name == "" {
+		name = service.Name
+	}
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.sync(now)
+	p := d.pool(name)
+	return p.queue.Len() == 0 && cwpolicy.AcceptSpill(p.Room(now))
+}
--- /dev/null
+++ b/internal/cwdispatch/body.go
@@ -0,0 +1,85 @@
+// Package cwdispatch is the traffic path: it places each request at an endpoint
+// or at another instance, runs the attempts and keeps count of the outcome.
+package cwdispatch
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+)
+
+// MaxReplayBytes is the part of a body that is kept for a prefix hash and for
+// further attempts. A longer body is streamed and can be sent only once.
+const MaxReplayBytes = 256 << 10
+
+// ErrBodyUsed means that a body which was streamed can't be sent again.
+var ErrBodyUsed = errors.New("the body was streamed and can't be sent again")
+
+// Body is a request body of which at most MaxReplayBytes are in memory.
+type Body struct {
+	prefix   []byte
+	rest     io.Reader
+	restUsed bool
+	length   int64
+}
+
+// ReadBody reads the start of a body whose length is -1 if unknown.
+func ReadBody(r io.Reader, length int64) (*Body, error) {
+	b := &Body{length: length}
+	if r == nil || length == 0 {
+		return b, nil
+	}
+	if length > 0 && length <= MaxReplayBytes {
+		b.prefix = make([]byte, length)
+		n, err := io.ReadFull(r, b.prefix)
+		if err != nil {
+			return nil, fmt.Errorf("read body: %d of %d bytes came: %w", n, length, err)
+		}
+		return b, nil
+	}
+	var buf bytes.Buffer
+	n, err := io.CopyN(&buf, r, MaxReplayBytes)
+	b.prefix = buf.Bytes()
+	if errors.Is(err, io.EOF) {
+		b.length = n
+		return b, nil
+	}
+	if err != nil {
+		return nil, fmt.Errorf("read body: %w", err)
+	}
+	b.rest = r
+	return b, nil
+}
+
+// Whole reports whether the whole body is in memory.
+func (b *Body) Whole() bool {
+	return b.rest == nil
+}
+
+// Prefix returns the part in memory. The caller must not change it.
+func (b *Body) Prefix() []byte {
+	return b.prefix
+}
+
+// Length returns the length, -1 if unknown.
+func (b *Body) Length() int64 {
+	return b.length
+}
+
+// Sendable reports whether Open will work.
+func (b *Body) Sendable() bool {
+	return b.rest == nil || !b.restUsed
+}
+
+// Open returns a reader of the whole body for one attempt.
+func (b *Body) Open() (io.Reader, error) {
+	if b.rest == nil {
+		return bytes.NewReader(b.prefix), nil
+	}
+	if b.restUsed {
+		return nil, ErrBodyUsed
+	}
+	b.restUsed = true
+	return io.MultiReader(bytes.NewReader(b.prefix), b.rest), nil
+}
--- /dev/null
+++ b/internal/cwdispatch/explain.go
@@ -0,0 +1,120 @@
+package cwdispatch
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/clementinewell/clementinewell/internal/cwpolicy"
+)
+
+// Explanation says where a request would go now, and why.
+type Explanation struct {
+	// Service is the service asked about; Places are the permitted regions.
+	Service string   `json:"service"`
+	Places  []string `json:"places"`
+	// Endpoint is the one that would be chosen; empty if none.
+	Endpoint string `json:"endpoint,omitempty"`
+	// FirstTokenMillis is the prediction for it.
+	FirstTokenMillis float64 `json:"firstTokenMillis,omitempty"`
+	// Domain is set if the request would leave this domain.
+	Domain string `json:"domain,omitempty"`
+	// Queued is the number of requests that wait; QueueMillis the predicted wait.
+	Queued      int     `json:"queued"`
+	QueueMillis float64 `json:"queueMillis"`
+	// Candidates are all endpoints of the pool.
+	Candidates []CandidateView `json:"candidates"`
+	// Domains are the summaries of other domains.
+	Domains []DomainView `json:"domains"`
+}
+
+// CandidateView is one endpoint as the choice sees it.
+type CandidateView struct {
+	// Address is the endpoint.
+	Address string `json:"address"`
+	// Usable is false while it leaves, loads, is ejected or does not answer.
+	Usable bool `json:"usable"`
+	// Free and InFlight count requests; Ahead counts prompt tokens.
+	Free     int `json:"free"`
+	InFlight int `json:"inFlight"`
+	Ahead    int `json:"aheadTokens"`
+	// MicrosPerToken is the learnt speed.
+	MicrosPerToken float64 `json:"microsPerToken"`
+}
+
+// DomainView is the summary of another domain.
+type DomainView struct {
+	// Domain and Region say which.
+	Domain string `json:"domain"`
+	Region string `json:"region"`
+	// Free and Slots count requests.
+	Free  int `json:"free"`
+	Slots int `json:"slots"`
+	// WaitMillis is its predicted wait, AgeSeconds the age of the summary.
+	WaitMillis float64 `json:"waitMillis"`
+	AgeSeconds float64 `json:"ageSeconds"`
+	// RoundTripMillis is the measured network round trip.
+	RoundTripMillis float64 `json:"roundTripMillis"`
+}
+
+// explainTokens is the prompt length that an explanation assumes.
+const explainTokens = 256
+
+// Explain decides on a request of the account without sending one. An empty
+// account name stands for one without a home.
+func (d *Dispatcher) Explain(service, account string) (*Explanation, error) {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.sync(now)
+	svc := s.Config.Service(service)
+	if svc == nil {
+		return nil, fmt.Errorf("explain: service %q is not known", service)
+	}
+	home := ""
+	if account != "" {
+		a := s.Config.AccountByName(account)
+		if a == nil {
+			return nil, fmt.Errorf("explain: account %q is not known", account)
+		}
+		home = a.Home
+	}
+	job := &Job{
+		Service: svc, Body: &Body{length: explainTokens * cwpolicy.BytesPerToken}, Deadline: now.Add(svc.Targets.Deadline()),
+		Places: cwpolicy.NewPlaces(svc.Places, home), Hop: cwpolicy.NewHop(d.Incarnation),
+	}
+	return d.explain(job, now), nil
+}
+
+func (d *Dispatcher) explain(job *Job, now time.Time) *Explanation {
+	s := d.control.Snapshot()
+	p := d.pool(poolName(job))
+	d.fillDemand(job, now)
+	homeRegion := job.Places.Allows(d.Settings.Region)
+	out := &Explanation{Service: job.Service.Name, Places: job.Places, Queued: p.queue.Len(), QueueMillis: millis(p.queue.Wait())}
+	choice, found := cwpolicy.Choice{}, false
+	if homeRegion {
+		choice, found = p.Choose(&job.demand, "", now, d.rng)
+	}
+	if domain, ok := d.spillTo(p, s, job, choice, found, homeRegion, now); ok {
+		out.Domain = domain
+	} else if found {
+		out.Endpoint, out.FirstTokenMillis = choice.Endpoint.Address, millis(choice.FirstToken)
+	}
+	for _, e := range p.Endpoints() {
+		out.Candidates = append(out.Candidates, CandidateView{
+			Address: e.Address, Usable: e.Usable(now, cwpolicy.EndpointSilence) && !e.Loading && !e.Ejected(now),
+			Free: e.Free(), InFlight: e.InFlight(), Ahead: e.Ahead(now), MicrosPerToken: e.SecondsPerToken() * 1e6,
+		})
+	}
+	for _, r := range s.Rooms[poolName(job)] {
+		out.Domains = append(out.Domains, DomainView{
+			Domain: r.Domain, Region: r.Region, Free: r.Free, Slots: r.Slots,
+			WaitMillis: r.WaitSeconds * 1000, AgeSeconds: now.Sub(r.At).Seconds(), RoundTripMillis: millis(r.RoundTrip),
+		})
+	}
+	return out
+}
+
+func millis(d time.Duration) float64 {
+	return float64(d.Microseconds()) / 1000
+}
--- /dev/null
+++ b/internal/cwdispatch/forward.go
@@ -0,0 +1,147 @@
+package cwdispatch
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/clementinewell/clementinewell/internal/cwcontrol"
+	"github.com/clementinewell/clementinewell/internal/cwframe"
+	"github.com/clementinewell/clementinewell/internal/cwpeer"
+	"github.com/clementinewell/clementinewell/internal/cwpolicy"
+	"github.com/clementinewell/clementinewell/pkg/cwanswer"
+)
+
+// forwardToDomain passes the job to an instance of the domain.
+func (d *Dispatcher) forwardToDomain(ctx context.Context, job *Job, domain string, out *delivery, served *Served) result {
+	exits := d.control.Snapshot().Exits(domain, time.Now())
+	if len(exits) == 0 {
+		err := cwanswer.NewProblem(http.StatusServiceUnavailable, "no-route", cwanswer.NotRun, "no instance of the domain is known").At("forward", domain)
+		return result{outcome: cwanswer.NotRun, err: err, elsewhere: true}
+	}
+	exit := exits[d.draw(len(exits))]
+	return d.forward(ctx, job, cwpolicy.HopServe, &exit, out, served)
+}
+
+func (d *Dispatcher) draw(n int) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.rng.IntN(n)
+}
+
+// forward passes the job to one instance and its answer to the sink.
+func (d *Dispatcher) forward(ctx context.Context, job *Job, kind cwpolicy.HopKind, to *cwpolicy.Member, out *delivery, served *Served) result {
+	hop, err := job.Hop.Next(kind, to.Incarnation)
+	if err != nil {
+		p := cwanswer.NewProblem(http.StatusLoopDetected, "no-hop-left", cwanswer.NotRun, err.Error()).At("forward", to.Address)
+		return result{outcome: cwanswer.NotRun, err: p, elsewhere: true}
+	}
+	body, err := job.Body.Open()
+	if err != nil {
+		return result{outcome: cwanswer.NotRun, err: err}
+	}
+	if job.OwnsTicket && !d.mayForward(job) {
+		p := cwanswer.NewProblem(http.StatusConflict, "ticket-over", cwanswer.NotRun, errTicket.Error()).At("forward", to.Address)
+		return result{outcome: cwanswer.NotRun, err: p}
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	quiet := newSilence(d.Settings.IdleTimeout, d.Settings.IdleTimeout, func() {}, func() { cancel(errIdle) })
+	defer quiet.stop()
+	head := d.forwardHead(job, hop)
+	forwarded, err := d.forwarder.Forward(ctx, to.Address, head, body)
+	if err != nil {
+		return d.forwardFailed(to, err)
+	}
+	defer forwarded.Close()
+	served.Instance, served.Endpoint, served.Region = forwarded.Head.Instance, forwarded.Head.Endpoint, forwarded.Head.Region
+	return d.relay(ctx, job, forwarded, quiet, out, served)
+}
+
+// mayForward asks the ticket book right before the request leaves.
+func (d *Dispatcher) mayForward(job *Job) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.book.MayDispatch(job.TicketID, time.Now())
+}
+
+func (d *Dispatcher) forwardHead(job *Job, hop cwpolicy.Hop) *cwpeer.ForwardHead {
+	head := &cwpeer.ForwardHead{
+		Version:      cwpeer.ProtocolVersion,
+		RequestID:    job.RequestID,
+		AttemptID:    NewID(),
+		Service:      job.Service.Name,
+		Method:       job.Method,
+		Path:         job.Path,
+		Query:        job.Query,
+		KeyHash:      job.Account.KeySHA256,
+		Header:       job.Header,
+		Length:       job.Body.Length(),
+		LeftMillis:   time.Until(job.Deadline).Milliseconds(),
+		Hop:          hop.String(),
+		Region:       job.ArrivalRegion,
+		ByChoice:     job.Places.Allows(d.Settings.Region),
+		Ticket:       job.Ticket,
+		Dispatchable: job.OwnsTicket,
+	}
+	if job.OwnsTicket {
+		head.TicketLeftMillis = time.Until(job.TicketExpiry).Milliseconds()
+	}
+	return head
+}
+
+func (d *Dispatcher) forwardFailed(to *cwpolicy.Member, err error) result {
+	r := result{outcome: cwanswer.Unknown, err: err, elsewhere: true}
+	var p *cwanswer.Problem
+	if errors.As(err, &p) {
+		r.outcome = p.Outcome
+	}
+	if r.outcome == cwanswer.NotRun && p != nil && p.Step == "forward" {
+		d.control.Offer(cwcontrol.PeerFailed{Address: to.Address})
+	}
+	return r
+}
+
+// relay passes a forwarded answer on, frame by frame.
+func (d *Dispatcher) relay(ctx context.Context, job *Job, f *cwpeer.Forwarded, quiet *silence, out *delivery, served *Served) result {
+	served.FirstByte = time.Since(job.Arrived)
+	served.Status = f.Head.Status
+	if err := out.Start(f.Head.Status, f.Head.Header, served); err != nil {
+		return result{outcome: cwanswer.Unknown, err: err}
+	}
+	for {
+		frame, err := f.Stream.Next()
+		if errors.Is(err, io.EOF) {
+			return result{outcome: cwanswer.Outcome(f.Stream.Outcome())}
+		}
+		if err != nil {
+			if cause := context.Cause(ctx); cause != nil {
+				err = fmt.Errorf("%w: %w", cause, err)
+			}
+			return result{outcome: cwanswer.Unknown, err: err}
+		}
+		quiet.progress()
+		if err := passFrame(frame, out); err != nil {
+			return result{outcome: cwanswer.Unknown, err: err}
+		}
+	}
+}
+
+func passFrame(frame cwframe.Frame, out *delivery) error {
+	switch frame.Kind {
+	case cwframe.Failure:
+		p := &cwanswer.Problem{}
+		_ = json.Unmarshal(frame.Payload, p)
+		return p
+	case cwframe.Data:
+		if _, err := out.Write(frame.Payload); err != nil {
+			return fmt.Errorf("pass answer on: %w", err)
+		}
+		out.Flush()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/cwdispatch/pool_state.go
@@ -0,0 +1,73 @@
+package cwdispatch
+
+import (
+	"github.com/clementinewell/clementinewell/internal/cwpolicy"
+)
+
+// poolState is the traffic path's view of one model or plain service.
+type poolState struct {
+	*cwpolicy.Pool
+	queue   *cwpolicy.Queue[*waiter]
+	spill   *cwpolicy.Spill
+	sent    map[string]sentCount
+	pumping bool
+}
+
+// sentCount counts requests sent to a domain since its summary was made.
+type sentCount struct {
+	summaryAt int64
+	n         int
+}
+
+func newPoolState() *poolState {
+	return &poolState{
+		Pool:  cwpolicy.NewPool(),
+		queue: cwpolicy.NewQueue[*waiter](),
+		spill: cwpolicy.NewSpill(),
+		sent:  make(map[string]sentCount),
+	}
+}
+
+// waiter is a job in the queue. The channel gets exactly one placement unless the
+// job is taken out of the queue first.
+type waiter struct {
+	job   *Job
+	ready chan placement
+}
+
+// placement is where a job goes: to an endpoint, to a domain, or nowhere.
+type placement struct {
+	choice  cwpolicy.Choice
+	domain  string
+	problem error
+}
+
+// poolName returns the name of the pool that serves the job.
+func poolName(job *Job) string {
+	if job.Service.Model != "" {
+		return job.Service.Model
+	}
+	return job.Service.Name
+}
+
+// noteSent counts a request sent to a domain by choice.
+func (p *poolState) noteSent(r *cwpolicy.DomainRoom) {
+	c := p.sent[r.Domain]
+	if c.summaryAt != r.At.UnixNano() {
+		c = sentCount{summaryAt: r.At.UnixNano()}
+	}
+	c.n++
+	p.sent[r.Domain] = c
+}
+
+// withSent returns the summaries with this instance's own sends counted in.
+func (p *poolState) withSent(rooms []cwpolicy.DomainRoom) []cwpolicy.DomainRoom {
+	out := make([]cwpolicy.DomainRoom, len(rooms))
+	for i, r := range rooms {
+		if c := p.sent[r.Domain]; c.summaryAt == r.At.UnixNano() {
+			r.Sent = c.n
+		}
+		out[i] = r
+	}
+	return out
+}
--- /dev/null
+++ b/internal/cwdispatch/silence.go
@@ -0,0 +1,52 @@
+package cwdispatch
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// silence watches an attempt for progress. It calls onSilent once for each time
+// without progress, and onIdle at the end of a longer one.
+type silence struct {
+	last     atomic.Int64
+	silentAt time.Duration
+	idleAt   time.Duration
+	onSilent func()
+	onIdle   func()
+	timer    *time.Timer
+	start    time.Time
+	told     bool
+}
+
+func newSilence(silentAt, idleAt time.Duration, onSilent, onIdle func()) *silence {
+	s := &silence{silentAt: silentAt, idleAt: idleAt, onSilent: onSilent, onIdle: onIdle, start: time.Now()}
+	s.timer = time.AfterFunc(silentAt, s.check)
+	return s
+}
+
+// progress notes that a byte came. It is cheap: no timer is touched.
+func (s *silence) progress() {
+	s.last.Store(int64(time.Since(s.start)))
+}
+
+func (s *silence) stop() {
+	s.timer.Stop()
+}
+
+// check runs in the timer's goroutine; no two checks overlap.
+func (s *silence) check() {
+	quiet := time.Since(s.start) - time.Duration(s.last.Load())
+	switch {
+	case quiet >= s.idleAt:
+		s.onIdle()
+		return
+	case quiet < s.silentAt:
+		s.told = false
+		s.timer.Reset(s.silentAt - quiet)
+		return
+	case !s.told:
+		s.told = true
+		s.onSilent()
+	}
+	s.timer.Reset(s.idleAt - quiet)
+}
--- /dev/null
+++ b/internal/cwendpoint/client.go
@@ -0,0 +1,218 @@
+package cwendpoint
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/clementinewell/clementinewell/internal/cwnet"
+	"github.com/clementinewell/clementinewell/internal/cwpolicy"
+)
+
+const (
+	// AttemptHeader carries the attempt's identifier to the endpoint.
+	AttemptHeader = "Clementinewell-Attempt"
+	// PriorityHeader carries the service's class to the endpoint.
+	PriorityHeader = "Clementinewell-Priority"
+	// ExpiryHeader carries the milliseconds for which a ticket is still good.
+	ExpiryHeader = "Clementinewell-Ticket-Left-Millis"
+	// StreamsPath precedes an attempt's identifier in the path of its stream.
+	StreamsPath = "/streams/"
+	// OrdersPath takes orders to an engine.
+	OrdersPath = "/orders"
+
+	maxConnsPerEndpoint = 512
+	idlePerEndpoint     = 64
+	idleTime            = 30 * time.Second
+	probeTimeout        = time.Second
+	maxLoadBytes        = 8 << 10
+)
+
+// Client sends requests to endpoints.
+type Client struct {
+	pooled *http.Client
+	// fresh opens a connection for each request, so that a probe doesn't share
+	// the fate of the connections in the pool.
+	fresh *http.Client
+}
+
+// NewClient returns a client that connects through n.
+func NewClient(n cwnet.Net) *Client {
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := n.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &cwnet.CountedConn{Conn: conn}, nil
+	}
+	pooled := &http.Transport{
+		DialContext:         dial,
+		MaxConnsPerHost:     maxConnsPerEndpoint,
+		MaxIdleConnsPerHost: idlePerEndpoint,
+		IdleConnTimeout:     idleTime,
+		DisableCompression:  true,
+	}
+	fresh := &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}
+	return &Client{
+		pooled: &http.Client{Transport: pooled, CheckRedirect: noRedirect},
+		fresh:  &http.Client{Transport: fresh, CheckRedirect: noRedirect},
+	}
+}
+
+// noRedirect hands redirects to the caller: following one could leave the places.
+func noRedirect(*http.Request, []*http.Request) error {
+	return http.ErrUseLastResponse
+}
+
+// Request is one attempt at an endpoint.
+type Request struct {
+	// Address is the endpoint's host and port.
+	Address string
+	// Method, Path and Query are those of the caller's request.
+	Method, Path, Query string
+	// Header holds the fields to send.
+	Header http.Header
+	// Body is never replayed; Length is -1 if unknown.
+	Body   io.Reader
+	Length int64
+}
+
+// Do sends the attempt. The watch tells afterwards whether any byte left.
+func (c *Client) Do(ctx context.Context, r *Request, watch *cwnet.SendWatch) (*http.Response, error) {
+	url := "http://" + r.Address + r.Path
+	if r.Query != "" {
+		url += "?" + r.Query
+	}
+	// The wrapper has no GetBody and is never http.NoBody. Otherwise net/http
+	// would replay a request that carries an Idempotency-Key by itself.
+	req, err := http.NewRequestWithContext(watch.Attach(ctx), r.Method, url, onceBody{r.Body})
+	if err != nil {
+		return nil, fmt.Errorf("make request to %s: %w", r.Address, err)
+	}
+	req.Header = r.Header
+	req.ContentLength = r.Length
+	resp, err := c.pooled.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("send request to %s: %w", r.Address, err)
+	}
+	return resp, nil
+}
+
+type onceBody struct{ io.Reader }
+
+// Close does nothing: the reader belongs to the caller's request.
+func (onceBody) Close() error { return nil }
+
+// Load asks an endpoint for its load.
+func (c *Client) Load(ctx context.Context, address string) (Load, error) {
+	l := Load{}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	body, err := get(ctx, c.pooled, address, LoadPath)
+	if err != nil {
+		return l, fmt.Errorf("ask %s for its load: %w", address, err)
+	}
+	if err := json.Unmarshal(body, &l); err != nil {
+		return l, fmt.Errorf("ask %s for its load: %w", address, err)
+	}
+	return l, nil
+}
+
+// Probe asks for a cheap read on a new connection.
+func (c *Client) Probe(ctx context.Context, address, path string) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	if _, err := get(ctx, c.fresh, address, path); err != nil {
+		return fmt.Errorf("probe %s: %w", address, err)
+	}
+	return nil
+}
+
+func get(ctx context.Context, client *http.Client, address, path string) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxLoadBytes))
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("status %d", resp.StatusCode)
+	}
+	return body, nil
+}
+
+// Resume opens the stream of an attempt again, behind the event with the number.
+func (c *Client) Resume(ctx context.Context, address, attemptID, lastEvent string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+StreamsPath+attemptID, nil)
+	if err != nil {
+		return nil, fmt.Errorf("resume stream at %s: %w", address, err)
+	}
+	if lastEvent != "" {
+		req.Header.Set("Last-Event-ID", lastEvent)
+	}
+	resp, err := c.fresh.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("resume stream at %s: %w", address, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		_ = resp.Body.Close()
+		return nil, fmt.Errorf("resume stream at %s: status %d", address, resp.StatusCode)
+	}
+	return resp, nil
+}
+
+// Cancel tells an engine to stop an attempt whose caller is gone.
+func (c *Client) Cancel(ctx context.Context, address, attemptID string) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	return c.send(ctx, http.MethodDelete, address, StreamsPath+attemptID, nil)
+}
+
+// Order sends an order to an engine. An engine that checks fencing numbers
+// refuses an old one with 409, which is an error.
+func (c *Client) Order(ctx context.Context, order cwpolicy.EngineOrder) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	body, err := json.Marshal(OrderMessage{Model: order.Model, Adapters: order.Adapters, Fence: order.Fence})
+	if err != nil {
+		return fmt.Errorf("order %s: %w", order.Endpoint, err)
+	}
+	return c.send(ctx, http.MethodPost, order.Endpoint, OrdersPath, body)
+}
+
+// OrderMessage is the body of an order.
+type OrderMessage struct {
+	// Model and Adapters are what the engine should have loaded.
+	Model    string   `json:"model"`
+	Adapters []string `json:"adapters,omitempty"`
+	// Fence is the fencing number.
+	Fence uint64 `json:"fence"`
+}
+
+func (c *Client) send(ctx context.Context, method, address, path string, body []byte) error {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("%s %s at %s: %w", method, path, address, err)
+	}
+	resp, err := c.fresh.Do(req)
+	if err != nil {
+		return fmt.Errorf("%s %s at %s: %w", method, path, address, err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode >= http.StatusBadRequest {
+		return fmt.Errorf("%s %s at %s: status %d", method, path, address, resp.StatusCode)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/cwendpoint/load.go
@@ -0,0 +1,98 @@
+// Package cwendpoint is the interface to endpoints: requests, load reports,
+// probes, resumed streams and orders to engines.
+package cwendpoint
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/clementinewell/clementinewell/internal/cwcontrol"
+	"github.com/clementinewell/clementinewell/internal/cwpolicy"
+)
+
+const (
+	// LoadPath is where an endpoint reports its load.
+	LoadPath = "/load"
+	// LoadHeader carries the load report on each answer of an endpoint.
+	LoadHeader = "Endpoint-Load"
+)
+
+// Load is the load report of an endpoint.
+type Load struct {
+	// Incarnation identifies the endpoint's process life.
+	Incarnation uint64 `json:"incarnation"`
+	// Leaving is set once the endpoint takes no new work.
+	Leaving bool `json:"leaving,omitempty"`
+	// AgeMillis is the age of the numbers, in milliseconds.
+	AgeMillis int `json:"ageMillis"`
+	// Running, Waiting and Slots count requests.
+	Running int `json:"running"`
+	Waiting int `json:"waiting"`
+	Slots   int `json:"slots"`
+	// WaitingTokens counts prompt tokens not yet processed.
+	WaitingTokens int `json:"waitingTokens"`
+	// Loaded are the models that are ready; Loading is set while one is not.
+	Loaded  []string `json:"loaded,omitempty"`
+	Loading bool     `json:"loading,omitempty"`
+	// Fence is the highest fencing number seen.
+	Fence uint64 `json:"fence,omitempty"`
+}
+
+// Header returns the short form that travels on answers.
+func (l *Load) Header() string {
+	return fmt.Sprintf("1 %d %t %d %d %d %d %d", l.Incarnation, l.Leaving, l.AgeMillis, l.Running, l.Waiting, l.Slots, l.WaitingTokens)
+}
+
+// ParseLoadHeader reads the short form. Fields behind the known ones are ignored.
+func ParseLoadHeader(s string) (Load, error) {
+	l := Load{}
+	parts := strings.Fields(s)
+	if len(parts) < 8 || parts[0] != "1" {
+		return l, fmt.Errorf("parse load header: %q", s)
+	}
+	incarnation, err := strconv.ParseUint(parts[1], 10, 64)
+	if err != nil {
+		return l, fmt.Errorf("parse load header: incarnation: %w", err)
+	}
+	l.Incarnation, l.Leaving = incarnation, parts[2] == "true"
+	for i, target := range []*int{&l.AgeMillis, &l.Running, &l.Waiting, &l.Slots, &l.WaitingTokens} {
+		n, err := strconv.Atoi(parts[3+i])
+		if err != nil || n < 0 {
+			return l, fmt.Errorf("parse load header: number %q", parts[3+i])
+		}
+		*target = n
+	}
+	return l, nil
+}
+
+// Report returns the control form by this instance's clock.
+func (l *Load) Report(address string, now time.Time) cwcontrol.EndpointReport {
+	return cwcontrol.EndpointReport{
+		Address:     address,
+		Incarnation: l.Incarnation,
+		Leaving:     l.Leaving,
+		Report: cwpolicy.LoadReport{
+			At:            now.Add(-time.Duration(l.AgeMillis) * time.Millisecond),
+			Running:       l.Running,
+			Waiting:       l.Waiting,
+			WaitingTokens: l.WaitingTokens,
+			Slots:         l.Slots,
+		},
+		Loaded:  l.Loaded,
+		Loading: l.Loading,
+		Fence:   l.Fence,
+	}
+}
+
+// LoadOfAnswer returns the load report that an answer carries, if any.
+func LoadOfAnswer(h http.Header) (Load, bool) {
+	value := h.Get(LoadHeader)
+	if value == "" {
+		return Load{}, false
+	}
+	l, err := ParseLoadHeader(value)
+	return l, err == nil
+}
--- /dev/null
+++ b/internal/cwendpoint/orderer.go
@@ -0,0 +1,76 @@
+package cwendpoint
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/clementinewell/clementinewell/internal/cwcommon"
+	"github.com/clementinewell/clementinewell/internal/cwcontrol"
+	"github.com/clementinewell/clementinewell/internal/cwpolicy"
+)
+
+const orderInterval = time.Second
+
+// Orderer sends engines the orders that follow from the configuration.
+type Orderer struct {
+	*cwcommon.Common
+	control *cwcontrol.Control
+	client  *Client
+}
+
+// NewOrderer returns an orderer that has not started.
+func NewOrderer(common *cwcommon.Common, control *cwcontrol.Control, client *Client) *Orderer {
+	return &Orderer{Common: common, control: control, client: client}
+}
+
+// Run sends orders until ctx ends.
+func (o *Orderer) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		o.Round(ctx)
+		select {
+		case <-ctx.Done():
+		case <-time.After(orderInterval):
+		}
+	}
+	return nil
+}
+
+// Round computes the orders and sends them. Each is checked again right before
+// it is sent, since the process may have been paused in between.
+func (o *Orderer) Round(ctx context.Context) {
+	s := o.control.Snapshot()
+	if s.Config == nil || !s.Ready {
+		return
+	}
+	for _, order := range cwpolicy.Orders(orderInput(s, time.Now())) {
+		if latest := o.control.Snapshot(); latest.Order.Accepted() != s.Order.Accepted() {
+			return
+		}
+		if err := o.client.Order(ctx, order); err != nil {
+			o.Log.Warn("order refused", zap.Error(err))
+			continue
+		}
+		o.Log.Info("order sent", zap.String("endpoint", order.Endpoint), zap.String("model", order.Model), zap.Uint64("fence", order.Fence))
+	}
+}
+
+func orderInput(s *cwcontrol.Snapshot, now time.Time) cwpolicy.OrderInput {
+	in := cwpolicy.OrderInput{
+		Services: s.Config.Services(),
+		Fence:    s.Order.Accepted().Number,
+		Fresh:    s.Order.FreshWithin(now, cwpolicy.OrderFreshness),
+		Sender:   cwpolicy.IsSender(s.Self.Address, s.Self.Domain, s.Members, now),
+	}
+	for i := range s.Endpoints {
+		r := &s.Endpoints[i]
+		if r.Incarnation == 0 || r.Leaving {
+			continue
+		}
+		in.Engines = append(in.Engines, cwpolicy.EngineState{
+			Endpoint: r.Address, Assigned: r.Pool, Loaded: r.Loaded, Loading: r.Loading, Fence: r.Fence,
+		})
+	}
+	return in
+}
--- /dev/null
+++ b/internal/cwentry/observe.go
@@ -0,0 +1,84 @@
+package cwentry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/clementinewell/clementinewell/internal/cwburn"
+	"github.com/clementinewell/clementinewell/internal/cwdispatch"
+	"github.com/clementinewell/clementinewell/pkg/cwanswer"
+)
+
+// observe counts the request in the service-level report.
+func (h *Handler) observe(job *cwdispatch.Job, served *cwdispatch.Served, err error) {
+	reason, counts := reasonOf(err)
+	h.metrics.served(job.Service.Name, reason, served)
+	if !counts {
+		return
+	}
+	h.burn.Observe(cwburn.Observation{
+		Service:   job.Service.Name,
+		Region:    h.Settings.Region,
+		Reason:    reason,
+		FirstByte: served.FirstByte,
+		Away:      served.Region != "" && served.Region != h.Settings.Region && err == nil,
+	}, job.Service.Targets, time.Now())
+}
+
+// reasonOf returns why the request burnt budget, and false if it does not count
+// because the caller caused its end.
+func reasonOf(err error) (cwburn.Reason, bool) {
+	if err == nil {
+		return cwburn.None, true
+	}
+	if errors.Is(err, context.Canceled) {
+		return cwburn.None, false
+	}
+	if errors.Is(err, cwdispatch.ErrTruncated) {
+		return cwburn.Truncated, true
+	}
+	var p *cwanswer.Problem
+	if !errors.As(err, &p) {
+		return cwburn.Failed, true
+	}
+	switch p.Type {
+	case "problems/overloaded", "problems/no-room":
+		return cwburn.Overload, true
+	case "problems/no-route":
+		return cwburn.Route, true
+	}
+	return cwburn.Failed, p.Status >= http.StatusInternalServerError
+}
+
+func (h *Handler) logServed(job *cwdispatch.Job, served *cwdispatch.Served, err error) {
+	fields := []zap.Field{
+		zap.String("request", job.RequestID),
+		zap.String("service", job.Service.Name),
+		zap.String("account", job.Account.Name),
+		zap.String("instance", served.Instance),
+		zap.String("endpoint", served.Endpoint),
+		zap.String("region", served.Region),
+		zap.Int("status", served.Status),
+		zap.Int("attempts", served.Attempts),
+		zap.Duration("firstByte", served.FirstByte),
+		zap.Duration("took", time.Since(job.Arrived)),
+	}
+	if err != nil {
+		h.Log.Warn("request failed", append(fields, zap.Error(err))...)
+		return
+	}
+	h.Log.Info("request served", append(fields, zap.String("outcome", string(cwanswer.Ran)))...)
+}
+
+func (h *Handler) logRefusal(r *http.Request, p *cwanswer.Problem) {
+	h.Log.Info("request refused",
+		zap.String("request", p.RequestID),
+		zap.String("service", r.PathValue("service")),
+		zap.Int("status", p.Status),
+		zap.String("problem", p.Type),
+		zap.String("outcome", string(p.Outcome)))
+}
--- /dev/null
+++ b/internal/cwentry/request_metrics.go
@@ -0,0 +1,81 @@
+package cwentry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/clementinewell/clementinewell/internal/cwburn"
+	"github.com/clementinewell/clementinewell/internal/cwdispatch"
+	"github.com/clementinewell/clementinewell/pkg/cwanswer"
+)
+
+// requestMetrics caches the scope of each service, so that the traffic path makes
+// no tag maps.
+type requestMetrics struct {
+	root     tally.Scope
+	services sync.Map
+	refusals sync.Map
+}
+
+type serviceMetrics struct {
+	byReason sync.Map
+	scope    tally.Scope
+	first    tally.Histogram
+	away     tally.Counter
+	retries  tally.Counter
+}
+
+func newRequestMetrics(root tally.Scope) *requestMetrics {
+	return &requestMetrics{root: root}
+}
+
+func firstByteBuckets() tally.Buckets {
+	return tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 14)
+}
+
+func (m *requestMetrics) service(name string) *serviceMetrics {
+	if found, ok := m.services.Load(name); ok {
+		return found.(*serviceMetrics)
+	}
+	scope := m.root.Tagged(map[string]string{"service": name})
+	made := &serviceMetrics{
+		scope:   scope,
+		first:   scope.Histogram("first_byte_seconds", firstByteBuckets()),
+		away:    scope.Counter("requests_away"),
+		retries: scope.Counter("retries"),
+	}
+	found, _ := m.services.LoadOrStore(name, made)
+	return found.(*serviceMetrics)
+}
+
+func (s *serviceMetrics) requests(reason cwburn.Reason) tally.Counter {
+	if found, ok := s.byReason.Load(reason); ok {
+		return found.(tally.Counter)
+	}
+	made := s.scope.Tagged(map[string]string{"reason": string(reason)}).Counter("requests")
+	found, _ := s.byReason.LoadOrStore(reason, made)
+	return found.(tally.Counter)
+}
+
+func (m *requestMetrics) served(service string, reason cwburn.Reason, served *cwdispatch.Served) {
+	s := m.service(service)
+	s.requests(reason).Inc(1)
+	if served.FirstByte > 0 {
+		s.first.RecordDuration(served.FirstByte)
+	}
+	if served.Attempts > 1 {
+		s.retries.Inc(int64(served.Attempts - 1))
+	}
+}
+
+// refused counts refusals by kind. Kinds are few; nothing from the caller is a
+// label.
+func (m *requestMetrics) refused(p *cwanswer.Problem) {
+	found, ok := m.refusals.Load(p.Type)
+	if !ok {
+		found, _ = m.refusals.LoadOrStore(p.Type, m.root.Tagged(map[string]string{"problem": p.Type}).Counter("refusals"))
+	}
+	found.(tally.Counter).Inc(1)
+}
--- /dev/null
+++ b/internal/cwentry/response_sink.go
@@ -0,0 +1,42 @@
+package cwentry
+
+import (
+	"net/http"
+
+	"github.com/clementinewell/clementinewell/internal/cwdispatch"
+	"github.com/clementinewell/clementinewell/pkg/cwanswer"
+)
+
+// responseSink writes an answer to the caller.
+type responseSink struct {
+	w  http.ResponseWriter
+	rc *http.ResponseController
+}
+
+func newResponseSink(w http.ResponseWriter) *responseSink {
+	return &responseSink{w: w, rc: http.NewResponseController(w)}
+}
+
+// Start sends status and header.
+func (s *responseSink) Start(status int, header http.Header, served *cwdispatch.Served) error {
+	h := s.w.Header()
+	for name, values := range header {
+		h[name] = values
+	}
+	h.Set(cwanswer.HeaderOutcome, string(cwanswer.Ran))
+	h.Set(cwanswer.HeaderEndpoint, served.Endpoint)
+	h.Set(cwanswer.HeaderRegion, served.Region)
+	s.w.WriteHeader(status)
+	return nil
+}
+
+// Write sends a part of the body.
+func (s *responseSink) Write(p []byte) (int, error) {
+	return s.w.Write(p)
+}
+
+// Flush sends what is buffered.
+func (s *responseSink) Flush() {
+	// A connection that is gone shows at the next write.
+	_ = s.rc.Flush()
+}
--- /dev/null
+++ b/internal/cwexit/handler.go
@@ -0,0 +1,150 @@
+// Package cwexit serves requests that other instances pass on.
+package cwexit
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/clementinewell/clementinewell/internal/cwcommon"
+	"github.com/clementinewell/clementinewell/internal/cwcontrol"
+	"github.com/clementinewell/clementinewell/internal/cwdispatch"
+	"github.com/clementinewell/clementinewell/internal/cwframe"
+	"github.com/clementinewell/clementinewell/internal/cwpeer"
+	"github.com/clementinewell/clementinewell/internal/cwpolicy"
+	"github.com/clementinewell/clementinewell/pkg/cwanswer"
+)
+
+const authHeader = "Clementinewell-Auth"
+
+// Handler answers forwarded requests.
+type Handler struct {
+	*cwcommon.Common
+	control    *cwcontrol.Control
+	dispatcher *cwdispatch.Dispatcher
+	auth       *cwpeer.Auth
+}
+
+// NewHandler returns a handler that checks senders with auth.
+func NewHandler(common *cwcommon.Common, control *cwcontrol.Control, dispatcher *cwdispatch.Dispatcher, auth *cwpeer.Auth) *Handler {
+	return &Handler{Common: common, control: control, dispatcher: dispatcher, auth: auth}
+}
+
+// ServeHTTP serves one forwarded request. The answer is a framed stream.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	stream := cwframe.NewReader(r.Body)
+	head := &cwpeer.ForwardHead{}
+	message, err := stream.ReadMessage(cwframe.Head, head)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if err := h.auth.Verify(r.Header.Get(authHeader), cwpeer.ForwardPath, message, time.Now()); err != nil {
+		http.Error(w, err.Error(), http.StatusUnauthorized)
+		return
+	}
+	// The body is still read while the answer is written.
+	_ = http.NewResponseController(w).EnableFullDuplex()
+	out := newFrameSink(w, head.AttemptID)
+	served, err := h.serve(r.Context(), head, stream, out)
+	h.end(out, head, served, err)
+}
+
+func (h *Handler) serve(ctx context.Context, head *cwpeer.ForwardHead, stream *cwframe.Reader, out *frameSink) (*cwdispatch.Served, error) {
+	job, problem := h.job(head)
+	if problem != nil {
+		return &cwdispatch.Served{}, problem
+	}
+	body, err := cwdispatch.ReadBody(stream, head.Length)
+	if err != nil {
+		return &cwdispatch.Served{}, cwanswer.NewProblem(http.StatusBadRequest, "bad-body", cwanswer.NotRun, err.Error()).At("exit", h.Settings.PeerAddress)
+	}
+	job.Body = body
+	if !h.dispatcher.Enter(job.Account.Name, 0) {
+		return &cwdispatch.Served{}, nil
+	}
+	defer h.dispatcher.Leave(job.Account.Name)
+	ctx, cancel := context.WithDeadline(ctx, job.Deadline)
+	defer cancel()
+	if job.Ticket != "" && !head.Dispatchable {
+		return h.dispatcher.ServeTicket(ctx, job, out)
+	}
+	return h.dispatcher.Serve(ctx, job, out)
+}
+
+// job checks the request against this instance's own configuration, which may be
+// older or newer than the sender's: if either refuses, the request is refused.
+func (h *Handler) job(head *cwpeer.ForwardHead) (*cwdispatch.Job, *cwanswer.Problem) {
+	s := h.control.Snapshot()
+	service := s.Config.Service(head.Service)
+	account := s.Config.AccountByKeyHash(head.KeyHash)
+	if service == nil || account == nil || !account.MayCall(head.Service) {
+		return nil, h.refuse(http.StatusForbidden, "not-allowed", "this instance's configuration does not allow the request")
+	}
+	hop, err := cwpolicy.ParseHop(head.Hop)
+	if err != nil {
+		return nil, h.refuse(http.StatusBadRequest, "bad-hop", err.Error())
+	}
+	places := cwpolicy.NewPlaces(service.Places, account.Home)
+	forOwner := head.Ticket != "" && !head.Dispatchable
+	if !places.Allows(h.Settings.Region) && !forOwner {
+		return nil, h.refuse(http.StatusMisdirectedRequest, "other-place", "this region is not among the places of the request")
+	}
+	if s.Self.Leaving && !forOwner {
+		return nil, h.refuse(http.StatusServiceUnavailable, "leaving", "the instance shuts down")
+	}
+	if head.ByChoice && !forOwner && !h.dispatcher.Accepts(service) {
+		return nil, h.refuse(http.StatusServiceUnavailable, "no-room", "the domain keeps its free slots for its own callers")
+	}
+	now := time.Now()
+	left := min(head.Left(), service.Targets.Deadline())
+	if left <= 0 {
+		return nil, h.refuse(http.StatusGatewayTimeout, "too-late", "the deadline has passed")
+	}
+	return &cwdispatch.Job{
+		RequestID:     head.RequestID,
+		Service:       service,
+		Account:       account,
+		Places:        places,
+		Method:        head.Method,
+		Path:          head.Path,
+		Query:         head.Query,
+		Header:        head.Header,
+		Repeatable:    head.Ticket == "" && service.Repeatable(head.Method, head.Path),
+		Ticket:        head.Ticket,
+		TicketExpiry:  now.Add(time.Duration(head.TicketLeftMillis) * time.Millisecond),
+		Deadline:      now.Add(left),
+		Arrived:       now,
+		Hop:           hop,
+		ArrivalRegion: head.Region,
+	}, nil
+}
+
+func (h *Handler) refuse(status int, kind, detail string) *cwanswer.Problem {
+	return cwanswer.NewProblem(status, kind, cwanswer.NotRun, detail).At("exit", h.Settings.PeerAddress)
+}
+
+// end closes the stream with its end mark, or with the problem.
+func (h *Handler) end(out *frameSink, head *cwpeer.ForwardHead, served *cwdispatch.Served, err error) {
+	if err == nil {
+		if err := out.frames.Close(string(cwanswer.Ran)); err != nil {
+			h.Log.Debug("answer not passed back", zap.String("request", head.RequestID), zap.Error(err))
+		}
+		out.Flush()
+		return
+	}
+	h.Log.Info("forwarded request failed",
+		zap.String("request", head.RequestID), zap.String("service", head.Service),
+		zap.String("endpoint", served.Endpoint), zap.Error(err))
+	var p *cwanswer.Problem
+	if !errors.As(err, &p) {
+		p = cwanswer.NewProblem(http.StatusBadGateway, "attempt-failed", cwanswer.Unknown, err.Error()).At("exit", h.Settings.PeerAddress)
+	}
+	if werr := out.frames.WriteMessage(cwframe.Failure, p); werr != nil {
+		h.Log.Debug("failure not passed back", zap.String("request", head.RequestID), zap.Error(werr))
+	}
+	out.Flush()
+}
--- /dev/null
+++ b/internal/cwnet/net.go
@@ -0,0 +1,59 @@
+// Package cwnet opens the network connections of an instance.
+package cwnet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+)
+
+const (
+	dialTimeout       = 2 * time.Second
+	keepAliveIdle     = 2 * time.Second
+	keepAliveInterval = time.Second
+	keepAliveCount    = 3
+)
+
+// Net opens listeners and connections. Tests replace it by one in memory.
+type Net interface {
+	// Listen returns a listener on a TCP address.
+	Listen(ctx context.Context, address string) (net.Listener, error)
+	// DialContext connects to a TCP address.
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// TCP is the network of the operating system, with keep-alive probes that find
+// connections whose other end is gone.
+type TCP struct {
+	dialer net.Dialer
+	config net.ListenConfig
+}
+
+// NewTCP returns the network of the operating system.
+func NewTCP() *TCP {
+	probes := net.KeepAliveConfig{
+		Enable:   true,
+		Idle:     keepAliveIdle,
+		Interval: keepAliveInterval,
+		Count:    keepAliveCount,
+	}
+	return &TCP{
+		dialer: net.Dialer{Timeout: dialTimeout, KeepAliveConfig: probes},
+		config: net.ListenConfig{KeepAliveConfig: probes},
+	}
+}
+
+// Listen returns a listener on a TCP address.
+func (t *TCP) Listen(ctx context.Context, address string) (net.Listener, error) {
+	l, err := t.config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	return l, nil
+}
+
+// DialContext connects to a TCP address.
+func (t *TCP) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	return t.dialer.DialContext(ctx, network, address)
+}
--- /dev/null
+++ b/internal/cwpeer/auth.go
@@ -0,0 +1,60 @@
+// Package cwpeer is the interface between entry instances: authentication,
+// exchanges of news, configuration and tickets, and forwarded requests.
+package cwpeer
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	authHeader = "Clementinewell-Auth"
+	authScheme = "v1"
+	// authWindow bounds the age of a signature and the difference of two clocks.
+	authWindow = 2 * time.Minute
+)
+
+// Auth signs and checks messages between instances with their shared key.
+type Auth struct {
+	key []byte
+}
+
+// NewAuth returns an authenticator with the shared key.
+func NewAuth(key string) *Auth {
+	return &Auth{key: []byte(key)}
+}
+
+// Sign returns the header value for a message sent to the path.
+func (a *Auth) Sign(path string, message []byte, now time.Time) string {
+	stamp := strconv.FormatInt(now.UnixMilli(), 10)
+	return authScheme + " " + stamp + " " + hex.EncodeToString(a.mac(path, stamp, message))
+}
+
+// Verify checks the header value of a message that came to the path.
+func (a *Auth) Verify(header, path string, message []byte, now time.Time) error {
+	parts := strings.Split(header, " ")
+	if len(parts) != 3 || parts[0] != authScheme {
+		return fmt.Errorf("authenticate peer: no signature of a known form")
+	}
+	millis, err := strconv.ParseInt(parts[1], 10, 64)
+	if err != nil || now.Sub(time.UnixMilli(millis)).Abs() > authWindow {
+		return fmt.Errorf("authenticate peer: signature is too old or the clocks differ")
+	}
+	sum, err := hex.DecodeString(parts[2])
+	if err != nil || !hmac.Equal(sum, a.mac(path, parts[1], message)) {
+		return fmt.Errorf("authenticate peer: wrong signature")
+	}
+	return nil
+}
+
+func (a *Auth) mac(path, stamp string, message []byte) []byte {
+	h := hmac.New(sha256.New, a.key)
+	fmt.Fprintf(h, "%d %s %s ", len(path), path, stamp)
+	h.Write(message)
+	return h.Sum(nil)
+}
--- /dev/null
+++ b/internal/cwpeer/client.go
@@ -0,0 +1,76 @@
+package cwpeer
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/clementinewell/clementinewell/internal/cwnet"
+	"github.com/clementinewell/clementinewell/internal/cwpolicy"
+	"github.com/clementinewell/clementinewell/internal/cwproto"
+)
+
+const (
+	callTimeout = 1500 * time.Millisecond
+	// peerIdle closes connections to peers that are seldom used.
+	peerIdle       = 30 * time.Second
+	maxIdlePerPeer = 2
+)
+
+// Client calls other instances.
+type Client struct {
+	http *signedClient
+}
+
+// NewClient returns a client that signs with auth.
+func NewClient(n cwnet.Net, auth *Auth) *Client {
+	transport := &http.Transport{
+		DialContext:         n.DialContext,
+		MaxIdleConnsPerHost: maxIdlePerPeer,
+		IdleConnTimeout:     peerIdle,
+		DisableCompression:  true,
+	}
+	return &Client{http: &signedClient{auth: auth, client: &http.Client{Transport: transport}}}
+}
+
+func (c *Client) to(address string) cwproto.Peer {
+	return cwproto.NewPeerProtobufClient("http://"+address, c.http)
+}
+
+// Exchange swaps news with the peer and returns the round trip.
+func (c *Client) Exchange(ctx context.Context, address string, news *cwproto.News) (*cwproto.News, time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	start := time.Now()
+	answer, err := c.to(address).Exchange(ctx, news)
+	if err != nil {
+		return nil, 0, fmt.Errorf("exchange with %s: %w", address, err)
+	}
+	return answer, time.Since(start), nil
+}
+
+// FetchConfig asks the peer for values of its configuration.
+func (c *Client) FetchConfig(ctx context.Context, address string, hashes []string) ([]*cwproto.KeyValue, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
+	defer cancel()
+	answer, err := c.to(address).FetchConfig(ctx, &cwproto.FetchConfigRequest{Keys: hashes})
+	if err != nil {
+		return nil, fmt.Errorf("fetch configuration from %s: %w", address, err)
+	}
+	return answer.GetValues(), nil
+}
+
+// TakeOver hands tickets to the peer. It returns the peer's incarnation.
+func (c *Client) TakeOver(ctx context.Context, address string, handovers []cwpolicy.TicketHandover) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
+	defer cancel()
+	answer, err := c.to(address).TakeOver(ctx, protoHandovers(handovers))
+	if err != nil {
+		return 0, fmt.Errorf("hand tickets to %s: %w", address, err)
+	}
+	if !answer.GetAccepted() {
+		return 0, fmt.Errorf("hand tickets to %s: the peer leaves too", address)
+	}
+	return answer.GetSuccessor(), nil
+}
--- /dev/null
+++ b/internal/cwpeer/forwarder.go
@@ -0,0 +1,156 @@
+package cwpeer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/clementinewell/clementinewell/internal/cwframe"
+	"github.com/clementinewell/clementinewell/internal/cwnet"
+	"github.com/clementinewell/clementinewell/pkg/cwanswer"
+)
+
+const (
+	frameContentType   = "application/x-clementinewell-frames"
+	maxForwardPerPeer  = 256
+	idleForwardPerPeer = 64
+)
+
+// Forwarder passes requests on to other instances.
+type Forwarder struct {
+	auth   *Auth
+	client *http.Client
+}
+
+// NewForwarder returns a forwarder that signs with auth.
+func NewForwarder(n cwnet.Net, auth *Auth) *Forwarder {
+	transport := &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := n.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &cwnet.CountedConn{Conn: conn}, nil
+		},
+		MaxConnsPerHost:     maxForwardPerPeer,
+		MaxIdleConnsPerHost: idleForwardPerPeer,
+		IdleConnTimeout:     peerIdle,
+		DisableCompression:  true,
+	}
+	return &Forwarder{auth: auth, client: &http.Client{Transport: transport}}
+}
+
+// Forwarded is a forwarded request whose answer has begun.
+type Forwarded struct {
+	// Head is the answer's first message.
+	Head AnswerHead
+	// Stream gives the answer's body.
+	Stream *cwframe.Reader
+
+	body io.Closer
+}
+
+// Close ends the exchange; a request that still runs is cancelled.
+func (f *Forwarded) Close() {
+	_ = f.body.Close()
+}
+
+// Forward sends a request to the peer and returns once the answer begins. The
+// error is a *cwanswer.Problem with what is known of the outcome.
+func (f *Forwarder) Forward(ctx context.Context, address string, head *ForwardHead, body io.Reader) (*Forwarded, error) {
+	watch := &cwnet.SendWatch{}
+	req, err := f.request(watch.Attach(ctx), address, head, body)
+	if err != nil {
+		return nil, forwardProblem(cwanswer.NotRun, address, err)
+	}
+	resp, err := f.client.Do(req)
+	if err != nil {
+		outcome := cwanswer.Unknown
+		if watch.NothingSent() {
+			outcome = cwanswer.NotRun
+		}
+		return nil, forwardProblem(outcome, address, err)
+	}
+	forwarded, err := readAnswer(resp, head.AttemptID, address)
+	if err != nil {
+		_ = resp.Body.Close()
+		return nil, err
+	}
+	return forwarded, nil
+}
+
+func (f *Forwarder) request(ctx context.Context, address string, head *ForwardHead, body io.Reader) (*http.Request, error) {
+	message, err := json.Marshal(head)
+	if err != nil {
+		return nil, fmt.Errorf("encode head: %w", err)
+	}
+	// A pipe has no GetBody, so net/http can't replay the request by itself.
+	r, w := io.Pipe()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+ForwardPath, r)
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Content-Type", frameContentType)
+	req.Header.Set(authHeader, f.auth.Sign(ForwardPath, message, time.Now()))
+	go sendFrames(w, json.RawMessage(message), body)
+	return req, nil
+}
+
+func sendFrames(w *io.PipeWriter, message json.RawMessage, body io.Reader) {
+	frames := cwframe.NewWriter(w)
+	err := frames.WriteMessage(cwframe.Head, message)
+	if err == nil {
+		_, err = io.CopyBuffer(frames, onlyReader{body}, make([]byte, 16<<10))
+	}
+	if err == nil {
+		err = frames.Close("")
+	}
+	_ = w.CloseWithError(err)
+}
+
+// onlyReader hides WriterTo, so that the copy uses its small buffer.
+type onlyReader struct{ io.Reader }
+
+func readAnswer(resp *http.Response, attemptID, address string) (*Forwarded, error) {
+	if resp.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, 512))
+		return nil, forwardProblem(cwanswer.Unknown, address, fmt.Errorf("status %d: %s", resp.StatusCode, text))
+	}
+	stream := cwframe.NewReader(resp.Body)
+	frame, err := stream.Next()
+	if err != nil {
+		return nil, forwardProblem(cwanswer.Unknown, address, err)
+	}
+	if frame.Kind == cwframe.Failure {
+		return nil, ProblemOf(frame, address)
+	}
+	out := &Forwarded{Stream: stream, body: resp.Body}
+	if frame.Kind != cwframe.Head {
+		return nil, forwardProblem(cwanswer.Unknown, address, fmt.Errorf("frame kind %d before the head", frame.Kind))
+	}
+	if err := json.Unmarshal(frame.Payload, &out.Head); err != nil {
+		return nil, forwardProblem(cwanswer.Unknown, address, err)
+	}
+	if out.Head.AttemptID != attemptID {
+		return nil, forwardProblem(cwanswer.Unknown, address, errors.New("answer belongs to another attempt"))
+	}
+	return out, nil
+}
+
+// ProblemOf returns the problem that a peer sent in a Failure frame.
+func ProblemOf(frame cwframe.Frame, address string) *cwanswer.Problem {
+	p := &cwanswer.Problem{}
+	if err := json.Unmarshal(frame.Payload, p); err != nil || p.Status == 0 {
+		return forwardProblem(cwanswer.Unknown, address, errors.New("unreadable failure"))
+	}
+	return p
+}
+
+func forwardProblem(outcome cwanswer.Outcome, address string, err error) *cwanswer.Problem {
+	return cwanswer.NewProblem(http.StatusBadGateway, "peer-failed", outcome, err.Error()).At("forward", address)
+}
--- /dev/null
+++ b/internal/cwpeer/news.go
@@ -0,0 +1,168 @@
+package cwpeer
+
+import (
+	"time"
+
+	"github.com/clementinewell/clementinewell/internal/cwcontrol"
+	"github.com/clementinewell/clementinewell/internal/cwpolicy"
+	"github.com/clementinewell/clementinewell/internal/cwproto"
+	"github.com/clementinewell/clementinewell/pkg/cwconfig"
+)
+
+// ProtocolVersion is the version of the messages that this code sends.
+const ProtocolVersion = 1
+
+// maxDemands bounds the limits in one message; the largest demands are kept.
+const maxDemands = 64
+
+// newsOf returns what an instance tells a peer. Endpoint reports and members
+// stay within the failure domain.
+func newsOf(s *cwcontrol.Snapshot, traffic Traffic, sameDomain bool, now time.Time) *cwproto.News {
+	v := s.Order.Accepted()
+	news := &cwproto.News{
+		Protocol:        ProtocolVersion,
+		Self:            protoMember(&s.Self),
+		Config:          &cwproto.ConfigVersion{Number: v.Number, Hash: v.Hash},
+		ConfigConfirmed: s.Order.Ready(),
+	}
+	for _, r := range traffic.Rooms() {
+		news.Rooms = append(news.Rooms, protoRoom(r))
+	}
+	for i := range s.Members {
+		m := &s.Members[i]
+		// A leaving member is news to all; a live one only to its own domain.
+		if m.Leaving && now.Sub(m.HeardAt) < cwpolicy.MemberForget || m.Domain == s.Self.Domain {
+			news.Members = append(news.Members, protoMember(m))
+		}
+	}
+	for _, move := range s.Moves {
+		news.Moves = append(news.Moves, &cwproto.Move{From: move.From, To: move.To})
+	}
+	for _, d := range topDemands(traffic.Demands()) {
+		news.Demands = append(news.Demands, &cwproto.LimitDemand{
+			Service: d.Key.Service, Account: d.Key.Account, PerSecond: float32(d.PerSecond),
+		})
+	}
+	if sameDomain {
+		news.Endpoints = protoEndpoints(s.Endpoints, now)
+	}
+	return news
+}
+
+func protoMember(m *cwpolicy.Member) *cwproto.MemberState {
+	return &cwproto.MemberState{
+		Incarnation:   m.Incarnation,
+		PeerAddress:   m.Address,
+		CallerAddress: m.CallerAddress,
+		Region:        m.Region,
+		Domain:        m.Domain,
+		Size:          float32(m.Size),
+		Load:          float32(m.Load),
+		Demand:        float32(m.Demand),
+		Leaving:       m.Leaving,
+	}
+}
+
+func memberOf(p *cwproto.MemberState) cwpolicy.Member {
+	m := cwpolicy.Member{
+		Address:       p.GetPeerAddress(),
+		CallerAddress: p.GetCallerAddress(),
+		Region:        p.GetRegion(),
+		Domain:        p.GetDomain(),
+		Size:          float64(p.GetSize()),
+		Load:          float64(p.GetLoad()),
+		Demand:        float64(p.GetDemand()),
+	}
+	m.Incarnation, m.Leaving = p.GetIncarnation(), p.GetLeaving()
+	return m
+}
+
+func protoRoom(r cwcontrol.PeerRoom) *cwproto.PoolRoom {
+	return &cwproto.PoolRoom{
+		Pool:            r.Pool,
+		Endpoints:       uint32(r.Room.Endpoints),
+		Slots:           uint32(r.Room.Slots),
+		Free:            uint32(r.Room.Free),
+		WaitSeconds:     float32(r.Room.WaitSeconds),
+		SecondsPerToken: float32(r.Room.SecondsPerToken),
+	}
+}
+
+// reportMaxAge is the age beyond which a load report is not passed on.
+const reportMaxAge = 3 * time.Second
+
+func protoEndpoints(records []cwcontrol.EndpointRecord, now time.Time) []*cwproto.EndpointState {
+	var list []*cwproto.EndpointState
+	for i := range records {
+		r := &records[i]
+		age := now.Sub(r.HeardAt)
+		if r.Incarnation == 0 || age > reportMaxAge {
+			continue
+		}
+		list = append(list, &cwproto.EndpointState{
+			Address:       r.Address,
+			Incarnation:   r.Incarnation,
+			Leaving:       r.Leaving,
+			AgeMillis:     uint32(max(age, 0).Milliseconds()),
+			Running:       uint32(r.Report.Running),
+			Waiting:       uint32(r.Report.Waiting),
+			WaitingTokens: uint32(r.Report.WaitingTokens),
+			Slots:         uint32(r.Report.Slots),
+			Loaded:        r.Loaded,
+			Loading:       r.Loading,
+			Fence:         r.Fence,
+		})
+	}
+	return list
+}
+
+// eventOf returns the control event for news that came from a peer.
+func eventOf(news *cwproto.News, roundTrip time.Duration, now time.Time) cwcontrol.PeerHeard {
+	e := cwcontrol.PeerHeard{Member: memberOf(news.GetSelf()), RoundTrip: roundTrip}
+	for _, m := range news.GetMembers() {
+		e.Others = append(e.Others, memberOf(m))
+	}
+	for _, r := range news.GetRooms() {
+		e.Rooms = append(e.Rooms, cwcontrol.PeerRoom{Pool: r.GetPool(), Room: cwpolicy.Room{
+			Endpoints:       int(r.GetEndpoints()),
+			Slots:           int(r.GetSlots()),
+			Free:            int(r.GetFree()),
+			WaitSeconds:     float64(r.GetWaitSeconds()),
+			SecondsPerToken: float64(r.GetSecondsPerToken()),
+		}})
+	}
+	for _, ep := range news.GetEndpoints() {
+		e.Endpoints = append(e.Endpoints, reportOf(ep, now))
+	}
+	for _, d := range news.GetDemands() {
+		key := cwpolicy.LimitKey{Service: d.GetService(), Account: d.GetAccount()}
+		e.Demands = append(e.Demands, cwpolicy.LimitDemand{Key: key, PerSecond: float64(d.GetPerSecond())})
+	}
+	for _, m := range news.GetMoves() {
+		e.Moves = append(e.Moves, cwpolicy.Move{From: m.GetFrom(), To: m.GetTo()})
+	}
+	return e
+}
+
+func reportOf(p *cwproto.EndpointState, now time.Time) cwcontrol.EndpointReport {
+	return cwcontrol.EndpointReport{
+		Address:     p.GetAddress(),
+		Incarnation: p.GetIncarnation(),
+		Leaving:     p.GetLeaving(),
+		Report: cwpolicy.LoadReport{
+			At:            now.Add(-time.Duration(p.GetAgeMillis()) * time.Millisecond),
+			Running:       int(p.GetRunning()),
+			Waiting:       int(p.GetWaiting()),
+			WaitingTokens: int(p.GetWaitingTokens()),
+			Slots:         int(p.GetSlots()),
+		},
+		Loaded:  p.GetLoaded(),
+		Loading: p.GetLoading(),
+		Fence:   p.GetFence(),
+		Relayed: true,
+	}
+}
+
+func versionOf(v *cwproto.ConfigVersion) cwconfig.Version {
+	return cwconfig.Version{Number: v.GetNumber(), Hash: v.GetHash()}
+}
--- /dev/null
+++ b/internal/cwpeer/server.go
@@ -0,0 +1,125 @@
+package cwpeer
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/clementinewell/clementinewell/internal/cwcommon"
+	"github.com/clementinewell/clementinewell/internal/cwcontrol"
+	"github.com/clementinewell/clementinewell/internal/cwpolicy"
+	"github.com/clementinewell/clementinewell/internal/cwproto"
+	"github.com/clementinewell/clementinewell/pkg/cwanswer"
+	"github.com/clementinewell/clementinewell/pkg/cwconfig"
+)
+
+// Server answers the calls of other instances.
+type Server struct {
+	*cwcommon.Common
+	control   *cwcontrol.Control
+	traffic   Traffic
+	auth      *Auth
+	manifests ManifestSource
+}
+
+// ManifestSource gives the published bytes of the configuration in force.
+type ManifestSource interface {
+	// ManifestBytes returns the manifest of the state, or nil.
+	ManifestBytes(state *cwconfig.State) []byte
+}
+
+// NewServer returns the server side of exchanges.
+func NewServer(common *cwcommon.Common, control *cwcontrol.Control, traffic Traffic, manifests ManifestSource, auth *Auth) *Server {
+	return &Server{Common: common, control: control, traffic: traffic, manifests: manifests, auth: auth}
+}
+
+// Handler serves the calls, each checked for its signature.
+func (s *Server) Handler() http.Handler {
+	return signedHandler(s.auth, cwproto.NewPeerServer(s))
+}
+
+// PathPrefix is the path below which Handler serves.
+func (s *Server) PathPrefix() string {
+	return cwproto.PeerPathPrefix
+}
+
+// Exchange takes in a peer's news and returns this instance's.
+func (s *Server) Exchange(ctx context.Context, news *cwproto.News) (*cwproto.News, error) {
+	now := time.Now()
+	event := eventOf(news, 0, now)
+	snapshot := s.control.Snapshot()
+	// The peer measured the round trip; keep the one that this instance measured.
+	event.RoundTrip = roundTripTo(snapshot, event.Member.Domain)
+	s.control.Post(ctx, event)
+	if news.GetConfigConfirmed() {
+		s.control.Post(ctx, cwcontrol.ConfigSeen{Version: versionOf(news.GetConfig())})
+	}
+	return newsOf(snapshot, s.traffic, event.Member.Domain == snapshot.Self.Domain, now), nil
+}
+
+func roundTripTo(s *cwcontrol.Snapshot, domain string) time.Duration {
+	for _, rooms := range s.Rooms {
+		for _, r := range rooms {
+			if r.Domain == domain {
+				return r.RoundTrip
+			}
+		}
+	}
+	return 0
+}
+
+// FetchConfig returns values of the configuration in force.
+func (s *Server) FetchConfig(_ context.Context, req *cwproto.FetchConfigRequest) (*cwproto.FetchConfigResponse, error) {
+	state := s.control.Snapshot().Config
+	resp := &cwproto.FetchConfigResponse{}
+	if len(req.GetKeys()) == 0 {
+		if manifest := s.manifests.ManifestBytes(state); manifest != nil {
+			resp.Values = append(resp.Values, &cwproto.KeyValue{Key: cwconfig.ManifestKey, Value: manifest})
+		}
+		return resp, nil
+	}
+	for _, hash := range req.GetKeys() {
+		if raw := state.BucketBytes(hash); raw != nil {
+			resp.Values = append(resp.Values, &cwproto.KeyValue{Key: cwconfig.BucketKeyPrefix + hash, Value: raw})
+		}
+	}
+	return resp, nil
+}
+
+// TakeOver makes this instance the owner of another's tickets.
+func (s *Server) TakeOver(ctx context.Context, req *cwproto.TakeOverRequest) (*cwproto.TakeOverResponse, error) {
+	handovers := make([]cwpolicy.TicketHandover, 0, len(req.GetHandovers()))
+	for _, h := range req.GetHandovers() {
+		handovers = append(handovers, handoverOf(h))
+	}
+	accepted := s.traffic.Adopt(handovers)
+	if accepted {
+		for _, h := range handovers {
+			s.control.Post(ctx, cwcontrol.TicketsMoved{Move: cwpolicy.Move{From: h.Issuer, To: s.Incarnation}})
+		}
+	}
+	return &cwproto.TakeOverResponse{Accepted: accepted, Successor: s.Incarnation}, nil
+}
+
+func handoverOf(p *cwproto.Handover) cwpolicy.TicketHandover {
+	h := cwpolicy.TicketHandover{Issuer: p.GetIssuer()}
+	copy(h.Key[:], p.GetKey())
+	for _, u := range p.GetUses() {
+		use := cwpolicy.TicketUse{Expiry: time.UnixMilli(u.GetExpiryMillis()), Ended: true, Outcome: cwanswer.Outcome(u.GetOutcome())}
+		copy(use.ID[:], u.GetId())
+		h.Uses = append(h.Uses, use)
+	}
+	return h
+}
+
+func protoHandovers(handovers []cwpolicy.TicketHandover) *cwproto.TakeOverRequest {
+	req := &cwproto.TakeOverRequest{}
+	for _, h := range handovers {
+		p := &cwproto.Handover{Issuer: h.Issuer, Key: h.Key[:]}
+		for _, use := range h.Uses {
+			p.Uses = append(p.Uses, &cwproto.TicketUse{Id: use.ID[:], ExpiryMillis: use.Expiry.UnixMilli(), Outcome: string(use.Outcome)})
+		}
+		req.Handovers = append(req.Handovers, p)
+	}
+	return req
+}
--- /dev/null
+++ b/internal/cwpeer/signed_client.go
@@ -0,0 +1,48 @@
+package cwpeer
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/clementinewell/clementinewell/internal/cwproto"
+)
+
+const maxCallBytes = 4 << 20
+
+// signedClient signs the calls of the generated client.
+type signedClient struct {
+	auth   *Auth
+	client *http.Client
+}
+
+// Do sends a signed request.
+func (s *signedClient) Do(req *http.Request) (*http.Response, error) {
+	body, err := io.ReadAll(io.LimitReader(req.Body, maxCallBytes))
+	if err != nil {
+		return nil, fmt.Errorf("sign call to %s: %w", req.URL.Host, err)
+	}
+	req.Body = io.NopCloser(bytes.NewReader(body))
+	req.ContentLength = int64(len(body))
+	req.Header.Set(authHeader, s.auth.Sign(req.URL.Path, body, time.Now()))
+	return s.client.Do(req)
+}
+
+// signedHandler checks the signature of calls before the generated server runs.
+func signedHandler(auth *Auth, next cwproto.TwirpServer) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxCallBytes))
+		if err != nil {
+			http.Error(w, "call is too large", http.StatusRequestEntityTooLarge)
+			return
+		}
+		if err := auth.Verify(r.Header.Get(authHeader), r.URL.Path, body, time.Now()); err != nil {
+			http.Error(w, err.Error(), http.StatusUnauthorized)
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		next.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/internal/cwpeer/traffic.go
@@ -0,0 +1,30 @@
+package cwpeer
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/clementinewell/clementinewell/internal/cwcontrol"
+	"github.com/clementinewell/clementinewell/internal/cwpolicy"
+)
+
+// Traffic is what the traffic path tells of itself for exchanges, and where it
+// takes over tickets.
+type Traffic interface {
+	// Rooms returns what each pool can still take.
+	Rooms() []cwcontrol.PeerRoom
+	// Demands returns the demand of each limit in use.
+	Demands() []cwpolicy.LimitDemand
+	// Adopt takes over tickets; it returns false if this instance leaves too.
+	Adopt(handovers []cwpolicy.TicketHandover) bool
+}
+
+// topDemands returns the largest demands.
+func topDemands(demands []cwpolicy.LimitDemand) []cwpolicy.LimitDemand {
+	if len(demands) <= maxDemands {
+		return demands
+	}
+	sorted := slices.Clone(demands)
+	slices.SortFunc(sorted, func(a, b cwpolicy.LimitDemand) int { return cmp.Compare(b.PerSecond, a.PerSecond) })
+	return sorted[:maxDemands]
+}
--- /dev/null
+++ b/internal/cwplatform/reader.go
@@ -0,0 +1,100 @@
+package cwplatform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/clementinewell/clementinewell/internal/cwnet"
+	"github.com/clementinewell/clementinewell/pkg/cwconfig"
+)
+
+const readTimeout = 3 * time.Second
+
+var (
+	// ErrUnchanged means that a watch ended without a newer revision.
+	ErrUnchanged = errors.New("value is unchanged")
+	// ErrBusy means that the platform's call budget is spent for now.
+	ErrBusy = errors.New("platform is over its call budget")
+	// ErrMissing means that the platform has no such value.
+	ErrMissing = errors.New("value is missing")
+)
+
+// Value is one value with its revision.
+type Value struct {
+	// Data is the content.
+	Data []byte
+	// Revision rises with each change of the value.
+	Revision uint64
+}
+
+// Reader reads and watches the platform's values.
+type Reader struct {
+	base   string
+	client *http.Client
+}
+
+// NewReader returns a reader of the platform at the base URL.
+func NewReader(base string, n cwnet.Net) *Reader {
+	transport := &http.Transport{DialContext: n.DialContext, MaxIdleConnsPerHost: 4}
+	return &Reader{base: base, client: &http.Client{Transport: transport}}
+}
+
+// Read returns the value now. The error tells step and key.
+func (r *Reader) Read(ctx context.Context, key string) (Value, error) {
+	return r.get(ctx, key, "", readTimeout)
+}
+
+// Watch returns the value once its revision is above after, or ErrUnchanged when
+// the wait is over.
+func (r *Reader) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (Value, error) {
+	query := "?after=" + strconv.FormatUint(after, 10) + "&waitMillis=" + strconv.FormatInt(wait.Milliseconds(), 10)
+	return r.get(ctx, key, query, wait+readTimeout)
+}
+
+func (r *Reader) get(ctx context.Context, key, query string, timeout time.Duration) (Value, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, r.base+"/v1/values/"+key+query, nil)
+	if err != nil {
+		return Value{}, fmt.Errorf("read %s from platform: %w", key, err)
+	}
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return Value{}, fmt.Errorf("read %s from platform: %w", key, err)
+	}
+	defer resp.Body.Close()
+	if err := statusError(resp.StatusCode); err != nil {
+		return Value{}, fmt.Errorf("read %s from platform: %w", key, err)
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, cwconfig.MaxValueBytes+1))
+	if err != nil {
+		return Value{}, fmt.Errorf("read %s from platform: %w", key, err)
+	}
+	if len(data) > cwconfig.MaxValueBytes {
+		return Value{}, fmt.Errorf("read %s from platform: value above %d bytes", key, cwconfig.MaxValueBytes)
+	}
+	revision, err := strconv.ParseUint(resp.Header.Get(RevisionHeader), 10, 64)
+	if err != nil {
+		return Value{}, fmt.Errorf("read %s from platform: bad revision: %w", key, err)
+	}
+	return Value{Data: data, Revision: revision}, nil
+}
+
+func statusError(status int) error {
+	switch status {
+	case http.StatusOK:
+		return nil
+	case http.StatusNotModified:
+		return ErrUnchanged
+	case http.StatusTooManyRequests:
+		return ErrBusy
+	case http.StatusNotFound:
+		return ErrMissing
+	}
+	return fmt.Errorf("status %d", status)
+}
--- /dev/null
+++ b/internal/cwpolicy/choice.go
@@ -0,0 +1,17 @@
+package cwpolicy
+
+import "time"
+
+// Choice is an endpoint for a request, with what was predicted for it.
+type Choice struct {
+	// Endpoint is the one chosen.
+	Endpoint *Endpoint
+	// FirstToken is the predicted time to the first token.
+	FirstToken time.Duration
+	// Uncached is the number of prompt tokens that the endpoint must process.
+	Uncached int
+	// Ahead is the number of prompt tokens that wait there before the request.
+	Ahead int
+	// Free tells whether a slot is believed free.
+	Free bool
+}
--- /dev/null
+++ b/internal/cwpolicy/instance_weights.go
@@ -0,0 +1,59 @@
+package cwpolicy
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/clementinewell/clementinewell/pkg/cwanswer"
+)
+
+const (
+	// InstanceListHold is how long callers keep a list of instances.
+	InstanceListHold = 10 * time.Second
+	// minHeadroom keeps a full instance at a small weight.
+	minHeadroom = 0.05
+	// sameRegionFactor and otherRegionFactor scale weights by distance.
+	sameRegionFactor  = 1.0
+	otherRegionFactor = 0.01
+)
+
+// RankInstances returns the instances that callers in the region should use,
+// best first. Weights follow size and headroom. Members that leave or are silent
+// are left out, unless that would leave nobody.
+func RankInstances(members []Member, region string, places Places, now time.Time) []cwanswer.Instance {
+	list := rankUsable(members, region, places, now, MemberSilence)
+	if len(list) == 0 {
+		list = rankUsable(members, region, nil, now, MemberForget)
+	}
+	return list
+}
+
+func rankUsable(members []Member, region string, places Places, now time.Time, silence time.Duration) []cwanswer.Instance {
+	var list []cwanswer.Instance
+	for i := range members {
+		m := &members[i]
+		if !m.Usable(now, silence) || m.CallerAddress == "" {
+			continue
+		}
+		if places != nil && !places.Allows(m.Region) {
+			continue
+		}
+		list = append(list, cwanswer.Instance{Address: m.CallerAddress, Region: m.Region, Weight: weightOf(m, region)})
+	}
+	slices.SortFunc(list, func(a, b cwanswer.Instance) int {
+		if c := cmp.Compare(b.Weight, a.Weight); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.Address, b.Address)
+	})
+	return list
+}
+
+func weightOf(m *Member, region string) float64 {
+	factor := otherRegionFactor
+	if m.Region == region {
+		factor = sameRegionFactor
+	}
+	return factor * m.Size * max(1-m.Load, minHeadroom)
+}
--- /dev/null
+++ b/internal/cwpolicy/member.go
@@ -0,0 +1,18 @@
+package cwpolicy
+
+// Member is another entry instance as this instance sees it.
+type Member struct {
+	Presence
+	// Address is the host and port of the peer interface; it identifies the member.
+	Address string
+	// CallerAddress is the host and port of the caller interface.
+	CallerAddress string
+	// Region and Domain say where the member runs.
+	Region, Domain string
+	// Size is the relative capacity of the member's instance.
+	Size float64
+	// Load is the member's share of its own capacity in use, from 0.
+	Load float64
+	// Demand is the number of requests per second that reach the member.
+	Demand float64
+}
--- /dev/null
+++ b/internal/cwpolicy/reader_rank.go
@@ -0,0 +1,33 @@
+package cwpolicy
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// ReadersPerDomain is the number of instances of a failure domain that watch
+// the platform; the others learn from their peers.
+const ReadersPerDomain = 2
+
+// IsReader reports whether the instance at the address is one of the readers of
+// its domain. Two instances with different views may both think so; that costs
+// a watch and harms nothing.
+func IsReader(self, domain string, members []Member, now time.Time) bool {
+	own := readerScore(self)
+	before := 0
+	for i := range members {
+		m := &members[i]
+		if m.Domain != domain || !m.Usable(now, MemberSilence) {
+			continue
+		}
+		if readerScore(m.Address) < own {
+			before++
+		}
+	}
+	return before < ReadersPerDomain
+}
+
+func readerScore(address string) uint64 {
+	return xxhash.Sum64String("reader " + address)
+}
--- /dev/null
+++ b/internal/cwpolicy/retry_budget.go
@@ -0,0 +1,28 @@
+package cwpolicy
+
+const retryBudgetMax = 10
+
+// RetryBudget bounds retries to a fraction of recent successes, so that a
+// failing destination is not sent more than it had before.
+type RetryBudget struct {
+	tokens float64
+}
+
+// NewRetryBudget returns a budget that allows a few retries at once.
+func NewRetryBudget() *RetryBudget {
+	return &RetryBudget{tokens: retryBudgetMax / 2}
+}
+
+// OnSuccess earns a fraction of a retry.
+func (b *RetryBudget) OnSuccess(ratio float64) {
+	b.tokens = min(b.tokens+ratio, retryBudgetMax)
+}
+
+// Take spends one retry, or returns false if none is left.
+func (b *RetryBudget) Take() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- /dev/null
+++ b/internal/cwpolicy/ticket.go
@@ -0,0 +1,110 @@
+package cwpolicy
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"fmt"
+	"time"
+)
+
+const (
+	ticketVersion  = 1
+	ticketMACBytes = 16
+	ticketIDBytes  = 16
+	// ticketFixedBytes covers version, incarnation, expiry and the two lengths.
+	ticketFixedBytes = 1 + 8 + 8 + 1 + 1
+	maxTicketBytes   = 400
+)
+
+// TicketID identifies one ticket.
+type TicketID [ticketIDBytes]byte
+
+// Ticket is the right to run one request that must not be repeated. Only the
+// incarnation that issued it, or the one that it was handed to, may use it.
+type Ticket struct {
+	// ID is random.
+	ID TicketID
+	// Issuer is the incarnation that issued the ticket.
+	Issuer uint64
+	// Expiry is the time, in whole milliseconds, after which the ticket is not used.
+	Expiry time.Time
+	// Service and Account bind the ticket.
+	Service, Account string
+}
+
+// TicketKey authenticates the tickets of one incarnation. It is made at start
+// and never leaves the process but in a handover.
+type TicketKey [32]byte
+
+// Encode returns the header form of the ticket.
+func (k TicketKey) Encode(t Ticket) string {
+	b := make([]byte, 0, ticketFixedBytes+ticketIDBytes+len(t.Service)+len(t.Account)+ticketMACBytes)
+	b = append(b, ticketVersion)
+	b = binary.BigEndian.AppendUint64(b, t.Issuer)
+	b = binary.BigEndian.AppendUint64(b, uint64(t.Expiry.UnixMilli()))
+	b = append(b, t.ID[:]...)
+	b = appendShort(b, t.Service)
+	b = appendShort(b, t.Account)
+	b = append(b, k.mac(b)...)
+	return base64.RawURLEncoding.EncodeToString(b)
+}
+
+// Authentic reports whether the header form was made with this key.
+func (k TicketKey) Authentic(encoded string) bool {
+	b, err := base64.RawURLEncoding.DecodeString(encoded)
+	if err != nil || len(b) < ticketMACBytes {
+		return false
+	}
+	body, sum := b[:len(b)-ticketMACBytes], b[len(b)-ticketMACBytes:]
+	return hmac.Equal(sum, k.mac(body))
+}
+
+func (k TicketKey) mac(body []byte) []byte {
+	h := hmac.New(sha256.New, k[:])
+	h.Write(body)
+	return h.Sum(nil)[:ticketMACBytes]
+}
+
+func appendShort(b []byte, s string) []byte {
+	b = append(b, byte(len(s)))
+	return append(b, s...)
+}
+
+// ParseTicket reads the header form. The result is not authenticated: it may be
+// used to find the issuer among known members, and for nothing else.
+func ParseTicket(encoded string) (Ticket, error) {
+	t := Ticket{}
+	if len(encoded) > maxTicketBytes {
+		return t, fmt.Errorf("parse ticket: %d bytes, at most %d", len(encoded), maxTicketBytes)
+	}
+	b, err := base64.RawURLEncoding.DecodeString(encoded)
+	if err != nil {
+		return t, fmt.Errorf("parse ticket: %w", err)
+	}
+	if len(b) < ticketFixedBytes+ticketIDBytes+ticketMACBytes || b[0] != ticketVersion {
+		return t, fmt.Errorf("parse ticket: wrong length or version")
+	}
+	b = b[1 : len(b)-ticketMACBytes]
+	t.Issuer = binary.BigEndian.Uint64(b)
+	t.Expiry = time.UnixMilli(int64(binary.BigEndian.Uint64(b[8:])))
+	copy(t.ID[:], b[16:])
+	rest := b[16+ticketIDBytes:]
+	var ok bool
+	if t.Service, rest, ok = takeShort(rest); !ok {
+		return Ticket{}, fmt.Errorf("parse ticket: cut off in the service")
+	}
+	if t.Account, rest, ok = takeShort(rest); !ok || len(rest) != 0 {
+		return Ticket{}, fmt.Errorf("parse ticket: cut off in the account")
+	}
+	return t, nil
+}
+
+func takeShort(b []byte) (string, []byte, bool) {
+	if len(b) == 0 || len(b) < 1+int(b[0]) {
+		return "", nil, false
+	}
+	n := int(b[0])
+	return string(b[1 : 1+n]), b[1+n:], true
+}
--- /dev/null
+++ b/internal/cwstandin/engine.go
@@ -0,0 +1,254 @@
+package cwstandin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/clementinewell/clementinewell/internal/cwendpoint"
+)
+
+// EngineOptions set the speed of a stand-in engine.
+type EngineOptions struct {
+	// Model is the model that is loaded at start.
+	Model string
+	// Slots is how many requests run at once.
+	Slots int
+	// PromptTokensPerSecond is the speed of reading a prompt, one at a time.
+	PromptTokensPerSecond float64
+	// TokenInterval is the time between generated tokens.
+	TokenInterval time.Duration
+	// Tokens is how many tokens an answer has where the request sets none.
+	Tokens int
+	// CachedPrefixes is how many prompt beginnings the prefix cache holds.
+	CachedPrefixes int
+	// LoadTime is how long loading a model takes.
+	LoadTime time.Duration
+	// IgnoreFencing makes the engine follow orders with an old number.
+	IgnoreFencing bool
+}
+
+// Engine stands in for a model engine with an OpenAI-style interface.
+type Engine struct {
+	presence
+	// Name is the address that answers name.
+	Name    string
+	options EngineOptions
+
+	slotFree  chan struct{}
+	prompts   sync.Mutex
+	cache     *prefixCache
+	streams   map[string]*engineStream
+	model     string
+	loading   bool
+	fence     uint64
+	waiting   int
+	tokens    int
+	cancelled int
+}
+
+// NewEngine returns an engine that answers under a name.
+func NewEngine(name string, options EngineOptions) *Engine {
+	return &Engine{
+		Name: name, options: options,
+		presence: presence{incarnation: uint64(time.Now().UnixNano()), slots: options.Slots},
+		slotFree: make(chan struct{}, options.Slots),
+		cache:    newPrefixCache(options.CachedPrefixes),
+		streams:  make(map[string]*engineStream),
+		model:    options.Model,
+	}
+}
+
+// Handler returns the engine's interface.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+cwendpoint.LoadPath, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Load()) })
+	mux.HandleFunc("POST /v1/chat/completions", e.serveCompletion)
+	mux.HandleFunc("POST /v1/completions", e.serveCompletion)
+	mux.HandleFunc("GET "+cwendpoint.StreamsPath+"{id}", e.serveResume)
+	mux.HandleFunc("DELETE "+cwendpoint.StreamsPath+"{id}", e.serveCancel)
+	mux.HandleFunc("POST "+cwendpoint.OrdersPath, e.serveOrder)
+	return mux
+}
+
+// Load returns the load now.
+func (e *Engine) Load() cwendpoint.Load {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	load := e.load()
+	load.Waiting, load.WaitingTokens = e.waiting, e.tokens
+	load.Loading, load.Fence = e.loading, e.fence
+	if !e.loading {
+		load.Loaded = []string{e.model}
+	}
+	return load
+}
+
+// Cancelled returns the number of streams that were cancelled.
+func (e *Engine) Cancelled() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cancelled
+}
+
+// completionRequest is the part of a request that the engine looks at.
+type completionRequest struct {
+	Stream    bool            `json:"stream"`
+	MaxTokens int             `json:"max_tokens"`
+	Messages  json.RawMessage `json:"messages"`
+	Prompt    string          `json:"prompt"`
+}
+
+func (e *Engine) serveCompletion(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	req := completionRequest{}
+	if err := json.Unmarshal(body, &req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if req.MaxTokens <= 0 {
+		req.MaxTokens = e.options.Tokens
+	}
+	prompt := string(req.Messages) + req.Prompt
+	load := e.Load()
+	w.Header().Set(cwendpoint.LoadHeader, load.Header())
+	stream := e.start(r.Header.Get(cwendpoint.AttemptHeader), prompt, req.MaxTokens)
+	if req.Stream {
+		e.serveStream(w, r, stream, 0)
+		return
+	}
+	e.serveWhole(w, r, stream)
+}
+
+// start begins a generation that goes on without its caller until cancelled.
+func (e *Engine) start(id, prompt string, tokens int) *engineStream {
+	s := newEngineStream(tokens)
+	e.mu.Lock()
+	if id != "" {
+		e.streams[id] = s
+	}
+	e.mu.Unlock()
+	go e.generate(s, prompt)
+	return s
+}
+
+func (e *Engine) generate(s *engineStream, prompt string) {
+	uncached := e.cache.uncached(prompt)
+	e.count(1, uncached, 0)
+	e.slotFree <- struct{}{}
+	e.count(-1, 0, 1)
+	e.prompts.Lock()
+	time.Sleep(time.Duration(float64(uncached) / e.options.PromptTokensPerSecond * float64(time.Second)))
+	e.prompts.Unlock()
+	e.cache.add(prompt)
+	e.count(0, -uncached, 0)
+	for s.grow() {
+		time.Sleep(e.options.TokenInterval)
+	}
+	<-e.slotFree
+	e.count(0, 0, -1)
+}
+
+func (e *Engine) count(waiting, tokens, running int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.waiting += waiting
+	e.tokens += tokens
+	e.running += running
+}
+
+func (e *Engine) serveStream(w http.ResponseWriter, r *http.Request, s *engineStream, from int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	rc := http.NewResponseController(w)
+	for i := from; ; i++ {
+		ok, err := s.wait(r.Context(), i)
+		if err != nil {
+			return
+		}
+		if !ok {
+			break
+		}
+		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i+1, e.chunk(i))
+		_ = rc.Flush()
+	}
+	fmt.Fprintf(w, "id: %d\ndata: [DONE]\n\n", s.total+1)
+}
+
+func (e *Engine) chunk(i int) string {
+	return fmt.Sprintf(`{"id":"c","object":"chat.completion.chunk","model":%q,"choices":[{"index":0,"delta":{"content":"t%d "}}]}`, e.options.Model, i)
+}
+
+func (e *Engine) serveWhole(w http.ResponseWriter, r *http.Request, s *engineStream) {
+	text := ""
+	for i := 0; ; i++ {
+		ok, err := s.wait(r.Context(), i)
+		if err != nil {
+			return
+		}
+		if !ok {
+			break
+		}
+		text += "t" + strconv.Itoa(i) + " "
+	}
+	w.Header().Set("Content-Type", "application/json")
+	fmt.Fprintf(w, `{"id":"c","object":"chat.completion","model":%q,"choices":[{"index":0,"message":{"role":"assistant","content":%q},"finish_reason":"stop"}],"usage":{"completion_tokens":%d}}`,
+		e.options.Model, text, s.total)
+}
+
+func (e *Engine) serveResume(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	s := e.streams[r.PathValue("id")]
+	e.mu.Unlock()
+	if s == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	from, _ := strconv.Atoi(r.Header.Get("Last-Event-ID"))
+	e.serveStream(w, r, s, from)
+}
+
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	s := e.streams[r.PathValue("id")]
+	if s != nil {
+		e.cancelled++
+	}
+	e.mu.Unlock()
+	if s == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	s.stop()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	order := cwendpoint.OrderMessage{}
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if order.Fence < e.fence && !e.options.IgnoreFencing {
+		http.Error(w, "old fencing number", http.StatusConflict)
+		return
+	}
+	e.fence = order.Fence
+	if e.model == order.Model || e.loading {
+		return
+	}
+	e.loading = true
+	time.AfterFunc(e.options.LoadTime, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.model, e.loading = order.Model, false
+	})
+}
--- /dev/null
+++ b/internal/cwsync/config_follower.go
@@ -0,0 +1,205 @@
+package cwsync
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/clementinewell/clementinewell/internal/cwcommon"
+	"github.com/clementinewell/clementinewell/internal/cwcontrol"
+	"github.com/clementinewell/clementinewell/internal/cwpeer"
+	"github.com/clementinewell/clementinewell/internal/cwplatform"
+	"github.com/clementinewell/clementinewell/internal/cwpolicy"
+	"github.com/clementinewell/clementinewell/pkg/cwconfig"
+)
+
+const (
+	// bucketsPerFetch bounds the buckets asked of a peer in one call.
+	bucketsPerFetch = 32
+	minBackoff      = 500 * time.Millisecond
+	maxBackoff      = 30 * time.Second
+	// rankCheck is how often an instance that is no reader looks whether it is one.
+	rankCheck = 2 * time.Second
+)
+
+// ConfigFollower brings newer configurations from the platform and from peers.
+type ConfigFollower struct {
+	*cwcommon.Common
+	control  *cwcontrol.Control
+	reader   *cwplatform.Reader
+	client   *cwpeer.Client
+	store    *ManifestStore
+	mu       sync.Mutex
+	revision uint64
+	readAt   time.Time
+	backoff  time.Duration
+}
+
+// NewConfigFollower returns a follower that has not started.
+func NewConfigFollower(common *cwcommon.Common, control *cwcontrol.Control, reader *cwplatform.Reader, client *cwpeer.Client, store *ManifestStore) *ConfigFollower {
+	return &ConfigFollower{Common: common, control: control, reader: reader, client: client, store: store, backoff: minBackoff}
+}
+
+// Run follows the platform until ctx ends. Readers of the domain watch; the
+// others read seldom, in case that all their peers are cut off too.
+func (f *ConfigFollower) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause := time.Duration(0)
+		if f.isReader() || f.due() {
+			pause = f.step(ctx)
+		} else {
+			pause = rankCheck
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+	return nil
+}
+
+func (f *ConfigFollower) isReader() bool {
+	s := f.control.Snapshot()
+	return cwpolicy.IsReader(s.Self.Address, s.Self.Domain, s.Members, time.Now())
+}
+
+// due reports whether an instance that is no reader reads all the same.
+func (f *ConfigFollower) due() bool {
+	return f.readAt.IsZero() || time.Since(f.readAt) > f.Settings.FallbackInterval
+}
+
+// step reads or watches once and returns the pause before the next step.
+func (f *ConfigFollower) step(ctx context.Context) time.Duration {
+	err := f.readPlatform(ctx)
+	f.readAt = time.Now().Add(rand.N(f.Settings.FallbackInterval / 4))
+	if err == nil || errors.Is(err, cwplatform.ErrUnchanged) {
+		f.backoff = minBackoff
+		return 0
+	}
+	f.Log.Warn("configuration not read", zap.Error(err))
+	f.Metrics.Counter("platform_failures").Inc(1)
+	// Full jitter keeps a fleet that lost the platform from returning as one.
+	pause := rand.N(f.backoff) + f.backoff/2
+	f.backoff = min(2*f.backoff, maxBackoff)
+	return pause
+}
+
+func (f *ConfigFollower) readPlatform(ctx context.Context) error {
+	wait := f.Settings.WatchWait
+	if f.revision == 0 || !f.isReader() {
+		wait = 0
+	}
+	value, err := f.reader.Watch(ctx, cwconfig.ManifestKey, f.revision, wait)
+	if errors.Is(err, cwplatform.ErrUnchanged) {
+		f.control.Post(ctx, cwcontrol.ConfigSeen{Version: f.control.Snapshot().Order.Accepted()})
+		return err
+	}
+	if err != nil {
+		return err
+	}
+	err = f.take(ctx, value.Data, func(ref cwconfig.BucketRef) ([]byte, error) {
+		v, err := f.reader.Read(ctx, cwconfig.BucketKeyPrefix+ref.Hash)
+		return v.Data, err
+	})
+	if err != nil {
+		return err
+	}
+	f.revision = value.Revision
+	return nil
+}
+
+// take builds and posts the configuration of a manifest if it is newer.
+func (f *ConfigFollower) take(ctx context.Context, manifest []byte, fetch func(cwconfig.BucketRef) ([]byte, error)) error {
+	m, version, err := cwconfig.ParseManifest(manifest)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.control.Snapshot()
+	if s.Order.Wants(version) {
+		if err := f.build(ctx, m, manifest, s.Config, fetch); err != nil {
+			return err
+		}
+	}
+	f.control.Post(ctx, cwcontrol.ConfigSeen{Version: version})
+	return nil
+}
+
+func (f *ConfigFollower) build(ctx context.Context, m cwconfig.Manifest, manifest []byte, previous *cwconfig.State, fetch func(cwconfig.BucketRef) ([]byte, error)) error {
+	var fetched []cwconfig.KeyValue
+	for _, ref := range cwconfig.Missing(m, previous) {
+		data, err := fetch(ref)
+		if err != nil {
+			return fmt.Errorf("fetch bucket %s: %w", ref.Name, err)
+		}
+		fetched = append(fetched, cwconfig.KeyValue{Key: cwconfig.BucketKeyPrefix + ref.Hash, Value: data})
+	}
+	state, err := cwconfig.NewState(manifest, previous, fetched)
+	if err != nil {
+		return err
+	}
+	f.store.Put(manifest)
+	f.control.Post(ctx, cwcontrol.ConfigFetched{State: state})
+	return nil
+}
+
+// Pull fetches a peer's configuration if it is newer than the one in force.
+func (f *ConfigFollower) Pull(ctx context.Context, address string, offered cwconfig.Version) {
+	if !f.control.Snapshot().Order.Wants(offered) {
+		return
+	}
+	if err := f.pull(ctx, address); err != nil {
+		f.Log.Warn("configuration not pulled", zap.String("peer", address), zap.Error(err))
+	}
+}
+
+func (f *ConfigFollower) pull(ctx context.Context, address string) error {
+	values, err := f.client.FetchConfig(ctx, address, nil)
+	if err != nil {
+		return err
+	}
+	if len(values) == 0 {
+		return fmt.Errorf("fetch manifest from %s: the peer has none", address)
+	}
+	manifest := values[0].GetValue()
+	m, _, err := cwconfig.ParseManifest(manifest)
+	if err != nil {
+		return err
+	}
+	buckets, err := f.pullBuckets(ctx, address, cwconfig.Missing(m, f.control.Snapshot().Config))
+	if err != nil {
+		return err
+	}
+	return f.take(ctx, manifest, func(ref cwconfig.BucketRef) ([]byte, error) {
+		for _, kv := range buckets {
+			if kv.Key == ref.Hash {
+				return kv.Value, nil
+			}
+		}
+		return nil, fmt.Errorf("peer %s does not have it", address)
+	})
+}
+
+func (f *ConfigFollower) pullBuckets(ctx context.Context, address string, refs []cwconfig.BucketRef) ([]cwconfig.KeyValue, error) {
+	var buckets []cwconfig.KeyValue
+	for start := 0; start < len(refs); start += bucketsPerFetch {
+		var hashes []string
+		for _, ref := range refs[start:min(start+bucketsPerFetch, len(refs))] {
+			hashes = append(hashes, ref.Hash)
+		}
+		values, err := f.client.FetchConfig(ctx, address, hashes)
+		if err != nil {
+			return nil, err
+		}
+		for _, kv := range values {
+			buckets = append(buckets, cwconfig.KeyValue{Key: cwconfig.HashOf(kv.GetValue()), Value: kv.GetValue()})
+		}
+	}
+	return buckets, nil
+}
--- /dev/null
+++ b/internal/cwsync/list_follower.go
@@ -0,0 +1,71 @@
+package cwsync
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/clementinewell/clementinewell/internal/cwcommon"
+	"github.com/clementinewell/clementinewell/internal/cwcontrol"
+	"github.com/clementinewell/clementinewell/internal/cwplatform"
+)
+
+// ListFollower watches one list of the platform and posts it to control.
+type ListFollower[T any] struct {
+	*cwcommon.Common
+	control *cwcontrol.Control
+	reader  *cwplatform.Reader
+	key     string
+	event   func([]T) cwcontrol.Event
+	backoff time.Duration
+	after   uint64
+}
+
+// NewListFollower returns a follower of the list with the key. Event turns a list
+// into what control takes in.
+func NewListFollower[T any](common *cwcommon.Common, control *cwcontrol.Control, reader *cwplatform.Reader, key string, event func([]T) cwcontrol.Event) *ListFollower[T] {
+	return &ListFollower[T]{Common: common, control: control, reader: reader, key: key, event: event, backoff: minBackoff}
+}
+
+// Run watches until ctx ends.
+func (f *ListFollower[T]) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		err := f.Step(ctx)
+		if err == nil || errors.Is(err, cwplatform.ErrUnchanged) {
+			f.backoff = minBackoff
+			continue
+		}
+		f.Log.Warn("instance list not read", zap.Error(err))
+		f.Metrics.Counter("platform_failures").Inc(1)
+		select {
+		case <-ctx.Done():
+		case <-time.After(f.backoff/2 + rand.N(f.backoff)):
+		}
+		f.backoff = min(2*f.backoff, maxBackoff)
+	}
+	return nil
+}
+
+// Step waits for one change of the list. The first call reads it as it is.
+func (f *ListFollower[T]) Step(ctx context.Context) error {
+	wait := f.Settings.WatchWait
+	if f.after == 0 {
+		wait = 0
+	}
+	value, err := f.reader.Watch(ctx, f.key, f.after, wait)
+	if err != nil {
+		return err
+	}
+	var list []T
+	if err := json.Unmarshal(value.Data, &list); err != nil {
+		return fmt.Errorf("decode %s from platform: %w", f.key, err)
+	}
+	f.after = value.Revision
+	f.control.Post(ctx, f.event(list))
+	return nil
+}
--- /dev/null
+++ b/internal/cwsync/manifest_store.go
@@ -0,0 +1,52 @@
+// Package cwsync keeps the control state up with the platform and with peers:
+// it follows the configuration and the lists of instances.
+package cwsync
+
+import (
+	"sync"
+
+	"github.com/clementinewell/clementinewell/pkg/cwconfig"
+)
+
+// ManifestStore keeps the published bytes of the latest manifests, so that peers
+// can fetch them and check their hash.
+type ManifestStore struct {
+	mu     sync.Mutex
+	byHash map[string][]byte
+	order  []string
+}
+
+// keptManifests is the number of manifests kept: the one in force and the ones
+// just before it.
+const keptManifests = 4
+
+// NewManifestStore returns an empty store.
+func NewManifestStore() *ManifestStore {
+	return &ManifestStore{byHash: make(map[string][]byte)}
+}
+
+// Put keeps a manifest.
+func (m *ManifestStore) Put(manifest []byte) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	hash := cwconfig.HashOf(manifest)
+	if m.byHash[hash] != nil {
+		return
+	}
+	m.byHash[hash] = manifest
+	m.order = append(m.order, hash)
+	if len(m.order) > keptManifests {
+		delete(m.byHash, m.order[0])
+		m.order = m.order[1:]
+	}
+}
+
+// ManifestBytes returns the manifest of the state, or nil.
+func (m *ManifestStore) ManifestBytes(state *cwconfig.State) []byte {
+	if state == nil {
+		return nil
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.byHash[state.Version.Hash]
+}
--- /dev/null
+++ b/pkg/cwclient/client.go
@@ -0,0 +1,255 @@
+package cwclient
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/clementinewell/clementinewell/pkg/cwanswer"
+)
+
+const (
+	maxTries       = 4
+	listTimeout    = 2 * time.Second
+	maxAnswerBytes = 1 << 20
+	defaultHold    = 5 * time.Second
+)
+
+// Client calls services through the gateway. It is safe for concurrent use.
+type Client struct {
+	// HTTP sends the requests; it must not follow redirects.
+	HTTP *http.Client
+
+	key  string
+	seed []string
+
+	mu        sync.Mutex
+	lists     map[string]instanceList
+	suspected map[string]time.Time
+}
+
+type instanceList struct {
+	instances []cwanswer.Instance
+	until     time.Time
+}
+
+// suspectTime is how long an instance that failed is asked last.
+const suspectTime = 5 * time.Second
+
+// NewClient returns a client that starts from a few instances, such as those of
+// the platform's directory, and calls with the key.
+func NewClient(seed []string, key string) *Client {
+	return &Client{
+		HTTP: &http.Client{CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }},
+		key:  key, seed: seed,
+		lists:     make(map[string]instanceList),
+		suspected: make(map[string]time.Time),
+	}
+}
+
+// Call sends the request and returns the answer, whose body the caller must
+// close. A refusal or failure is a *cwanswer.Problem. A request is tried again
+// only if it was refused as notRun; one that carries a ticket also goes to
+// another instance after its connection broke, since its ticket protects it.
+func (c *Client) Call(ctx context.Context, r Request) (*http.Response, error) {
+	var last error
+	var avoid []string
+	for range maxTries {
+		address := c.pick(ctx, r.Service, avoid)
+		resp, err := c.try(ctx, address, &r)
+		if err == nil {
+			return resp, nil
+		}
+		last = err
+		avoid = append(avoid, address)
+		pause, again := c.after(address, &r, err)
+		if !again {
+			return nil, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, errors.Join(last, ctx.Err())
+		case <-time.After(pause):
+		}
+	}
+	return nil, last
+}
+
+// after decides whether to try again, and when.
+func (c *Client) after(address string, r *Request, err error) (time.Duration, bool) {
+	var p *cwanswer.Problem
+	if !errors.As(err, &p) {
+		c.suspect(address)
+		return 0, r.Ticket != "" || r.Method == http.MethodGet || r.Method == http.MethodHead
+	}
+	if p.Ticket != "" && p.Outcome == cwanswer.NotRun {
+		r.Ticket = p.Ticket
+		return 0, true
+	}
+	if p.Outcome != cwanswer.NotRun {
+		return 0, false
+	}
+	switch p.Status {
+	case http.StatusTemporaryRedirect, http.StatusMisdirectedRequest:
+		c.learn(r.Service, p.Instances)
+		return 0, len(p.Instances) > 0
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusBadGateway, http.StatusLoopDetected:
+		return time.Duration(p.RetryAfterSeconds * float64(time.Second)), true
+	}
+	return 0, false
+}
+
+func (c *Client) try(ctx context.Context, address string, r *Request) (*http.Response, error) {
+	target := "http://" + address + "/services/" + url.PathEscape(r.Service) + r.Path
+	req, err := http.NewRequestWithContext(ctx, r.Method, target, bodyOf(r))
+	if err != nil {
+		return nil, fmt.Errorf("call %s at %s: %w", r.Service, address, err)
+	}
+	req.ContentLength = int64(len(r.Body))
+	req.Header.Set("Authorization", "Bearer "+c.key)
+	if len(r.Body) > 0 {
+		req.Header.Set("Content-Type", cmp.Or(r.ContentType, "application/json"))
+	}
+	if r.Ticket != "" {
+		req.Header.Set(cwanswer.HeaderTicket, r.Ticket)
+	}
+	if r.Timeout > 0 {
+		req.Header.Set(cwanswer.HeaderDeadline, r.Timeout.String())
+	}
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("call %s at %s: %w", r.Service, address, err)
+	}
+	if resp.Header.Get("Content-Type") == cwanswer.ContentType {
+		defer resp.Body.Close()
+		return nil, readProblem(resp)
+	}
+	return resp, nil
+}
+
+// onceReader has no GetBody, so that net/http sends the request once only.
+type onceReader struct{ io.Reader }
+
+func bodyOf(r *Request) io.Reader {
+	if len(r.Body) == 0 && r.Ticket == "" {
+		return nil
+	}
+	return onceReader{bytes.NewReader(r.Body)}
+}
+
+func readProblem(resp *http.Response) error {
+	p := &cwanswer.Problem{}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(p); err != nil {
+		return fmt.Errorf("read problem: %w", err)
+	}
+	return p
+}
+
+// pick draws an instance by weight, leaving out those that failed just now.
+func (c *Client) pick(ctx context.Context, service string, avoid []string) string {
+	list := c.list(ctx, service)
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	usable := slices.DeleteFunc(slices.Clone(list), func(i cwanswer.Instance) bool {
+		return slices.Contains(avoid, i.Address) || now.Sub(c.suspected[i.Address]) < suspectTime
+	})
+	if len(usable) == 0 {
+		usable = list
+	}
+	return draw(usable)
+}
+
+func draw(list []cwanswer.Instance) string {
+	total := 0.0
+	for _, i := range list {
+		total += i.Weight
+	}
+	at := rand.Float64() * total
+	for _, i := range list {
+		if at -= i.Weight; at < 0 {
+			return i.Address
+		}
+	}
+	return list[len(list)-1].Address
+}
+
+// list returns the instances to use for the service, asking the gateway when the
+// last answer has expired. Without an answer the old list, or the seed, holds.
+func (c *Client) list(ctx context.Context, service string) []cwanswer.Instance {
+	c.mu.Lock()
+	known := c.lists[service]
+	c.mu.Unlock()
+	if time.Now().Before(known.until) {
+		return known.instances
+	}
+	sources := c.sources(known)
+	for _, i := range sources {
+		answer, err := c.ask(ctx, i.Address, service)
+		if err != nil || len(answer.Instances) == 0 {
+			continue
+		}
+		c.mu.Lock()
+		c.lists[service] = instanceList{instances: answer.Instances, until: time.Now().Add(time.Duration(answer.HoldSeconds * float64(time.Second)))}
+		c.mu.Unlock()
+		return answer.Instances
+	}
+	return sources
+}
+
+func (c *Client) sources(known instanceList) []cwanswer.Instance {
+	if len(known.instances) > 0 {
+		return known.instances
+	}
+	sources := make([]cwanswer.Instance, 0, len(c.seed))
+	for _, address := range c.seed {
+		sources = append(sources, cwanswer.Instance{Address: address, Weight: 1})
+	}
+	rand.Shuffle(len(sources), func(i, j int) { sources[i], sources[j] = sources[j], sources[i] })
+	return sources
+}
+
+func (c *Client) ask(ctx context.Context, address, service string) (cwanswer.InstanceList, error) {
+	list := cwanswer.InstanceList{}
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/instances?service="+url.QueryEscape(service), nil)
+	if err != nil {
+		return list, fmt.Errorf("ask %s for instances: %w", address, err)
+	}
+	req.Header.Set("Authorization", "Bearer "+c.key)
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return list, fmt.Errorf("ask %s for instances: %w", address, err)
+	}
+	defer resp.Body.Close()
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(&list); err != nil {
+		return list, fmt.Errorf("ask %s for instances: %w", address, err)
+	}
+	return list, nil
+}
+
+func (c *Client) learn(service string, instances []cwanswer.Instance) {
+	if len(instances) == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lists[service] = instanceList{instances: instances, until: time.Now().Add(defaultHold)}
+}
+
+func (c *Client) suspect(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.suspected[address] = time.Now()
+}
--- /dev/null
+++ b/pkg/cwconfig/set.go
@@ -0,0 +1,123 @@
+package cwconfig
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/clementinewell/clementinewell/pkg/cwservice"
+)
+
+const (
+	serviceBuckets = 16
+	// An account's bucket is named by the first digits of its key's hash, so that
+	// a key leads straight to its bucket.
+	accountBucketDigits = 2
+)
+
+// KeyValue is one value for the platform.
+type KeyValue struct {
+	// Key is the platform key.
+	Key string
+	// Value is at most MaxValueBytes long.
+	Value []byte
+}
+
+// Set is everything that one publication puts on the platform.
+type Set struct {
+	// Version is the version of the manifest.
+	Version Version
+	// Values are the buckets, then the manifest: in this order an instance that
+	// sees the manifest also finds its buckets.
+	Values []KeyValue
+}
+
+// Build makes the set for the services and accounts under a version number.
+// It fails if a name stands twice or a value would be too large.
+func Build(number uint64, services []cwservice.Service, accounts []cwservice.Account) (Set, error) {
+	if err := checkUnique(services, accounts); err != nil {
+		return Set{}, err
+	}
+	buckets := split(services, accounts)
+	names := make([]string, 0, len(buckets))
+	for name := range buckets {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	set := Set{}
+	manifest := Manifest{Number: number, Buckets: make([]BucketRef, 0, len(names))}
+	for _, name := range names {
+		value, err := encode(name, buckets[name])
+		if err != nil {
+			return Set{}, err
+		}
+		ref := BucketRef{Name: name, Hash: HashOf(value)}
+		manifest.Buckets = append(manifest.Buckets, ref)
+		set.Values = append(set.Values, KeyValue{Key: BucketKeyPrefix + ref.Hash, Value: value})
+	}
+	value, err := encode("manifest", manifest)
+	if err != nil {
+		return Set{}, err
+	}
+	set.Values = append(set.Values, KeyValue{Key: ManifestKey, Value: value})
+	set.Version = Version{Number: number, Hash: HashOf(value)}
+	return set, nil
+}
+
+func checkUnique(services []cwservice.Service, accounts []cwservice.Account) error {
+	seen := make(map[string]bool, len(services)+2*len(accounts))
+	for _, s := range services {
+		if seen["service "+s.Name] {
+			return fmt.Errorf("build configuration: service %q is described twice", s.Name)
+		}
+		seen["service "+s.Name] = true
+	}
+	for _, a := range accounts {
+		if seen["account "+a.Name] || seen["key "+a.KeySHA256] {
+			return fmt.Errorf("build configuration: account %q or its key is described twice", a.Name)
+		}
+		seen["account "+a.Name], seen["key "+a.KeySHA256] = true, true
+	}
+	return nil
+}
+
+func split(services []cwservice.Service, accounts []cwservice.Account) map[string]*Bucket {
+	buckets := make(map[string]*Bucket)
+	at := func(key string) *Bucket {
+		if buckets[key] == nil {
+			buckets[key] = &Bucket{}
+		}
+		return buckets[key]
+	}
+	for _, s := range services {
+		b := at(fmt.Sprintf("services-%02x", xxhash.Sum64String(s.Name)%serviceBuckets))
+		b.Services = append(b.Services, s)
+	}
+	for _, a := range accounts {
+		b := at(accountBucket(a.KeySHA256))
+		b.Accounts = append(b.Accounts, a)
+	}
+	for _, b := range buckets {
+		slices.SortFunc(b.Services, func(x, y cwservice.Service) int { return strings.Compare(x.Name, y.Name) })
+		slices.SortFunc(b.Accounts, func(x, y cwservice.Account) int { return strings.Compare(x.Name, y.Name) })
+	}
+	return buckets
+}
+
+func accountBucket(keyHash string) string {
+	return "accounts-" + keyHash[:accountBucketDigits]
+}
+
+func encode(name string, v any) ([]byte, error) {
+	value, err := json.Marshal(v)
+	if err != nil {
+		return nil, fmt.Errorf("encode %s: %w", name, err)
+	}
+	if len(value) > MaxValueBytes {
+		return nil, fmt.Errorf("encode %s: %d bytes, the platform holds %d", name, len(value), MaxValueBytes)
+	}
+	return value, nil
+}
--- /dev/null
+++ b/pkg/cwconfig/state.go
@@ -0,0 +1,145 @@
+package cwconfig
+
+import (
+	"crypto/subtle"
+
+	"github.com/clementinewell/clementinewell/pkg/cwservice"
+)
+
+// State is a whole configuration in memory. It is immutable once built, and
+// states share the buckets that did not change between them.
+type State struct {
+	// Version identifies the configuration.
+	Version Version
+	// Manifest names the buckets.
+	Manifest Manifest
+
+	buckets  map[string]*loadedBucket
+	byName   map[string]*loadedBucket
+	services map[string]*cwservice.Service
+}
+
+type loadedBucket struct {
+	raw      []byte
+	accounts map[string]*cwservice.Account
+	services []cwservice.Service
+}
+
+// Missing returns the buckets of the manifest that previous does not hold.
+// Previous may be nil.
+func Missing(m Manifest, previous *State) []BucketRef {
+	var missing []BucketRef
+	for _, ref := range m.Buckets {
+		if previous == nil || previous.buckets[ref.Hash] == nil {
+			missing = append(missing, ref)
+		}
+	}
+	return missing
+}
+
+// NewState builds the state of a manifest from the buckets of previous, which may
+// be nil, and the bytes of the buckets that were missing.
+func NewState(manifest []byte, previous *State, fetched []KeyValue) (*State, error) {
+	m, version, err := ParseManifest(manifest)
+	if err != nil {
+		return nil, err
+	}
+	raw := make(map[string][]byte, len(fetched))
+	for _, kv := range fetched {
+		raw[kv.Key] = kv.Value
+	}
+	s := &State{
+		Version:  version,
+		Manifest: m,
+		buckets:  make(map[string]*loadedBucket, len(m.Buckets)),
+		byName:   make(map[string]*loadedBucket, len(m.Buckets)),
+		services: make(map[string]*cwservice.Service),
+	}
+	for _, ref := range m.Buckets {
+		if previous != nil && previous.buckets[ref.Hash] != nil {
+			s.buckets[ref.Hash] = previous.buckets[ref.Hash]
+		} else if err := s.load(ref, raw[BucketKeyPrefix+ref.Hash]); err != nil {
+			return nil, err
+		}
+		b := s.buckets[ref.Hash]
+		s.byName[ref.Name] = b
+		for i := range b.services {
+			s.services[b.services[i].Name] = &b.services[i]
+		}
+	}
+	return s, nil
+}
+
+func (s *State) load(ref BucketRef, raw []byte) error {
+	parsed, err := ParseBucket(ref, raw)
+	if err != nil {
+		return err
+	}
+	b := &loadedBucket{raw: raw, services: parsed.Services, accounts: make(map[string]*cwservice.Account, len(parsed.Accounts))}
+	for i := range parsed.Accounts {
+		b.accounts[parsed.Accounts[i].KeySHA256] = &parsed.Accounts[i]
+	}
+	s.buckets[ref.Hash] = b
+	return nil
+}
+
+// Service returns the service with the name, or nil. A nil state has no services.
+func (s *State) Service(name string) *cwservice.Service {
+	if s == nil {
+		return nil
+	}
+	return s.services[name]
+}
+
+// Services returns all services in no particular order.
+func (s *State) Services() []*cwservice.Service {
+	if s == nil {
+		return nil
+	}
+	all := make([]*cwservice.Service, 0, len(s.services))
+	for _, svc := range s.services {
+		all = append(all, svc)
+	}
+	return all
+}
+
+// AccountByKeyHash returns the account whose key has the hash, or nil. Only
+// hashes are compared, and in constant time.
+func (s *State) AccountByKeyHash(hash string) *cwservice.Account {
+	if s == nil || len(hash) < accountBucketDigits {
+		return nil
+	}
+	b := s.byName[accountBucket(hash)]
+	if b == nil {
+		return nil
+	}
+	a := b.accounts[hash]
+	if a == nil || subtle.ConstantTimeCompare([]byte(a.KeySHA256), []byte(hash)) != 1 {
+		return nil
+	}
+	return a
+}
+
+// AccountByName returns the account with the name, or nil. It searches all
+// accounts and is meant for operators, not for the traffic path.
+func (s *State) AccountByName(name string) *cwservice.Account {
+	if s == nil {
+		return nil
+	}
+	for _, b := range s.buckets {
+		for _, a := range b.accounts {
+			if a.Name == name {
+				return a
+			}
+		}
+	}
+	return nil
+}
+
+// BucketBytes returns the published bytes of the bucket with the hash, or nil.
+func (s *State) BucketBytes(hash string) []byte {
+	if s == nil || s.buckets[hash] == nil {
+		return nil
+	}
+	return s.buckets[hash].raw
+}
--- /dev/null
+++ b/pkg/cwservice/document.go
@@ -0,0 +1,114 @@
+package cwservice
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// document is a parsed file that can tell the line of each field.
+type document struct {
+	file   string
+	root   yaml.Node
+	faults Faults
+}
+
+var errLine = regexp.MustCompile(`line (\d+): (.*)`)
+
+// decode reads data strictly into out. Unknown fields are faults.
+func (d *document) decode(data []byte, out any) bool {
+	if err := yaml.Unmarshal(data, &d.root); err != nil {
+		d.addYAML(err)
+		return false
+	}
+	dec := yaml.NewDecoder(bytes.NewReader(data))
+	dec.KnownFields(true)
+	err := dec.Decode(out)
+	if errors.Is(err, io.EOF) {
+		d.add("", "the file is empty")
+		return false
+	}
+	if err != nil {
+		d.addYAML(err)
+		return false
+	}
+	if err = dec.Decode(&yaml.Node{}); !errors.Is(err, io.EOF) {
+		d.add("", "the file holds more than one document")
+	}
+	return true
+}
+
+func (d *document) addYAML(err error) {
+	var typed *yaml.TypeError
+	messages := []string{err.Error()}
+	if errors.As(err, &typed) {
+		messages = typed.Errors
+	}
+	for _, m := range messages {
+		d.addMessage(m)
+	}
+}
+
+func (d *document) addMessage(message string) {
+	parts := errLine.FindStringSubmatch(message)
+	if parts == nil {
+		d.faults = append(d.faults, Fault{File: d.file, Line: 1, Reason: message})
+		return
+	}
+	line, _ := strconv.Atoi(parts[1])
+	field := ""
+	if words := strings.Fields(parts[2]); len(words) > 1 && words[0] == "field" {
+		field = words[1]
+	}
+	d.faults = append(d.faults, Fault{File: d.file, Line: line, Field: field, Reason: parts[2]})
+}
+
+func (d *document) add(field, format string, args ...any) {
+	d.faults = append(d.faults, Fault{File: d.file, Line: d.line(field), Field: field, Reason: fmt.Sprintf(format, args...)})
+}
+
+// line returns the line of the field, or of its nearest parent that is present.
+func (d *document) line(field string) int {
+	if len(d.root.Content) == 0 {
+		return 1
+	}
+	node := d.root.Content[0]
+	line := node.Line
+	for part := range strings.SplitSeq(field, ".") {
+		next := child(node, part)
+		if next == nil {
+			return line
+		}
+		node, line = next, next.Line
+	}
+	return line
+}
+
+func child(node *yaml.Node, name string) *yaml.Node {
+	if node.Kind == yaml.SequenceNode {
+		i, err := strconv.Atoi(name)
+		if err != nil || i >= len(node.Content) {
+			return nil
+		}
+		return node.Content[i]
+	}
+	for i := 0; i+1 < len(node.Content); i += 2 {
+		if node.Content[i].Value == name {
+			return node.Content[i+1]
+		}
+	}
+	return nil
+}
+
+func (d *document) err() error {
+	if len(d.faults) == 0 {
+		return nil
+	}
+	return d.faults
+}
--- /dev/null
+++ b/pkg/cwservice/fault.go
@@ -0,0 +1,35 @@
+package cwservice
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Fault is one thing wrong with a file.
+type Fault struct {
+	// File is the name of the file.
+	File string
+	// Line is the line number, from 1; 0 where none applies.
+	Line int
+	// Field is the path of the field, such as targets.firstTokenMillis.
+	Field string
+	// Reason says what is wrong.
+	Reason string
+}
+
+// Error gives file, line, field and reason.
+func (f Fault) Error() string {
+	return fmt.Sprintf("%s:%d: %s: %s", f.File, f.Line, f.Field, f.Reason)
+}
+
+// Faults are all the things wrong with a set of files.
+type Faults []Fault
+
+// Error lists every fault on a line of its own.
+func (f Faults) Error() string {
+	lines := make([]string, len(f))
+	for i, fault := range f {
+		lines[i] = fault.Error()
+	}
+	return strings.Join(lines, "\n")
+}
