Failure tests of the promises over a network in memory; six faults found

Each test runs whole instances with the runtime's clock paused. Failing runs before the fix, and the cause of each:

- TestTruncatedStreamIsSeenByTheCaller: "not true: a.Err != nil".
The endpoint's Content-Length was passed on, so a stream without its end mark looked whole.
The field is now dropped for followed streams.
- TestConfigNeverReverts: "1- != 2-".
It is now settled first.
- TestConfigSurvivesReplacementOfAllDuringOutage: "503 != 200".
Endpoints were only known from the platform; reports between peers now carry the pool.
- TestSilentConnectionIsNotWaitedFor: "504 != 200".
The probe ran once and only 2 s in, when the request was not yet slow enough; it now runs again.
- Scenes: all instances of one instant had one incarnation.
It now has 22 random bits below the start time.
- TestOverloadIsRefusedAtOnce hung: the stand-in engine slept with a lock held, which stops the paused clock.
Fault of the stand-in, not of the gateway.

--- a/internal/cwapp/app.go
+++ b/internal/cwapp/app.go
@@ -63,12 +63,11 @@
 		OmitCardinalityMetrics: true,
 	}, time.Second)
 	a := &App{Common: &cwcommon.Common{
-		Log:      log.With(zap.String("instance", settings.CallerAddress)),
-		Settings: settings,
-		Metrics:  metrics,
-		Net:      n,
-		// The start time orders the lives of one address.
-		Incarnation: uint64(time.Now().UnixNano()),
+		Log:         log.With(zap.String("instance", settings.CallerAddress)),
+		Settings:    settings,
+		Metrics:     metrics,
+		Net:         n,
+		Incarnation: newIncarnation(time.Now()),
 	}}
 	a.closers = append(a.closers, closer.Close)
 	a.build(reporter.HTTPHandler())
@@ -119,6 +118,7 @@
 			if err := entries.Step(ctx); err != nil {
 				a.Log.Warn("instance list not read at start", zap.Error(err))
 			}
+			a.Control.Settle(ctx)
 			g, ctx := errgroup.WithContext(ctx)
 			g.Go(func() error { return entries.Run(ctx) })
 			g.Go(func() error { return a.exchanger.Run(ctx) })
@@ -140,6 +140,16 @@
 	return m
 }
 
+// randomIncarnationBits tell processes apart that start in the same millisecond.
+const randomIncarnationBits = 22
+
+// newIncarnation returns a number that orders the lives of one address by their
+// start and is unlike that of any other process.
+func newIncarnation(now time.Time) uint64 {
+	random := newSeed() >> (64 - randomIncarnationBits)
+	return uint64(now.UnixMilli())<<randomIncarnationBits | random
+}
+
 func newTicketKey() cwpolicy.TicketKey {
 	var key cwpolicy.TicketKey
 	_, _ = rand.Read(key[:])
--- /dev/null
+++ b/internal/cwapp/config_test.go
@@ -0,0 +1,127 @@
+package cwapp_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/clementinewell/clementinewell/internal/cwplatform"
+	"github.com/clementinewell/clementinewell/internal/cwscene"
+	"github.com/clementinewell/clementinewell/pkg/cwconfig"
+	"github.com/clementinewell/clementinewell/pkg/cwservice"
+)
+
+// inForceWithin is the bound for a change to reach every instance of one machine.
+const inForceWithin = 5 * time.Second
+
+func awaitVersion(is *is.I, s *cwscene.Scene, want cwconfig.Version, instances ...*cwscene.Instance) {
+	start := time.Now()
+	for _, i := range instances {
+		s.Await(func() bool { return i.Control.Snapshot().Order.Accepted() == want })
+	}
+	is.True(time.Since(start) <= inForceWithin)
+}
+
+func TestConfigIsInForceEverywhere(t *testing.T) {
+	scenarios := []struct {
+		name   string
+		break_ func(s *cwscene.Scene, p *pair)
+	}{
+		{"all well", func(*cwscene.Scene, *pair) {}},
+		{"one instance cut off from the platform", func(s *cwscene.Scene, p *pair) { s.Net.SetCut(p.a.IP, cwscene.PlatformIP, true) }},
+		{"the other one cut off", func(s *cwscene.Scene, p *pair) { s.Net.SetCut(p.b.IP, cwscene.PlatformIP, true) }},
+	}
+	for _, sc := range scenarios {
+		t.Run(sc.name, func(t *testing.T) {
+			inScene(t, services(cwscene.Lookup("north")), func(_ *testing.T, is *is.I, s *cwscene.Scene) {
+				p := newPair(s, "lookup")
+				sc.break_(s, p)
+				awaitVersion(is, s, s.Publish(), p.a, p.b)
+			})
+		})
+	}
+}
+
+func TestConfigNeverReverts(t *testing.T) {
+	inScene(t, services(cwscene.Lookup("north")), func(_ *testing.T, is *is.I, s *cwscene.Scene) {
+		p := newPair(s, "lookup")
+		newest := s.Publish()
+		awaitVersion(is, s, newest, p.a, p.b)
+		// A replica that is behind answers everybody, also one that starts anew.
+		s.Platform.SetStale(true)
+		c := s.AddInstance("10.1.0.3", "north", "north-a")
+		s.Await(func() bool { return c.Control.Snapshot().Ready })
+		is.Equal(c.Control.Snapshot().Order.Accepted(), newest) // ready only with the highest it could see
+		time.Sleep(2 * time.Minute)
+		for _, i := range []*cwscene.Instance{p.a, p.b, c} {
+			is.Equal(i.Control.Snapshot().Order.Accepted(), newest)
+		}
+	})
+}
+
+func TestConfigSurvivesReplacementOfAllDuringOutage(t *testing.T) {
+	inScene(t, services(cwscene.Lookup("north")), func(t *testing.T, is *is.I, s *cwscene.Scene) {
+		p := newPair(s, "lookup")
+		newest := p.a.Control.Snapshot().Order.Accepted()
+		s.Platform.SetDown(true)
+		c := s.StartInstance("10.1.0.3", "north", "north-a", "--peers=10.1.0.1:81,10.1.0.2:81")
+		s.Await(func() bool { return c.Control.Snapshot().Ready })
+		is.Equal(c.Control.Snapshot().Order.Accepted(), newest)
+		p.a.Stop()
+		p.b.Stop()
+		<-p.a.Done()
+		<-p.b.Done()
+		a := s.Caller().Do(t.Context(), c, cwscene.Request{Method: "GET", Path: "/services/lookup/x"})
+		is.Equal(a.Status, 200) // endpoints came from the peers, too
+	})
+}
+
+func TestTwoPublishersWithOneNumberConverge(t *testing.T) {
+	inScene(t, services(cwscene.Lookup("north")), func(_ *testing.T, is *is.I, s *cwscene.Scene) {
+		p := newPair(s, "lookup")
+		number := p.a.Control.Snapshot().Order.Accepted().Number + 1
+		var sets []cwconfig.Set
+		for _, name := range []string{"one", "two"} {
+			svc := cwscene.Lookup("north")
+			svc.Name = name
+			set, err := cwconfig.Build(number, []cwservice.Service{svc}, nil)
+			is.NoErr(err)
+			sets = append(sets, set)
+		}
+		want := sets[0].Version
+		if sets[1].Version.Compare(want) > 0 {
+			want = sets[1].Version
+		}
+		// Only one reader sees the first set; the second overwrites it.
+		s.Net.SetCut(p.a.IP, cwscene.PlatformIP, true)
+		s.Platform.PutSet(sets[0])
+		time.Sleep(time.Second)
+		s.Net.SetCut(p.a.IP, cwscene.PlatformIP, false)
+		s.Platform.PutSet(sets[1])
+		awaitVersion(is, s, want, p.a, p.b)
+	})
+}
+
+func TestNotReadyWithoutConfirmation(t *testing.T) {
+	inScene(t, services(cwscene.Lookup("north")), func(t *testing.T, is *is.I, s *cwscene.Scene) {
+		s.Platform.SetDown(true)
+		i := s.StartInstance("10.1.0.1", "north", "north-a")
+		time.Sleep(time.Minute)
+		is.True(!i.Control.Snapshot().Ready)
+		a := s.Caller().Do(t.Context(), i, cwscene.Request{Method: "GET", Path: "/services/lookup/x"})
+		is.Equal(a.Status, 503)
+		is.Equal(problemOf(a).Type, "problems/not-ready")
+	})
+}
+
+func TestEmptiedListsChangeNothing(t *testing.T) {
+	inScene(t, services(cwscene.Lookup("north")), func(t *testing.T, is *is.I, s *cwscene.Scene) {
+		p := newPair(s, "lookup")
+		s.Platform.PutJSON(cwplatform.EntriesKey, []cwplatform.Entry{})
+		s.Platform.PutJSON(cwplatform.EndpointsKeyPrefix+"north-a", []cwplatform.EndpointEntry{})
+		time.Sleep(time.Minute)
+		is.Equal(len(p.a.Control.Snapshot().Members), 1)
+		is.Equal(s.Caller().Do(t.Context(), p.a, cwscene.Request{Method: "GET", Path: "/services/lookup/x"}).Status, 200)
+	})
+}
--- /dev/null
+++ b/internal/cwapp/request_test.go
@@ -0,0 +1,9 @@
+package cwapp_test
+
+import (
+	"github.com/clementinewell/clementinewell/pkg/cwclient"
+)
+
+func bookingRequest() cwclient.Request {
+	return cwclient.Request{Service: "booking", Method: "POST", Path: "/bookings", Body: []byte(`{"truck":4}`)}
+}
--- /dev/null
+++ b/internal/cwapp/stream_test.go
@@ -0,0 +1,143 @@
+package cwapp_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/clementinewell/clementinewell/internal/cwscene"
+	"github.com/clementinewell/clementinewell/internal/cwstandin"
+)
+
+func newEngine() *cwstandin.Engine {
+	return cwstandin.NewEngine("engine", cwstandin.EngineOptions{
+		Model: "chat-model", Slots: 8, PromptTokensPerSecond: 4000, TokenInterval: 20 * time.Millisecond, Tokens: 10,
+	})
+}
+
+func chat(t *testing.T, s *cwscene.Scene, i *cwscene.Instance, tokens int) cwscene.Answer {
+	return s.Caller().Do(t.Context(), i, cwscene.Request{
+		Method: "POST", Path: "/services/chat/v1/chat/completions", Body: fmt.Sprintf(chatBody, tokens),
+	})
+}
+
+// wantTokens checks that a stream holds every token once and its end mark.
+func wantTokens(is *is.I, a cwscene.Answer, tokens int) {
+	is.NoErr(a.Err)
+	is.Equal(a.Status, 200)
+	for n := range tokens {
+		is.Equal(strings.Count(a.Body, fmt.Sprintf(`"t%d "`, n)), 1)
+	}
+	is.True(strings.HasSuffix(a.Body, "data: [DONE]\n\n"))
+}
+
+func TestStreamComesWhole(t *testing.T) {
+	for _, where := range []string{"north-a", "south-a"} {
+		t.Run(where, func(t *testing.T) {
+			inScene(t, services(cwscene.Chat("north", "south")), func(t *testing.T, is *is.I, s *cwscene.Scene) {
+				s.AddEndpoint(where, "10.1.0.5", "chat-model", newEngine().Handler())
+				s.Publish()
+				north := s.AddInstance("10.1.0.1", "north", "north-a")
+				s.AddInstance("10.2.0.1", "south", "south-a")
+				s.Net.SetDelay("10.1.0.1", "10.2.0.1", 80*time.Millisecond)
+				s.AwaitReady()
+				s.Await(func() bool {
+					return where == "north-a" || len(north.Control.Snapshot().Rooms["chat-model"]) > 0
+				})
+				wantTokens(is, chat(t, s, north, 50), 50)
+			})
+		})
+	}
+}
+
+func TestSilencedStreamIsResumed(t *testing.T) {
+	inScene(t, services(cwscene.Chat("north")), func(t *testing.T, is *is.I, s *cwscene.Scene) {
+		s.AddEndpoint("north-a", "10.1.0.5", "chat-model", newEngine().Handler())
+		s.Publish()
+		i := s.AddInstance("10.1.0.1", "north", "north-a")
+		s.AwaitReady()
+		done := make(chan cwscene.Answer)
+		start := time.Now()
+		go func() { done <- chat(t, s, i, 100) }() // two seconds of tokens
+		time.Sleep(time.Second)
+		s.Net.Silence("10.1.0.1", "10.1.0.5")
+		wantTokens(is, <-done, 100)
+		is.True(time.Since(start) < 6*time.Second) // found by the probe, not by the deadline of 60 s
+	})
+}
+
+// brokenEngine ends every stream without its end mark and can't resume.
+func brokenEngine() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /load", newEngine().Handler())
+	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = w.Write([]byte("id: 1\ndata: {\"choices\":[]}\n\n"))
+	})
+	return mux
+}
+
+func TestTruncatedStreamIsSeenByTheCaller(t *testing.T) {
+	for _, where := range []string{"north-a", "south-a"} {
+		t.Run(where, func(t *testing.T) {
+			inScene(t, services(cwscene.Chat("north", "south")), func(t *testing.T, is *is.I, s *cwscene.Scene) {
+				s.AddEndpoint(where, "10.1.0.5", "chat-model", brokenEngine())
+				s.Publish()
+				north := s.AddInstance("10.1.0.1", "north", "north-a")
+				s.AddInstance("10.2.0.1", "south", "south-a")
+				s.AwaitReady()
+				s.Await(func() bool {
+					return where == "north-a" || len(north.Control.Snapshot().Rooms["chat-model"]) > 0
+				})
+				a := chat(t, s, north, 5)
+				is.Equal(a.Status, 200)
+				is.True(a.Err != nil) // the connection was aborted, not ended
+			})
+		})
+	}
+}
+
+func TestCancelReachesTheEngine(t *testing.T) {
+	inScene(t, services(cwscene.Chat("north")), func(t *testing.T, is *is.I, s *cwscene.Scene) {
+		engine := newEngine()
+		s.AddEndpoint("north-a", "10.1.0.5", "chat-model", engine.Handler())
+		s.Publish()
+		i := s.AddInstance("10.1.0.1", "north", "north-a")
+		s.AwaitReady()
+		done := make(chan cwscene.Answer)
+		go func() {
+			done <- s.Caller().Do(t.Context(), i, cwscene.Request{
+				Method: "POST", Path: "/services/chat/v1/chat/completions", Body: fmt.Sprintf(chatBody, 10000),
+				Header: []string{"Request-Timeout", "2s"},
+			})
+		}()
+		is.True((<-done).Err != nil)
+		s.Await(func() bool { return engine.Cancelled() == 1 && engine.Running() == 0 })
+	})
+}
+
+func TestAnswersAreNotMixed(t *testing.T) {
+	inScene(t, services(cwscene.Lookup("north", "south")), func(t *testing.T, is *is.I, s *cwscene.Scene) {
+		two := newTwoRegions(t, s, "lookup")
+		var wg sync.WaitGroup
+		for n := range 60 {
+			wg.Go(func() {
+				ctx := t.Context()
+				body := fmt.Sprintf("question-%d-%s", n, strings.Repeat("x", n*50))
+				a := s.Caller().Do(ctx, two.north, cwscene.Request{Method: "POST", Path: "/services/lookup/e", Body: body})
+				is.Equal(a.Status, 200)
+				is.True(strings.Contains(a.Body, body))
+			})
+			if n%20 == 10 {
+				// Connections that were used before lose what is on them.
+				s.Net.Silence("10.1.0.1", "10.1.0.5")
+			}
+		}
+		wg.Wait()
+	})
+}
--- a/internal/cwcontrol/endpoint_record.go
+++ b/internal/cwcontrol/endpoint_record.go
@@ -42,6 +42,10 @@
 	Fence   uint64
 	// Short is set if the report does not tell what is loaded.
 	Short bool
+	// Pool and Accelerators are set in a relayed report, so that an instance
+	// without the platform's list learns of the endpoint.
+	Pool         string
+	Accelerators float64
 	// Relayed is set if another instance passed the report on.
 	Relayed bool
 }
--- a/internal/cwcontrol/event.go
+++ b/internal/cwcontrol/event.go
@@ -90,7 +90,11 @@
 func (e EndpointHeard) apply(s *state, now time.Time) {
 	r := s.endpoints[e.Address]
 	if r == nil {
-		return
+		if e.Pool == "" {
+			return
+		}
+		r = s.endpointAt(e.Address, e.Report.At)
+		r.Pool, r.Accelerators = e.Pool, e.Accelerators
 	}
 	r.apply(e.EndpointReport, now)
 	s.touch(r)
--- a/internal/cwdispatch/call_endpoint.go
+++ b/internal/cwdispatch/call_endpoint.go
@@ -304,7 +304,12 @@
 	c.mu.Lock()
 	c.choice.Endpoint.OnFirstToken(c.choice.Uncached, c.choice.Ahead, now.Sub(c.start))
 	c.mu.Unlock()
-	return c.out.Start(c.resp.StatusCode, answerHeader(c.resp.Header), c.served)
+	header := answerHeader(c.resp.Header)
+	if c.tracker != nil {
+		// With a length, a stream without its end mark would look whole.
+		header.Del("Content-Length")
+	}
+	return c.out.Start(c.resp.StatusCode, header, c.served)
 }
 
 // onSilent runs when no byte came for a while. It finds out on a new connection
@@ -330,7 +335,7 @@
 		_ = c.resp.Body.Close()
 		return
 	}
-	slow := time.Since(c.start) > slowFactor*c.choice.FirstToken+c.Settings.ProbeAfter
+	slow := time.Since(c.start) > slowFactor*c.choice.FirstToken
 	if c.job.Repeatable && !c.out.started && slow {
 		c.cancel(errSilent)
 	}
--- a/internal/cwdispatch/silence.go
+++ b/internal/cwdispatch/silence.go
@@ -5,8 +5,9 @@
 	"time"
 )
 
-// silence watches an attempt for progress. It calls onSilent once for each time
-// without progress, and onIdle at the end of a longer one.
+// silence watches an attempt for progress. It calls onSilent after a time without
+// progress, again and again while that lasts, and onIdle at the end of a longer
+// one.
 type silence struct {
 	last     atomic.Int64
 	silentAt time.Duration
@@ -15,7 +16,6 @@
 	onIdle   func()
 	timer    *time.Timer
 	start    time.Time
-	told     bool
 }
 
 func newSilence(silentAt, idleAt time.Duration, onSilent, onIdle func()) *silence {
@@ -41,12 +41,9 @@
 		s.onIdle()
 		return
 	case quiet < s.silentAt:
-		s.told = false
 		s.timer.Reset(s.silentAt - quiet)
 		return
-	case !s.told:
-		s.told = true
-		s.onSilent()
 	}
-	s.timer.Reset(s.idleAt - quiet)
+	s.onSilent()
+	s.timer.Reset(min(s.silentAt, s.idleAt-quiet))
 }
--- /dev/null
+++ b/internal/cwmemnet/listener.go
@@ -0,0 +1,50 @@
+package cwmemnet
+
+import (
+	"net"
+	"sync"
+)
+
+type listener struct {
+	network  *Network
+	address  string
+	accepted chan net.Conn
+	done     chan struct{}
+	once     sync.Once
+}
+
+// Accept waits for the next connection.
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.accepted:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close ends the listener and frees its address.
+func (l *listener) Close() error {
+	l.once.Do(func() {
+		close(l.done)
+		l.network.mu.Lock()
+		defer l.network.mu.Unlock()
+		if l.network.listeners[l.address] == l {
+			delete(l.network.listeners, l.address)
+		}
+	})
+	return nil
+}
+
+// Addr returns the address.
+func (l *listener) Addr() net.Addr {
+	return memAddr(l.address)
+}
+
+type memAddr string
+
+// Network names the kind of network.
+func (memAddr) Network() string { return "tcp" }
+
+// String returns host and port.
+func (a memAddr) String() string { return string(a) }
--- a/internal/cwpeer/news.go
+++ b/internal/cwpeer/news.go
@@ -111,6 +111,8 @@
 			Loaded:        r.Loaded,
 			Loading:       r.Loading,
 			Fence:         r.Fence,
+			Pool:          r.Pool,
+			Accelerators:  float32(r.Accelerators),
 		})
 	}
 	return list
@@ -160,6 +162,7 @@
 		Loading: p.GetLoading(),
 		Fence:   p.GetFence(),
 		Relayed: true,
+		Pool:    p.GetPool(), Accelerators: float64(p.GetAccelerators()),
 	}
 }
 
--- /dev/null
+++ b/internal/cwscene/caller.go
@@ -0,0 +1,79 @@
+package cwscene
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/clementinewell/clementinewell/pkg/cwclient"
+)
+
+// Answer is what a caller got.
+type Answer struct {
+	// Status, Header and Body are the answer; Err is set if it did not come whole.
+	Status int
+	Header http.Header
+	Body   string
+	Err    error
+}
+
+// Caller sends requests from outside.
+type Caller struct {
+	// Key is the caller's key.
+	Key string
+
+	client *http.Client
+}
+
+// Caller returns a caller with the key of the account without a home. Each of
+// its requests has a connection of its own.
+func (s *Scene) Caller() *Caller {
+	transport := &http.Transport{DialContext: s.Net.Host(CallerIP).DialContext, DisableKeepAlives: true}
+	return &Caller{Key: Key, client: &http.Client{
+		Transport:     transport,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+// Client returns the caller library, starting from the instances.
+func (s *Scene) Client(from ...*Instance) *cwclient.Client {
+	seed := make([]string, 0, len(from))
+	for _, i := range from {
+		seed = append(seed, i.Settings.CallerAddress)
+	}
+	c := cwclient.NewClient(seed, Key)
+	c.HTTP.Transport = &http.Transport{DialContext: s.Net.Host(CallerIP).DialContext, DisableKeepAlives: true}
+	return c
+}
+
+// Request describes one request; headers are pairs of name and value.
+type Request struct {
+	// Method, Path and Body are sent; Path begins with /services/ or /v1/.
+	Method, Path, Body string
+	// Header are pairs of name and value.
+	Header []string
+}
+
+// Do sends the request to the instance and reads the whole answer.
+func (c *Caller) Do(ctx context.Context, i *Instance, r Request) Answer {
+	var body io.Reader
+	if r.Body != "" {
+		body = strings.NewReader(r.Body)
+	}
+	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+i.Settings.CallerAddress+r.Path, body)
+	if err != nil {
+		return Answer{Err: err}
+	}
+	req.Header.Set("Authorization", "Bearer "+c.Key)
+	for n := 0; n+1 < len(r.Header); n += 2 {
+		req.Header.Set(r.Header[n], r.Header[n+1])
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return Answer{Err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return Answer{Status: resp.StatusCode, Header: resp.Header, Body: string(data), Err: err}
+}
--- /dev/null
+++ b/internal/cwscene/scene.go
@@ -0,0 +1,257 @@
+// Package cwscene sets up small deployments in memory for failure tests: the
+// platform, endpoints and instances, joined by a network that can fail.
+package cwscene
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/spf13/pflag"
+	"go.uber.org/zap"
+
+	"github.com/clementinewell/clementinewell/internal/cwapp"
+	"github.com/clementinewell/clementinewell/internal/cwmemnet"
+	"github.com/clementinewell/clementinewell/internal/cwplatform"
+	"github.com/clementinewell/clementinewell/internal/cwsetting"
+	"github.com/clementinewell/clementinewell/internal/cwstandin"
+	"github.com/clementinewell/clementinewell/pkg/cwconfig"
+	"github.com/clementinewell/clementinewell/pkg/cwservice"
+)
+
+const (
+	// PlatformIP is the host of the platform, CallerIP that of the callers.
+	PlatformIP = "10.0.0.1"
+	CallerIP   = "10.0.0.9"
+	// Key is the key of the account without a home.
+	Key         = "scene-key"
+	callerPort  = ":80"
+	peerPort    = ":81"
+	adminPort   = ":82"
+	backendPort = ":90"
+	// manyCalls is a call budget that tests don't run into.
+	manyCalls = 1e6
+)
+
+// Scene is one deployment.
+type Scene struct {
+	// Net is the network and Platform the platform.
+	Net      *cwmemnet.Network
+	Platform *cwstandin.Platform
+
+	t         testing.TB
+	number    uint64
+	services  []cwservice.Service
+	accounts  []cwservice.Account
+	entries   []cwplatform.Entry
+	endpoints map[string][]cwplatform.EndpointEntry
+	servers   []*http.Server
+	instances []*Instance
+}
+
+// Instance is one running instance.
+type Instance struct {
+	*cwapp.App
+	// IP is its host.
+	IP string
+
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+// NewScene returns a scene with a platform and one account without a home, which
+// may call every service.
+func NewScene(t testing.TB, services ...cwservice.Service) *Scene {
+	s := &Scene{
+		Net: cwmemnet.NewNetwork(), Platform: cwstandin.NewPlatform(manyCalls), t: t,
+		services: services, endpoints: make(map[string][]cwplatform.EndpointEntry),
+	}
+	s.AddAccount("caller", Key, "")
+	s.serve(PlatformIP+backendPort, PlatformIP, s.Platform.Handler())
+	return s
+}
+
+// AddAccount adds an account that may call every service.
+func (s *Scene) AddAccount(name, key, home string) {
+	a := cwservice.Account{Name: name, KeySHA256: cwservice.HashKey(key), Home: home}
+	for _, svc := range s.services {
+		a.Services = append(a.Services, svc.Name)
+	}
+	s.accounts = append(s.accounts, a)
+}
+
+// Publish puts the services and accounts on the platform under the next number
+// and returns the version.
+func (s *Scene) Publish() cwconfig.Version {
+	s.number++
+	set, err := cwconfig.Build(s.number, s.services, s.accounts)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.Platform.PutSet(set)
+	return set.Version
+}
+
+// Change edits a service; it takes effect with the next Publish.
+func (s *Scene) Change(name string, edit func(*cwservice.Service)) {
+	for i := range s.services {
+		if s.services[i].Name == name {
+			edit(&s.services[i])
+		}
+	}
+}
+
+// AddEndpoint serves an endpoint in a domain and lists it for a pool.
+func (s *Scene) AddEndpoint(domain, ip, pool string, handler http.Handler) string {
+	address := ip + backendPort
+	s.endpoints[domain] = append(s.endpoints[domain], cwplatform.EndpointEntry{Address: address, Pool: pool, Accelerators: 1})
+	s.Platform.PutJSON(cwplatform.EndpointsKeyPrefix+domain, s.endpoints[domain])
+	s.serve(address, ip, handler)
+	return address
+}
+
+func (s *Scene) serve(address, ip string, handler http.Handler) {
+	l, err := s.Net.Host(ip).Listen(context.Background(), address)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	server := &http.Server{Handler: handler}
+	s.servers = append(s.servers, server)
+	go func() { _ = server.Serve(l) }()
+}
+
+// AddInstance lists and starts an instance. Extra settings are flags such as
+// --idle-timeout=5s.
+func (s *Scene) AddInstance(ip, region, domain string, extra ...string) *Instance {
+	s.entries = append(s.entries, cwplatform.Entry{
+		PeerAddress: ip + peerPort, CallerAddress: ip + callerPort, Region: region, Domain: domain, Size: 1,
+	})
+	s.Platform.PutDirectory(s.entries)
+	return s.StartInstance(ip, region, domain, extra...)
+}
+
+// StartInstance starts an instance that may be listed already.
+func (s *Scene) StartInstance(ip, region, domain string, extra ...string) *Instance {
+	if len(s.endpoints[domain]) == 0 {
+		s.Platform.PutJSON(cwplatform.EndpointsKeyPrefix+domain, []cwplatform.EndpointEntry{})
+	}
+	flags := pflag.NewFlagSet(ip, pflag.ContinueOnError)
+	cwsetting.AddFlags(flags)
+	args := append([]string{
+		"--caller-address=" + ip + callerPort, "--peer-address=" + ip + peerPort, "--admin-address=" + ip + adminPort,
+		"--region=" + region, "--domain=" + domain, "--platform=http://" + PlatformIP + backendPort,
+		"--peer-key=scene-peer-key-0123", "--idle-timeout=5s", "--fallback-interval=20s",
+	}, extra...)
+	if err := flags.Parse(args); err != nil {
+		s.t.Fatal(err)
+	}
+	settings, err := cwsetting.Load(flags, func(string) (string, bool) { return "", false })
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	i := &Instance{App: cwapp.NewApp(settings, logger(), s.Net.Host(ip)), IP: ip, stop: stop, done: make(chan struct{})}
+	s.instances = append(s.instances, i)
+	go func() {
+		defer close(i.done)
+		// A listener is closed under a killed instance and at the scene's end.
+		if err := i.Run(ctx); err != nil && !errors.Is(err, net.ErrClosed) {
+			s.t.Error(err)
+		}
+	}()
+	return i
+}
+
+// logger prints what instances log where SCENE_LOG is set.
+func logger() *zap.Logger {
+	if os.Getenv("SCENE_LOG") == "" {
+		return zap.NewNop()
+	}
+	log, _ := zap.NewDevelopment()
+	return log
+}
+
+// Stop sends the instance the signal to shut down; Done tells when it has.
+func (i *Instance) Stop() { i.stop() }
+
+// Done is closed once the instance has ended.
+func (i *Instance) Done() <-chan struct{} { return i.done }
+
+// AwaitReady lets time pass until every instance is ready and knows the others.
+func (s *Scene) AwaitReady() {
+	s.Await(func() bool {
+		for _, i := range s.instances {
+			snapshot := i.Control.Snapshot()
+			if !snapshot.Self.Leaving && (!snapshot.Ready || !knowsAll(i)) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func knowsAll(i *Instance) bool {
+	s := i.Control.Snapshot()
+	for _, m := range s.Members {
+		if m.Incarnation == 0 {
+			return false
+		}
+	}
+	for _, e := range s.Endpoints {
+		if e.Incarnation == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+const (
+	awaitStep = 10 * time.Millisecond
+	awaitMost = 2 * time.Minute
+)
+
+// Await lets time pass until the condition holds, and fails the test if it does
+// not within two minutes of the test's clock.
+func (s *Scene) Await(condition func() bool) {
+	s.t.Helper()
+	for start := time.Now(); time.Since(start) < awaitMost; time.Sleep(awaitStep) {
+		if condition() {
+			return
+		}
+	}
+	s.t.Fatal("the awaited condition did not come")
+}
+
+// Kill ends an instance without warning, as kill -9 would.
+func (s *Scene) Kill(i *Instance) {
+	s.Net.Kill(i.IP)
+}
+
+// Cut cuts or joins two groups of hosts.
+func (s *Scene) Cut(a, b []string, cut bool) {
+	for _, x := range a {
+		for _, y := range b {
+			s.Net.SetCut(x, y, cut)
+		}
+	}
+}
+
+// Close ends everything. It must be called before a synctest bubble ends.
+func (s *Scene) Close() {
+	for _, i := range s.instances {
+		i.stop()
+	}
+	s.Net.Close()
+	for _, server := range s.servers {
+		_ = server.Close()
+	}
+	for _, i := range s.instances {
+		<-i.done
+	}
+	// What was begun in the background, such as a dial, runs into its timeout.
+	time.Sleep(awaitMost)
+}
--- a/internal/cwstandin/engine.go
+++ b/internal/cwstandin/engine.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/clementinewell/clementinewell/internal/cwendpoint"
@@ -39,27 +38,29 @@
 	Name    string
 	options EngineOptions
 
-	slotFree  chan struct{}
-	prompts   sync.Mutex
-	cache     *prefixCache
-	streams   map[string]*engineStream
-	model     string
-	loading   bool
-	fence     uint64
-	waiting   int
-	tokens    int
-	cancelled int
+	slotFree chan struct{}
+	// promptTurn holds one token: prompts are read one at a time.
+	promptTurn chan struct{}
+	cache      *prefixCache
+	streams    map[string]*engineStream
+	model      string
+	loading    bool
+	fence      uint64
+	waiting    int
+	tokens     int
+	cancelled  int
 }
 
 // NewEngine returns an engine that answers under a name.
 func NewEngine(name string, options EngineOptions) *Engine {
 	return &Engine{
 		Name: name, options: options,
-		presence: presence{incarnation: uint64(time.Now().UnixNano()), slots: options.Slots},
-		slotFree: make(chan struct{}, options.Slots),
-		cache:    newPrefixCache(options.CachedPrefixes),
-		streams:  make(map[string]*engineStream),
-		model:    options.Model,
+		presence:   presence{incarnation: uint64(time.Now().UnixNano()), slots: options.Slots},
+		slotFree:   make(chan struct{}, options.Slots),
+		promptTurn: make(chan struct{}, 1),
+		cache:      newPrefixCache(options.CachedPrefixes),
+		streams:    make(map[string]*engineStream),
+		model:      options.Model,
 	}
 }
 
@@ -144,9 +145,9 @@
 	e.count(1, uncached, 0)
 	e.slotFree <- struct{}{}
 	e.count(-1, 0, 1)
-	e.prompts.Lock()
+	e.promptTurn <- struct{}{}
 	time.Sleep(time.Duration(float64(uncached) / e.options.PromptTokensPerSecond * float64(time.Second)))
-	e.prompts.Unlock()
+	<-e.promptTurn
 	e.cache.add(prompt)
 	e.count(0, -uncached, 0)
 	for s.grow() {
