--- a/internal/cwapp/config_test.go
+++ b/internal/cwapp/config_test.go
@@ -65,7 +65,7 @@
 		p := newPair(s, "lookup")
 		newest := p.a.Control.Snapshot().Order.Accepted()
 		s.Platform.SetDown(true)
-		c := s.StartInstance("10.1.0.3", "north", "north-a", "--peers=10.1.0.1:81,10.1.0.2:81")
+		c := s.StartInstance("10.1.0.3", "north", "north-a", "--peers=10.1.0.1:7081,10.1.0.2:7081")
 		s.Await(func() bool { return c.Control.Snapshot().Ready })
 		is.Equal(c.Control.Snapshot().Order.Accepted(), newest)
 		p.a.Stop()
--- a/internal/cwapp/leaving_test.go
+++ b/internal/cwapp/leaving_test.go
@@ -83,7 +83,7 @@
 		is.Equal(problemOf(refused).Instances[0].Address, b.Settings.CallerAddress)
 		// The others no longer name it.
 		list := s.Caller().Do(t.Context(), b, cwscene.Request{Method: "GET", Path: "/v1/instances"})
-		is.Equal(list.Body, "{\"instances\":[{\"address\":\"10.1.0.2:80\",\"region\":\"north\",\"weight\":1}],\"holdSeconds\":10}\n")
+		is.Equal(list.Body, "{\"instances\":[{\"address\":\"10.1.0.2:7080\",\"region\":\"north\",\"weight\":1}],\"holdSeconds\":10}\n")
 		wantTokens(is, <-done, 500)
 		<-a.Done()
 	})
--- a/internal/cwapp/places_test.go
+++ b/internal/cwapp/places_test.go
@@ -70,7 +70,7 @@
 				total, _ := two.southPlain.TotalRuns()
 				is.Equal(total, sc.southRun)
 				if sc.status == http.StatusTemporaryRedirect {
-					is.Equal(a.Header.Get("Location"), "http://10.2.0.1:80/services/lookup/x")
+					is.Equal(a.Header.Get("Location"), "http://10.2.0.1:7080/services/lookup/x")
 				}
 				if sc.status >= 300 {
 					is.Equal(a.Header.Get(cwanswer.HeaderOutcome), string(cwanswer.NotRun))
--- a/internal/cwdispatch/call_endpoint.go
+++ b/internal/cwdispatch/call_endpoint.go
@@ -138,9 +138,10 @@
 }
 
 func (c *endpointCall) request(body io.Reader) *cwendpoint.Request {
-	h := c.job.Header.Clone()
-	if h == nil {
-		h = make(http.Header)
+	h := c.job.Header
+	if h == nil || c.served.Attempts > 1 {
+		// The attempt before may still read its header while it is torn down.
+		h = cloneHeader(h)
 	}
 	h.Set(cwendpoint.AttemptHeader, c.attemptID)
 	h.Set(cwendpoint.PriorityHeader, string(c.job.Service.Class))
--- a/internal/cwdispatch/forward.go
+++ b/internal/cwdispatch/forward.go
@@ -125,13 +125,13 @@
 			return result{outcome: cwanswer.Unknown, err: err}
 		}
 		quiet.progress()
-		if err := passFrame(frame, out); err != nil {
+		if err := passFrame(frame, out, f.Stream.Buffered()); err != nil {
 			return result{outcome: cwanswer.Unknown, err: err}
 		}
 	}
 }
 
-func passFrame(frame cwframe.Frame, out *delivery) error {
+func passFrame(frame cwframe.Frame, out *delivery, more bool) error {
 	switch frame.Kind {
 	case cwframe.Failure:
 		p := &cwanswer.Problem{}
@@ -141,7 +141,10 @@
 		if _, err := out.Write(frame.Payload); err != nil {
 			return fmt.Errorf("pass answer on: %w", err)
 		}
-		out.Flush()
+		// What comes right behind goes out in the same packet.
+		if !more {
+			out.Flush()
+		}
 	}
 	return nil
 }
--- a/internal/cwdispatch/header.go
+++ b/internal/cwdispatch/header.go
@@ -32,6 +32,14 @@
 	return filter(h, cwendpoint.LoadHeader)
 }
 
+// cloneHeader returns a copy that can be written to.
+func cloneHeader(h http.Header) http.Header {
+	if h == nil {
+		return make(http.Header)
+	}
+	return h.Clone()
+}
+
 func filter(h http.Header, drop ...string) http.Header {
 	out := make(http.Header, len(h)+4)
 	named := connectionFields(h)
--- a/internal/cwdispatch/identifier.go
+++ b/internal/cwdispatch/identifier.go
@@ -1,14 +1,12 @@
 package cwdispatch
 
 import (
-	"crypto/rand"
-	"encoding/hex"
+	"math/rand/v2"
+	"strconv"
 )
 
 // NewID returns a random identifier of 16 hex digits.
 func NewID() string {
-	var b [8]byte
-	// Since Go 1.24 this never fails: it ends the process instead.
-	_, _ = rand.Read(b[:])
-	return hex.EncodeToString(b[:])
+	// The top bit is set, so that the length is the same for all.
+	return strconv.FormatUint(rand.Uint64()|1<<63, 16)
 }
--- a/internal/cwdispatch/pool_state.go
+++ b/internal/cwdispatch/pool_state.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/clementinewell/clementinewell/internal/cwpolicy"
+	"github.com/clementinewell/clementinewell/pkg/cwanswer"
 )
 
 // poolState is the traffic path's view of one model or plain service.
@@ -39,7 +40,7 @@
 type placement struct {
 	choice  cwpolicy.Choice
 	domain  string
-	problem error
+	problem *cwanswer.Problem
 }
 
 // poolName returns the name of the pool that serves the job.
--- a/internal/cwdispatch/serve.go
+++ b/internal/cwdispatch/serve.go
@@ -30,10 +30,11 @@
 func (d *Dispatcher) Serve(ctx context.Context, job *Job, sink Sink) (*Served, error) {
 	served := &Served{Instance: d.Settings.PeerAddress, Region: d.Settings.Region}
 	out := &delivery{Sink: sink}
+	var last error
 	for {
 		where := d.place(ctx, job)
 		if where.problem != nil {
-			return served, where.problem
+			return served, withCause(where.problem, last)
 		}
 		served.Attempts++
 		r := d.attempt(ctx, job, where, out, served)
@@ -45,12 +46,22 @@
 		if out.started {
 			return served, errors.Join(ErrTruncated, r.err)
 		}
+		last = r.err
 		if !d.mayRetry(ctx, job, where, r, served.Attempts) {
 			return served, d.finalProblem(ctx, job, r)
 		}
 	}
 }
 
+// withCause adds the failure of an earlier attempt to the problem that ended the
+// search for another place.
+func withCause(p *cwanswer.Problem, last error) *cwanswer.Problem {
+	if last != nil {
+		p.Detail += "; the attempt before failed: " + last.Error()
+	}
+	return p
+}
+
 // mergeOutcome keeps the strongest knowledge over all attempts.
 func mergeOutcome(before, now cwanswer.Outcome) cwanswer.Outcome {
 	if before == "" {
--- a/internal/cwendpoint/client.go
+++ b/internal/cwendpoint/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/clementinewell/clementinewell/internal/cwnet"
 	"github.com/clementinewell/clementinewell/internal/cwpolicy"
+	"github.com/clementinewell/clementinewell/pkg/cwanswer"
 )
 
 const (
@@ -88,9 +89,7 @@
 	if r.Query != "" {
 		url += "?" + r.Query
 	}
-	// The wrapper has no GetBody and is never http.NoBody. Otherwise net/http
-	// would replay a request that carries an Idempotency-Key by itself.
-	req, err := http.NewRequestWithContext(watch.Attach(ctx), r.Method, url, onceBody{r.Body})
+	req, err := http.NewRequestWithContext(watch.Attach(ctx), r.Method, url, bodyOf(r))
 	if err != nil {
 		return nil, fmt.Errorf("make request to %s: %w", r.Address, err)
 	}
@@ -103,10 +102,16 @@
 	return resp, nil
 }
 
-type onceBody struct{ io.Reader }
-
-// Close does nothing: the reader belongs to the caller's request.
-func (onceBody) Close() error { return nil }
+// bodyOf returns the body in a form that net/http does not replay by itself. It
+// replays a request that carries an Idempotency-Key if it has a GetBody or no
+// body; the wrapper gives it neither, and still lets it send header and body in
+// one write.
+func bodyOf(r *Request) io.ReadCloser {
+	if r.Length == 0 && r.Header.Get(cwanswer.HeaderTicket) == "" {
+		return http.NoBody
+	}
+	return io.NopCloser(r.Body)
+}
 
 // Load asks an endpoint for its load.
 func (c *Client) Load(ctx context.Context, address string) (Load, error) {
--- a/internal/cwentry/observe.go
+++ b/internal/cwentry/observe.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/clementinewell/clementinewell/internal/cwburn"
 	"github.com/clementinewell/clementinewell/internal/cwdispatch"
@@ -55,6 +56,14 @@
 }
 
 func (h *Handler) logServed(job *cwdispatch.Job, served *cwdispatch.Served, err error) {
+	level := zapcore.InfoLevel
+	if err != nil {
+		level = zapcore.WarnLevel
+	}
+	entry := h.Log.Check(level, "request ended")
+	if entry == nil {
+		return
+	}
 	fields := []zap.Field{
 		zap.String("request", job.RequestID),
 		zap.String("service", job.Service.Name),
@@ -68,10 +77,18 @@
 		zap.Duration("took", time.Since(job.Arrived)),
 	}
 	if err != nil {
-		h.Log.Warn("request failed", append(fields, zap.Error(err))...)
+		entry.Write(append(fields, zap.String("outcome", string(outcomeOf(err))), zap.Error(err))...)
 		return
 	}
-	h.Log.Info("request served", append(fields, zap.String("outcome", string(cwanswer.Ran)))...)
+	entry.Write(append(fields, zap.String("outcome", string(cwanswer.Ran)))...)
+}
+
+func outcomeOf(err error) cwanswer.Outcome {
+	var p *cwanswer.Problem
+	if errors.As(err, &p) {
+		return p.Outcome
+	}
+	return cwanswer.Unknown
 }
 
 func (h *Handler) logRefusal(r *http.Request, p *cwanswer.Problem) {
--- a/internal/cwexit/handler.go
+++ b/internal/cwexit/handler.go
@@ -4,6 +4,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"net/http"
 	"time"
 
@@ -51,6 +53,8 @@
 	out := newFrameSink(w, head.AttemptID)
 	served, err := h.serve(r.Context(), head, stream, out)
 	h.end(out, head, served, err)
+	// Behind the end mark only the end of the chunks is left.
+	_, _ = io.CopyN(io.Discard, r.Body, cwframe.MaxPayloadBytes)
 }
 
 func (h *Handler) serve(ctx context.Context, head *cwpeer.ForwardHead, stream *cwframe.Reader, out *frameSink) (*cwdispatch.Served, error) {
@@ -63,6 +67,11 @@
 		return &cwdispatch.Served{}, cwanswer.NewProblem(http.StatusBadRequest, "bad-body", cwanswer.NotRun, err.Error()).At("exit", h.Settings.PeerAddress)
 	}
 	job.Body = body
+	if body.Whole() {
+		if err := readEnd(stream); err != nil {
+			return &cwdispatch.Served{}, cwanswer.NewProblem(http.StatusBadRequest, "bad-body", cwanswer.NotRun, err.Error()).At("exit", h.Settings.PeerAddress)
+		}
+	}
 	if !h.dispatcher.Enter(job.Account.Name, 0) {
 		return &cwdispatch.Served{}, nil
 	}
@@ -75,6 +84,16 @@
 	return h.dispatcher.Serve(ctx, job, out)
 }
 
+// readEnd reads the end mark of a request whose body has its announced length.
+// Without it the connection could not be used again.
+func readEnd(stream *cwframe.Reader) error {
+	n, err := io.Copy(io.Discard, stream)
+	if err == nil && n > 0 {
+		err = fmt.Errorf("body is %d bytes longer than announced", n)
+	}
+	return err
+}
+
 // job checks the request against this instance's own configuration, which may be
 // older or newer than the sender's: if either refuses, the request is refused.
 func (h *Handler) job(head *cwpeer.ForwardHead) (*cwdispatch.Job, *cwanswer.Problem) {
--- a/internal/cwframe/reader.go
+++ b/internal/cwframe/reader.go
@@ -127,6 +127,11 @@
 	return n, nil
 }
 
+// Buffered reports whether more of the stream has come already.
+func (r *Reader) Buffered() bool {
+	return r.r.Buffered() > 0
+}
+
 // Outcome returns the outcome in the End frame, once it was read.
 func (r *Reader) Outcome() string {
 	if r.trailer == nil {
--- a/internal/cwpeer/forwarder.go
+++ b/internal/cwpeer/forwarder.go
@@ -1,6 +1,7 @@
 package cwpeer
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -89,32 +90,55 @@
 	if err != nil {
 		return nil, fmt.Errorf("encode head: %w", err)
 	}
-	// A pipe has no GetBody, so net/http can't replay the request by itself.
-	r, w := io.Pipe()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+ForwardPath, r)
+	framed, length, err := frameRequest(message, body)
 	if err != nil {
 		return nil, err
 	}
+	// The wrapped body has no GetBody, so net/http can't replay it by itself.
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+ForwardPath, framed)
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = length
 	req.Header.Set("Content-Type", frameContentType)
 	req.Header.Set(authHeader, f.auth.Sign(ForwardPath, message, time.Now()))
-	go sendFrames(w, json.RawMessage(message), body)
 	return req, nil
 }
 
-func sendFrames(w *io.PipeWriter, message json.RawMessage, body io.Reader) {
+// frameRequest returns the framed request and its length, -1 if unknown. A body
+// in memory becomes one buffer; any other is framed as it is read.
+func frameRequest(message []byte, body io.Reader) (io.ReadCloser, int64, error) {
+	inMemory, ok := body.(*bytes.Reader)
+	if !ok {
+		r, w := io.Pipe()
+		go sendFrames(w, message, body)
+		return r, -1, nil
+	}
+	var buf bytes.Buffer
+	buf.Grow(len(message) + inMemory.Len() + frameOverhead)
+	if err := writeFrames(&buf, message, inMemory); err != nil {
+		return nil, 0, err
+	}
+	return io.NopCloser(&buf), int64(buf.Len()), nil
+}
+
+// frameOverhead is about what the frames of a short body add.
+const frameOverhead = 128
+
+func writeFrames(w io.Writer, message json.RawMessage, body io.Reader) error {
 	frames := cwframe.NewWriter(w)
-	err := frames.WriteMessage(cwframe.Head, message)
-	if err == nil {
-		_, err = io.CopyBuffer(frames, onlyReader{body}, make([]byte, 16<<10))
+	if err := frames.WriteMessage(cwframe.Head, message); err != nil {
+		return err
 	}
-	if err == nil {
-		err = frames.Close("")
+	if _, err := io.Copy(frames, body); err != nil {
+		return err
 	}
-	_ = w.CloseWithError(err)
+	return frames.Close("")
 }
 
-// onlyReader hides WriterTo, so that the copy uses its small buffer.
-type onlyReader struct{ io.Reader }
+func sendFrames(w *io.PipeWriter, message []byte, body io.Reader) {
+	_ = w.CloseWithError(writeFrames(w, message, body))
+}
 
 func readAnswer(resp *http.Response, attemptID, address string) (*Forwarded, error) {
 	if resp.StatusCode != http.StatusOK {
--- a/internal/cwscene/caller.go
+++ b/internal/cwscene/caller.go
@@ -29,7 +29,7 @@
 // Caller returns a caller with the key of the account without a home. Each of
 // its requests has a connection of its own.
 func (s *Scene) Caller() *Caller {
-	transport := &http.Transport{DialContext: s.Net.Host(CallerIP).DialContext, DisableKeepAlives: true}
+	transport := &http.Transport{DialContext: s.host(CallerIP).DialContext, DisableKeepAlives: true}
 	return &Caller{Key: Key, client: &http.Client{
 		Transport:     transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -43,7 +43,7 @@
 		seed = append(seed, i.Settings.CallerAddress)
 	}
 	c := cwclient.NewClient(seed, Key)
-	c.HTTP.Transport = &http.Transport{DialContext: s.Net.Host(CallerIP).DialContext, DisableKeepAlives: true}
+	c.HTTP.Transport = &http.Transport{DialContext: s.host(CallerIP).DialContext, DisableKeepAlives: true}
 	return c
 }
 
--- a/internal/cwscene/scene.go
+++ b/internal/cwscene/scene.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -16,6 +17,7 @@
 
 	"github.com/clementinewell/clementinewell/internal/cwapp"
 	"github.com/clementinewell/clementinewell/internal/cwmemnet"
+	"github.com/clementinewell/clementinewell/internal/cwnet"
 	"github.com/clementinewell/clementinewell/internal/cwplatform"
 	"github.com/clementinewell/clementinewell/internal/cwsetting"
 	"github.com/clementinewell/clementinewell/internal/cwstandin"
@@ -30,18 +32,19 @@
 	CallerIP = "10.0.0.9"
 	// Key is the key of the account without a home.
 	Key         = "scene-key"
-	callerPort  = ":80"
-	peerPort    = ":81"
-	adminPort   = ":82"
-	backendPort = ":90"
+	callerPort  = ":7080"
+	peerPort    = ":7081"
+	adminPort   = ":7082"
+	backendPort = ":7090"
 	// manyCalls is a call budget that tests don't run into.
 	manyCalls = 1e6
 )
 
 // Scene is one deployment.
 type Scene struct {
-	// Net is the network and Platform the platform.
-	Net      *cwmemnet.Network
+	// Net is the network in memory; nil in a scene over TCP.
+	Net *cwmemnet.Network
+	// Platform is the platform.
 	Platform *cwstandin.Platform
 
 	t         testing.TB
@@ -64,15 +67,25 @@
 	done chan struct{}
 }
 
-// NewScene returns a scene with a platform and one account without a home, which
-// may call every service.
+// NewScene returns a scene in memory with a platform and one account without a
+// home, which may call every service.
 func NewScene(t testing.TB, services ...cwservice.Service) *Scene {
+	return newScene(t, cwmemnet.NewNetwork(), services)
+}
+
+// NewTCPScene returns the same on loopback addresses of the machine: 127 takes the
+// place of the 10 at the start of an IP number.
+func NewTCPScene(t testing.TB, services ...cwservice.Service) *Scene {
+	return newScene(t, nil, services)
+}
+
+func newScene(t testing.TB, network *cwmemnet.Network, services []cwservice.Service) *Scene {
 	s := &Scene{
-		Net: cwmemnet.NewNetwork(), Platform: cwstandin.NewPlatform(manyCalls), t: t,
+		Net: network, Platform: cwstandin.NewPlatform(manyCalls), t: t,
 		services: services, endpoints: make(map[string][]cwplatform.EndpointEntry),
 	}
 	s.AddAccount("caller", Key, "")
-	s.serve(PlatformIP+backendPort, PlatformIP, s.Platform.Handler())
+	s.serve(s.ip(PlatformIP), s.Platform.Handler())
 	return s
 }
 
@@ -108,15 +121,32 @@
 
 // AddEndpoint serves an endpoint in a domain and lists it for a pool.
 func (s *Scene) AddEndpoint(domain, ip, pool string, handler http.Handler) string {
+	ip = s.ip(ip)
 	address := ip + backendPort
 	s.endpoints[domain] = append(s.endpoints[domain], cwplatform.EndpointEntry{Address: address, Pool: pool, Accelerators: 1})
 	s.Platform.PutJSON(cwplatform.EndpointsKeyPrefix+domain, s.endpoints[domain])
-	s.serve(address, ip, handler)
+	s.serve(ip, handler)
 	return address
 }
 
-func (s *Scene) serve(address, ip string, handler http.Handler) {
-	l, err := s.Net.Host(ip).Listen(context.Background(), address)
+// ip returns the host's IP number in this scene.
+func (s *Scene) ip(ip string) string {
+	if s.Net == nil {
+		return strings.Replace(ip, "10.", "127.", 1)
+	}
+	return ip
+}
+
+// host returns the network as a host sees it.
+func (s *Scene) host(ip string) cwnet.Net {
+	if s.Net == nil {
+		return cwnet.NewTCP()
+	}
+	return s.Net.Host(ip)
+}
+
+func (s *Scene) serve(ip string, handler http.Handler) {
+	l, err := s.host(ip).Listen(context.Background(), ip+backendPort)
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -129,7 +159,7 @@
 // --idle-timeout=5s.
 func (s *Scene) AddInstance(ip, region, domain string, extra ...string) *Instance {
 	s.entries = append(s.entries, cwplatform.Entry{
-		PeerAddress: ip + peerPort, CallerAddress: ip + callerPort, Region: region, Domain: domain, Size: 1,
+		PeerAddress: s.ip(ip) + peerPort, CallerAddress: s.ip(ip) + callerPort, Region: region, Domain: domain, Size: 1,
 	})
 	s.Platform.PutDirectory(s.entries)
 	return s.StartInstance(ip, region, domain, extra...)
@@ -137,6 +167,7 @@
 
 // StartInstance starts an instance that may be listed already.
 func (s *Scene) StartInstance(ip, region, domain string, extra ...string) *Instance {
+	ip = s.ip(ip)
 	if len(s.endpoints[domain]) == 0 {
 		s.Platform.PutJSON(cwplatform.EndpointsKeyPrefix+domain, []cwplatform.EndpointEntry{})
 	}
@@ -144,7 +175,7 @@
 	cwsetting.AddFlags(flags)
 	args := append([]string{
 		"--caller-address=" + ip + callerPort, "--peer-address=" + ip + peerPort, "--admin-address=" + ip + adminPort,
-		"--region=" + region, "--domain=" + domain, "--platform=http://" + PlatformIP + backendPort,
+		"--region=" + region, "--domain=" + domain, "--platform=http://" + s.ip(PlatformIP) + backendPort,
 		"--peer-key=scene-peer-key-0123", "--idle-timeout=5s", "--fallback-interval=20s",
 	}, extra...)
 	if err := flags.Parse(args); err != nil {
@@ -155,7 +186,7 @@
 		s.t.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	i := &Instance{App: cwapp.NewApp(settings, logger(), s.Net.Host(ip)), IP: ip, stop: stop, done: make(chan struct{})}
+	i := &Instance{App: cwapp.NewApp(settings, logger(), s.host(ip)), IP: ip, stop: stop, done: make(chan struct{})}
 	s.instances = append(s.instances, i)
 	go func() {
 		defer close(i.done)
@@ -246,13 +277,17 @@
 	for _, i := range s.instances {
 		i.stop()
 	}
-	s.Net.Close()
+	if s.Net != nil {
+		s.Net.Close()
+	}
 	for _, server := range s.servers {
 		_ = server.Close()
 	}
 	for _, i := range s.instances {
 		<-i.done
 	}
-	// What was begun in the background, such as a dial, runs into its timeout.
-	time.Sleep(awaitMost)
+	if s.Net != nil {
+		// What was begun in the background, such as a dial, runs into its timeout.
+		time.Sleep(awaitMost)
+	}
 }
