Trial driver: the decisions in virtual time against simpler policies

Cause: no figure told yet what the policy brings. The placing decision moved into cwpolicy.Station, so that the daemon and the trial run the same code.

--- /dev/null
+++ b/cmd/cwtrial/main.go
@@ -0,0 +1,61 @@
+// Command cwtrial measures the placing policies in virtual time and prints the
+// tables of docs/MEASUREMENTS.md.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/clementinewell/clementinewell/internal/cwtrial"
+)
+
+const parallel = 6
+
+func main() {
+	seed := flag.Uint64("seed", 1, "seed of arrivals and choices")
+	only := flag.String("deployment", "", "run one deployment only")
+	flag.Parse()
+	for _, d := range cwtrial.Deployments() {
+		if *only == "" || *only == d.Name {
+			table(d, *seed)
+		}
+	}
+}
+
+func table(d cwtrial.Deployment, seed uint64) {
+	fmt.Printf("\n### %s, seed %d\n\n", d.Name, seed)
+	fmt.Println("| scenario | policy | p50 ms | p95 ms | p99 ms | p99.9 ms | late | refused | failed | cost | away | recovery |")
+	fmt.Println("|---|---|---|---|---|---|---|---|---|---|---|---|")
+	policies := cwtrial.Policies()
+	for _, s := range cwtrial.Scenarios() {
+		results := make([]*cwtrial.Result, len(policies))
+		var g errgroup.Group
+		g.SetLimit(parallel)
+		for i, p := range policies {
+			g.Go(func() error {
+				results[i] = cwtrial.Run(d, s, p, seed)
+				return nil
+			})
+		}
+		_ = g.Wait()
+		for i, p := range policies {
+			fmt.Println(row(s, p, results[i]))
+		}
+	}
+}
+
+func row(s cwtrial.Scenario, p cwtrial.Policy, r *cwtrial.Result) string {
+	recovery := ""
+	if s.LostTo > 0 {
+		recovery = "not seen"
+		if r.Recovery > 0 {
+			recovery = r.Recovery.Round(time.Second).String()
+		}
+	}
+	return fmt.Sprintf("| %s | %s | %.0f | %.0f | %.0f | %.0f | %.2f%% | %.2f%% | %.2f%% | %.2f | %.2f%% | %s |",
+		s.Name, p, r.Quantile(50), r.Quantile(95), r.Quantile(99), r.Quantile(99.9),
+		100*r.Share(r.Late), 100*r.Share(r.Refused), 100*r.Share(r.Failed), r.CostPerToken(), 100*r.Share(r.Away), recovery)
+}
--- a/internal/cwdispatch/accept.go
+++ b/internal/cwdispatch/accept.go
@@ -19,5 +19,5 @@
 	defer d.mu.Unlock()
 	d.sync(now)
 	p := d.pool(name)
-	return p.queue.Len() == 0 && cwpolicy.AcceptSpill(p.Room(now))
+	return p.Queue.Len() == 0 && cwpolicy.AcceptSpill(p.Room(now))
 }
--- a/internal/cwdispatch/dispatcher.go
+++ b/internal/cwdispatch/dispatcher.go
@@ -177,7 +177,7 @@
 		d.heard[m.Domain] = m.HeardAt
 		if known && m.HeardAt.Sub(last) > returnGap {
 			for _, p := range d.pools {
-				p.spill.OnReturn(m.Domain, now)
+				p.Spill.OnReturn(m.Domain, now)
 			}
 		}
 	}
@@ -205,7 +205,7 @@
 	for name, p := range d.pools {
 		room := p.Room(now)
 		if room.Endpoints > 0 {
-			room.WaitSeconds += p.queue.Wait().Seconds()
+			room.WaitSeconds += p.Queue.Wait().Seconds()
 			rooms = append(rooms, cwcontrol.PeerRoom{Pool: name, Room: room})
 		}
 	}
--- a/internal/cwdispatch/explain.go
+++ b/internal/cwdispatch/explain.go
@@ -89,16 +89,13 @@
 	s := d.control.Snapshot()
 	p := d.pool(poolName(job))
 	d.fillDemand(job, now)
-	homeRegion := job.Places.Allows(d.Settings.Region)
-	out := &Explanation{Service: job.Service.Name, Places: job.Places, Queued: p.queue.Len(), QueueMillis: millis(p.queue.Wait())}
-	choice, found := cwpolicy.Choice{}, false
-	if homeRegion {
-		choice, found = p.Choose(&job.demand, "", now, d.rng)
-	}
-	if domain, ok := d.spillTo(p, s, job, choice, found, homeRegion, now); ok {
-		out.Domain = domain
-	} else if found {
-		out.Endpoint, out.FirstTokenMillis = choice.Endpoint.Address, millis(choice.FirstToken)
+	out := &Explanation{Service: job.Service.Name, Places: job.Places, Queued: p.Queue.Len(), QueueMillis: millis(p.Queue.Wait())}
+	rooms := d.reachable(p, s, job, now)
+	switch decision := p.Decide(d.arrival(job, rooms), now, d.rng); decision.Verdict {
+	case cwpolicy.Dispatch:
+		out.Endpoint, out.FirstTokenMillis = decision.Choice.Endpoint.Address, millis(decision.Choice.FirstToken)
+	case cwpolicy.Forward:
+		out.Domain = rooms[decision.Domain].Domain
 	}
 	for _, e := range p.Endpoints() {
 		out.Candidates = append(out.Candidates, CandidateView{
--- a/internal/cwdispatch/place.go
+++ b/internal/cwdispatch/place.go
@@ -33,8 +33,9 @@
 		return got
 	}
 	w := &waiter{job: job, ready: make(chan placement, 1)}
-	p.queue.Push(cwpolicy.Waiting[*waiter]{
+	p.Queue.Push(cwpolicy.Waiting[*waiter]{
 		Value: w, Class: job.Service.Class, Account: job.Account.Name, Deadline: job.Deadline, At: now,
+		Demand: &job.demand, Avoid: job.avoid,
 	})
 	d.startPump(p)
 	d.mu.Unlock()
@@ -51,7 +52,7 @@
 func (d *Dispatcher) abandon(p *poolState, w *waiter) placement {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !p.queue.Remove(func(other *waiter) bool { return other == w }) {
+	if !p.Queue.Remove(func(other *waiter) bool { return other == w }) {
 		if got := <-w.ready; got.choice.Endpoint != nil {
 			got.choice.Endpoint.OnEnd(got.choice.Uncached, 0)
 		}
@@ -77,53 +78,38 @@
 // placeNow decides at once, or returns true if the job must wait. The caller
 // holds mu.
 func (d *Dispatcher) placeNow(p *poolState, s *cwcontrol.Snapshot, job *Job, now time.Time) (placement, bool) {
-	home := job.Places.Allows(d.Settings.Region)
-	choice, found := cwpolicy.Choice{}, false
-	if home {
-		choice, found = p.Choose(&job.demand, job.avoid, now, d.rng)
-	}
-	if domain, ok := d.spillTo(p, s, job, choice, found, home, now); ok {
-		return placement{domain: domain}, false
-	}
-	if !home {
-		return placement{problem: d.noRoute(job, "no domain where the request may be served is reachable")}, false
-	}
-	if !found {
-		return placement{problem: d.noRoute(job, "no endpoint is usable")}, false
-	}
-	if choice.Free && p.queue.Len() == 0 {
-		p.OnDispatch(choice, &job.demand, now)
-		return placement{choice: choice}, false
-	}
-	if !p.queue.Admit(job.Deadline.Add(-choice.FirstToken), now) {
+	rooms := d.reachable(p, s, job, now)
+	decision := p.Place(d.arrival(job, rooms), now, d.rng)
+	switch decision.Verdict {
+	case cwpolicy.Dispatch:
+		return placement{choice: decision.Choice}, false
+	case cwpolicy.Forward:
+		p.noteSent(&rooms[decision.Domain])
+		return placement{domain: rooms[decision.Domain].Domain}, false
+	case cwpolicy.Refuse:
 		return placement{problem: d.overloaded(p, job, "the predicted wait does not meet the deadline")}, false
+	case cwpolicy.NoRoute:
+		return placement{problem: d.noRoute(job, "no permitted endpoint or domain is reachable")}, false
 	}
 	return placement{}, true
 }
 
-// spillTo decides whether the job leaves the domain. The caller holds mu.
-func (d *Dispatcher) spillTo(p *poolState, s *cwcontrol.Snapshot, job *Job, choice cwpolicy.Choice, found, home bool, now time.Time) (string, bool) {
+func (d *Dispatcher) arrival(job *Job, rooms []cwpolicy.DomainRoom) *cwpolicy.Arrival {
+	return &cwpolicy.Arrival{
+		Demand: &job.demand, Avoid: job.avoid, Deadline: job.Deadline,
+		Region: d.Settings.Region, Places: job.Places, Domains: rooms,
+	}
+}
+
+// reachable returns the domains that the job may be passed to. The caller holds
+// mu.
+func (d *Dispatcher) reachable(p *poolState, s *cwcontrol.Snapshot, job *Job, now time.Time) []cwpolicy.DomainRoom {
 	if job.Hop.ServeLeft == 0 {
-		return "", false
+		return nil
 	}
-	rooms := slices.DeleteFunc(p.withSent(s.Rooms[poolName(job)]), func(r cwpolicy.DomainRoom) bool {
+	return slices.DeleteFunc(p.withSent(s.Rooms[poolName(job)]), func(r cwpolicy.DomainRoom) bool {
 		return slices.Contains(job.avoided, r.Domain) || len(s.Exits(r.Domain, now)) == 0
 	})
-	in := &cwpolicy.SpillInput{
-		Demand:   &job.demand,
-		Home:     home,
-		HasLocal: found,
-		Local:    choice.FirstToken + p.queue.Wait(),
-		Region:   d.Settings.Region,
-		Places:   job.Places,
-		Domains:  rooms,
-	}
-	i := p.spill.Decide(in, now, d.rng)
-	if i < 0 {
-		return "", false
-	}
-	p.noteSent(&rooms[i])
-	return rooms[i].Domain, true
 }
 
 func (d *Dispatcher) noRoute(job *Job, detail string) *cwanswer.Problem {
@@ -133,7 +119,7 @@
 
 func (d *Dispatcher) overloaded(p *poolState, job *Job, detail string) *cwanswer.Problem {
 	return cwanswer.NewProblem(http.StatusServiceUnavailable, "overloaded", job.outcomeNow(), detail).
-		At("admit", poolName(job)).After(cwpolicy.RetryAfter(p.queue.Wait(), d.rng.Float64()))
+		At("admit", poolName(job)).After(cwpolicy.RetryAfter(p.Queue.Wait(), d.rng.Float64()))
 }
 
 // startPump looks at the queue again and again while requests wait. The caller
@@ -150,7 +136,7 @@
 		now := time.Now()
 		d.sync(now)
 		d.pump(p, now)
-		if p.queue.Len() > 0 {
+		if p.Queue.Len() > 0 {
 			d.startPump(p)
 		}
 	})
@@ -160,29 +146,15 @@
 // once those that can't be served in time any more. The caller holds mu.
 func (d *Dispatcher) pump(p *poolState, now time.Time) {
 	for {
-		next, ok := p.queue.Peek(now)
+		w, decision, ok := p.Next(now, d.rng)
 		if !ok {
 			return
 		}
-		job := next.Value.job
-		choice, found := p.Choose(&job.demand, job.avoid, now, d.rng)
-		late := !now.Add(choice.FirstToken).Before(job.Deadline)
-		if found && !choice.Free && !late {
-			return
-		}
-		if !found && !late {
-			late = len(p.Endpoints()) == 0 || p.Room(now).Endpoints == 0
-			if !late {
-				return
-			}
-		}
-		p.queue.Pop(now)
-		if late || !found {
-			next.Value.ready <- placement{problem: d.overloaded(p, job, "the deadline can't be met any more")}
+		if decision.Verdict == cwpolicy.Dispatch {
+			w.ready <- placement{choice: decision.Choice}
 			continue
 		}
-		p.OnDispatch(choice, &job.demand, now)
-		next.Value.ready <- placement{choice: choice}
+		w.ready <- placement{problem: d.overloaded(p, w.job, "the deadline can't be met any more")}
 	}
 }
 
--- a/internal/cwdispatch/pool_state.go
+++ b/internal/cwdispatch/pool_state.go
@@ -7,9 +7,7 @@
 
 // poolState is the traffic path's view of one model or plain service.
 type poolState struct {
-	*cwpolicy.Pool
-	queue   *cwpolicy.Queue[*waiter]
-	spill   *cwpolicy.Spill
+	*cwpolicy.Station[*waiter]
 	sent    map[string]sentCount
 	pumping bool
 }
@@ -22,10 +20,8 @@
 
 func newPoolState() *poolState {
 	return &poolState{
-		Pool:  cwpolicy.NewPool(),
-		queue: cwpolicy.NewQueue[*waiter](),
-		spill: cwpolicy.NewSpill(),
-		sent:  make(map[string]sentCount),
+		Station: cwpolicy.NewStation[*waiter](),
+		sent:    make(map[string]sentCount),
 	}
 }
 
--- a/internal/cwpolicy/queue.go
+++ b/internal/cwpolicy/queue.go
@@ -25,6 +25,9 @@
 	Account string
 	// Deadline is when an answer is of no more use; At is when it came.
 	Deadline, At time.Time
+	// Demand is what the request needs, and Avoid an endpoint not to use.
+	Demand *Demand
+	Avoid  string
 }
 
 // Queue holds requests until an endpoint has a free slot: interactive before
--- /dev/null
+++ b/internal/cwtrial/event_loop.go
@@ -0,0 +1,66 @@
+// Package cwtrial measures the decisions of cwpolicy in virtual time against
+// simpler policies: a few queues stand in for the endpoints, and the instances
+// run the same code as the gateway.
+package cwtrial
+
+import (
+	"container/heap"
+	"time"
+)
+
+// eventLoop runs functions in the order of virtual time.
+type eventLoop struct {
+	now    time.Time
+	events eventHeap
+	seq    int
+}
+
+type event struct {
+	at  time.Time
+	seq int
+	run func()
+}
+
+func newEventLoop() *eventLoop {
+	return &eventLoop{now: time.Unix(1_800_000_000, 0)}
+}
+
+func (l *eventLoop) after(d time.Duration, run func()) {
+	l.seq++
+	heap.Push(&l.events, event{at: l.now.Add(d), seq: l.seq, run: run})
+}
+
+func (l *eventLoop) runUntil(end time.Time) {
+	for len(l.events) > 0 && !l.events[0].at.After(end) {
+		e := heap.Pop(&l.events).(event)
+		l.now = e.at
+		e.run()
+	}
+}
+
+type eventHeap []event
+
+// Len is part of heap.Interface.
+func (h eventHeap) Len() int { return len(h) }
+
+// Less is part of heap.Interface.
+func (h eventHeap) Less(i, j int) bool {
+	if !h[i].at.Equal(h[j].at) {
+		return h[i].at.Before(h[j].at)
+	}
+	return h[i].seq < h[j].seq
+}
+
+// Swap is part of heap.Interface.
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push is part of heap.Interface.
+func (h *eventHeap) Push(x any) { *h = append(*h, x.(event)) }
+
+// Pop is part of heap.Interface.
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
--- /dev/null
+++ b/internal/cwtrial/policy.go
@@ -0,0 +1,31 @@
+package cwtrial
+
+// Policy names a way to place requests.
+type Policy string
+
+const (
+	// Gateway is cwpolicy as the gateway runs it.
+	Gateway Policy = "clementinewell"
+	// NoPrefix is the same without knowledge of prefixes, NoSpill without sending
+	// anything away, NoQueue without a queue of its own.
+	NoPrefix Policy = "- without prefixes"
+	NoSpill  Policy = "- without spill"
+	// Random draws a local endpoint; RoundRobin takes the next one.
+	Random     Policy = "random"
+	RoundRobin Policy = "round robin"
+	// LeastInFlight takes the local endpoint with the fewest requests of the
+	// instance.
+	LeastInFlight Policy = "least in flight"
+	// LeastLoaded takes the endpoint of any region with the lowest load by the
+	// lagging reports.
+	LeastLoaded Policy = "least loaded anywhere"
+)
+
+// Policies returns all policies, the gateway first.
+func Policies() []Policy {
+	return []Policy{Gateway, NoPrefix, NoSpill, Random, RoundRobin, LeastInFlight, LeastLoaded}
+}
+
+func (p Policy) isGateway() bool {
+	return p == Gateway || p == NoPrefix || p == NoSpill
+}
--- /dev/null
+++ b/internal/cwtrial/scenario.go
@@ -0,0 +1,43 @@
+package cwtrial
+
+import "time"
+
+// Scenario is what happens during a trial.
+type Scenario struct {
+	// Name identifies the scenario in the tables.
+	Name string
+	// LoadFactor multiplies the arrivals of every region, and PeakFactor those of
+	// the first one.
+	LoadFactor, PeakFactor float64
+	// Uneven makes the speeds of the endpoints of a region differ tenfold.
+	Uneven bool
+	// ReportLag is the age of a load report when it comes.
+	ReportLag time.Duration
+	// LostFrom and LostTo bound the time in which the first region is lost.
+	LostFrom, LostTo time.Duration
+	// CutFrom and CutTo bound the time in which no region reaches another.
+	CutFrom, CutTo time.Duration
+}
+
+const defaultLag = 500 * time.Millisecond
+
+// Scenarios returns the cases of the tables.
+func Scenarios() []Scenario {
+	base := Scenario{LoadFactor: 1, PeakFactor: 1, ReportLag: defaultLag}
+	with := func(name string, edit func(*Scenario)) Scenario {
+		s := base
+		s.Name = name
+		edit(&s)
+		return s
+	}
+	return []Scenario{
+		with("steady", func(*Scenario) {}),
+		with("peak in one region", func(s *Scenario) { s.PeakFactor = 2 }),
+		with("tenfold speeds", func(s *Scenario) { s.Uneven = true }),
+		with("reports lag 2 s", func(s *Scenario) { s.ReportLag = 2 * time.Second }),
+		with("reports lag 10 s", func(s *Scenario) { s.ReportLag = 10 * time.Second }),
+		with("region lost and back", func(s *Scenario) { s.LostFrom, s.LostTo = 60*time.Second, 120*time.Second }),
+		with("regions cut apart", func(s *Scenario) { s.PeakFactor, s.CutFrom, s.CutTo = 1.5, 60*time.Second, 120*time.Second }),
+		with("twice capacity", func(s *Scenario) { s.LoadFactor = 2.9 }),
+	}
+}
