Work ahead: own work exact, that of others faded by the age of the report

Cause: Ahead and Occupied took a late report for the present and added what was sent since; with reports 10 s late every choice went by noise.

Now the instance's own waiting tokens are counted exactly; what a report shows beyond them is believed less with its age and replaced by its long average.

--- a/internal/cwdispatch/call_endpoint.go
+++ b/internal/cwdispatch/call_endpoint.go
@@ -66,9 +66,9 @@
 	failed := r.err != nil && ctx.Err() == nil
 	c.mu.Lock()
 	if c.firstAt.IsZero() {
-		e.OnEnd(c.choice.Uncached, 0)
+		e.OnEnd(c.choice.Uncached, 0, now)
 	} else {
-		e.OnEnd(0, now.Sub(c.start))
+		e.OnEnd(0, now.Sub(c.start), now)
 	}
 	if failed {
 		e.OnFailure(now, c.rng.Float64())
@@ -303,7 +303,7 @@
 	c.served.FirstByte = now.Sub(c.job.Arrived)
 	c.served.Status = c.resp.StatusCode
 	c.mu.Lock()
-	c.choice.Endpoint.OnFirstToken(c.choice.Uncached, c.choice.Ahead, now.Sub(c.start))
+	c.choice.Endpoint.OnFirstToken(c.choice.Uncached, c.choice.Ahead, now.Sub(c.start), now)
 	c.mu.Unlock()
 	header := answerHeader(c.resp.Header)
 	if c.tracker != nil {
--- a/internal/cwdispatch/explain.go
+++ b/internal/cwdispatch/explain.go
@@ -100,7 +100,7 @@
 	for _, e := range p.Endpoints() {
 		out.Candidates = append(out.Candidates, CandidateView{
 			Address: e.Address, Usable: e.Usable(now, cwpolicy.EndpointSilence) && !e.Loading && !e.Ejected(now),
-			Free: e.Free(), InFlight: e.InFlight(), Ahead: e.Ahead(now), MicrosPerToken: e.SecondsPerToken() * 1e6,
+			Free: e.Free(now), InFlight: e.InFlight(), Ahead: e.Ahead(now), MicrosPerToken: e.SecondsPerToken() * 1e6,
 		})
 	}
 	for _, r := range s.Rooms[poolName(job)] {
--- a/internal/cwdispatch/place.go
+++ b/internal/cwdispatch/place.go
@@ -54,7 +54,7 @@
 	defer d.mu.Unlock()
 	if !p.Queue.Remove(func(other *waiter) bool { return other == w }) {
 		if got := <-w.ready; got.choice.Endpoint != nil {
-			got.choice.Endpoint.OnEnd(got.choice.Uncached, 0)
+			got.choice.Endpoint.OnEnd(got.choice.Uncached, 0, time.Now())
 		}
 	}
 	return placement{problem: d.overloaded(p, w.job, "the deadline passed in the queue")}
--- a/internal/cwpolicy/endpoint.go
+++ b/internal/cwpolicy/endpoint.go
@@ -34,18 +34,24 @@
 	holdSeconds     float64
 	inFlight        int
 	waitingOwn      int
-	recent          []dispatched
+	history         ownHistory
+	others          othersWork
 	cacheEpoch      uint32
 }
 
-// dispatched is a request sent after the latest report was made.
-type dispatched struct {
-	at     time.Time
-	tokens int
+// othersWork is the work of other instances at an endpoint: as the latest report
+// shows it, and on average over the reports.
+type othersWork struct {
+	waiting, running         float64
+	meanWaiting, meanRunning float64
 }
 
-// maxRecent bounds the requests remembered between two reports.
-const maxRecent = 256
+const (
+	// waitingMemory is the age at which a report of waiting tokens has lost most
+	// of its worth.
+	waitingMemory = 0.3
+	othersGain    = 0.1
+)
 
 // NewEndpoint returns an endpoint of which only the address is known.
 func NewEndpoint(address string, now time.Time) *Endpoint {
@@ -77,19 +83,18 @@
 		r.Slots = e.Report.Slots
 	}
 	e.Report = r
-	kept := e.recent[:0]
-	for _, d := range e.recent {
-		if d.at.After(r.At) {
-			kept = append(kept, d)
-		}
-	}
-	e.recent = kept
+	own := e.history.at(r.At)
+	o := &e.others
+	o.waiting = float64(max(r.WaitingTokens-own.waiting, 0))
+	o.running = float64(max(r.Running+r.Waiting-own.inFlight, 0))
+	o.meanWaiting += othersGain * (o.waiting - o.meanWaiting)
+	o.meanRunning += othersGain * (o.running - o.meanRunning)
 }
 
 // OnRestart forgets what was learnt of an earlier life at the address.
 func (e *Endpoint) OnRestart() {
 	e.Report = LoadReport{Slots: e.Report.Slots, At: e.Report.At}
-	e.recent = nil
+	e.others = othersWork{}
 	e.Ejection = Ejection{}
 	e.ForgetCache()
 }
@@ -104,15 +109,14 @@
 func (e *Endpoint) OnDispatch(tokens int, now time.Time) {
 	e.inFlight++
 	e.waitingOwn += tokens
-	if len(e.recent) < maxRecent {
-		e.recent = append(e.recent, dispatched{at: now, tokens: tokens})
-	}
+	e.history.note(now, e.waitingOwn, e.inFlight)
 }
 
 // OnFirstToken learns the speed from the time that the first token took, given
 // the prompt tokens that were ahead of the request and its own.
-func (e *Endpoint) OnFirstToken(tokens, ahead int, took time.Duration) {
+func (e *Endpoint) OnFirstToken(tokens, ahead int, took time.Duration, now time.Time) {
 	e.waitingOwn -= tokens
+	e.history.note(now, e.waitingOwn, e.inFlight)
 	sample := took.Seconds() / float64(tokens+ahead+overheadTokens)
 	if e.secondsPerToken == 0 {
 		e.secondsPerToken = sample
@@ -123,41 +127,39 @@
 
 // OnEnd counts a request as finished. Tokens are those of a request that never
 // gave a first token, else 0. Took is the time that it held a slot.
-func (e *Endpoint) OnEnd(tokens int, took time.Duration) {
+func (e *Endpoint) OnEnd(tokens int, took time.Duration, now time.Time) {
 	e.inFlight--
 	e.waitingOwn -= tokens
+	e.history.note(now, e.waitingOwn, e.inFlight)
 	if tokens == 0 {
 		e.holdSeconds += holdGain * (took.Seconds() - e.holdSeconds)
 	}
 }
 
-// Ahead estimates the prompt tokens that wait at the endpoint: the report less
-// what was worked off since, and what this instance sent since.
+// Ahead estimates the prompt tokens that wait at the endpoint: what this instance
+// sent there is known, and the work of others is believed less, and their average
+// more, the older the report is.
 func (e *Endpoint) Ahead(now time.Time) int {
-	reported := float64(e.Report.WaitingTokens)
-	if reported > 0 {
-		reported = max(0, reported-now.Sub(e.Report.At).Seconds()/e.SecondsPerToken())
-	}
-	for _, d := range e.recent {
-		reported += float64(d.tokens)
-	}
-	if e.Report.At.IsZero() {
-		return e.waitingOwn
-	}
-	return max(int(reported), 0)
+	w := fade(now.Sub(e.Report.At), waitingMemory)
+	return e.waitingOwn + int(w*e.others.waiting+(1-w)*e.others.meanWaiting)
 }
 
 // Occupied estimates the requests that hold or wait for a slot.
-func (e *Endpoint) Occupied() int {
-	if e.Report.At.IsZero() {
-		return e.inFlight
-	}
-	return max(e.Report.Running+e.Report.Waiting+len(e.recent), e.inFlight)
+func (e *Endpoint) Occupied(now time.Time) int {
+	w := fade(now.Sub(e.Report.At), e.holdSeconds)
+	return e.inFlight + int(w*e.others.running+(1-w)*e.others.meanRunning+0.5)
+}
+
+// fade returns the worth of a belief of an age, from 1 down to 0.
+func fade(age time.Duration, memorySeconds float64) float64 {
+	x := age.Seconds() / memorySeconds
+	// A rational curve is as good as an exponential one here, and cheaper.
+	return 1 / (1 + x*x)
 }
 
 // SlotWait estimates the time until a slot is free.
-func (e *Endpoint) SlotWait() float64 {
-	over := e.Occupied() - e.Report.Slots + 1
+func (e *Endpoint) SlotWait(now time.Time) float64 {
+	over := e.Occupied(now) - e.Report.Slots + 1
 	if over <= 0 {
 		return 0
 	}
@@ -165,6 +167,6 @@
 }
 
 // Free returns the number of slots believed free.
-func (e *Endpoint) Free() int {
-	return max(0, e.Report.Slots-e.Occupied())
+func (e *Endpoint) Free(now time.Time) int {
+	return max(0, e.Report.Slots-e.Occupied(now))
 }
--- a/internal/cwpolicy/pool.go
+++ b/internal/cwpolicy/pool.go
@@ -124,8 +124,8 @@
 			continue
 		}
 		room.Slots += e.Report.Slots
-		room.Free += e.Free()
-		wait := e.SlotWait() + float64(e.Ahead(now))*e.SecondsPerToken()
+		room.Free += e.Free(now)
+		wait := e.SlotWait(now) + float64(e.Ahead(now))*e.SecondsPerToken()
 		if room.Endpoints == 0 || wait < room.WaitSeconds {
 			room.WaitSeconds = wait
 		}
@@ -159,10 +159,10 @@
 	}
 	ahead := e.Ahead(s.now)
 	uncached := s.uncached(e)
-	slotWait := e.SlotWait()
+	slotWait := e.SlotWait(s.now)
 	perToken := e.SecondsPerToken()
 	first := slotWait + perToken*float64(ahead+uncached+overheadTokens)
-	busy := float64(e.Occupied()) / float64(e.Report.Slots)
+	busy := float64(e.Occupied(s.now)) / float64(e.Report.Slots)
 	cost := perToken * float64(uncached+overheadTokens) * e.Accelerators
 	score := scoreOf(s.demand.Weights, first, cost, s.demand.Target.Seconds()) + busyWeight*busy
 	score *= 1 + scoreJitter*s.rng.Float64()
