Learn after how many requests a prefix has left an endpoint's cache

Cause: the view took every prefix that was ever sent to an endpoint for cached. Wrong hits made the predicted wait too short, and the tail long.

The time to the first token tells a hit from a miss; the number of requests in between on a miss bounds the reach, and it grows again slowly.

--- a/internal/cwdispatch/call_endpoint.go
+++ b/internal/cwdispatch/call_endpoint.go
@@ -303,7 +303,7 @@
 	c.served.FirstByte = now.Sub(c.job.Arrived)
 	c.served.Status = c.resp.StatusCode
 	c.mu.Lock()
-	c.choice.Endpoint.OnFirstToken(c.choice.Uncached, c.choice.Ahead, now.Sub(c.start), now)
+	c.choice.Endpoint.OnFirstToken(&c.choice, now.Sub(c.start), now)
 	c.mu.Unlock()
 	header := answerHeader(c.resp.Header)
 	if c.tracker != nil {
--- a/internal/cwpolicy/choice.go
+++ b/internal/cwpolicy/choice.go
@@ -10,6 +10,10 @@
 	FirstToken time.Duration
 	// Uncached is the number of prompt tokens that the endpoint must process.
 	Uncached int
+	// Cached is the number of prompt tokens that are believed to be in its cache,
+	// and Distance how many requests ago they came there.
+	Cached   int
+	Distance uint32
 	// Ahead is the number of prompt tokens that wait there before the request.
 	Ahead int
 	// Free tells whether a slot is believed free.
--- a/internal/cwpolicy/endpoint.go
+++ b/internal/cwpolicy/endpoint.go
@@ -15,6 +15,13 @@
 	speedGain      = 0.15
 	holdGain       = 0.1
 	defaultHold    = 1.0
+	// startReach is the number of requests for which a prefix is taken to stay in
+	// the cache until something else is learnt; reachGrowth lets it rise again.
+	startReach  = 64
+	reachGrowth = 0.05
+	reachGain   = 0.2
+	// reachEdge is the part of the reach beyond which a hit widens it.
+	reachEdge = 0.8
 )
 
 // Endpoint is one back end as this instance sees it.
@@ -37,6 +44,8 @@
 	history         ownHistory
 	others          othersWork
 	cacheEpoch      uint32
+	dispatches      uint32
+	cacheReach      float64
 }
 
 // othersWork is the work of other instances at an endpoint: as the latest report
@@ -55,7 +64,7 @@
 
 // NewEndpoint returns an endpoint of which only the address is known.
 func NewEndpoint(address string, now time.Time) *Endpoint {
-	e := &Endpoint{Address: address, Accelerators: 1, holdSeconds: defaultHold}
+	e := &Endpoint{Address: address, Accelerators: 1, holdSeconds: defaultHold, cacheReach: startReach}
 	e.Report.Slots = defaultSlots
 	e.HeardAt = now
 	return e
@@ -109,15 +118,21 @@
 func (e *Endpoint) OnDispatch(tokens int, now time.Time) {
 	e.inFlight++
 	e.waitingOwn += tokens
+	e.dispatches++
+	e.cacheReach += reachGrowth
 	e.history.note(now, e.waitingOwn, e.inFlight)
 }
 
-// OnFirstToken learns the speed from the time that the first token took, given
-// the prompt tokens that were ahead of the request and its own.
-func (e *Endpoint) OnFirstToken(tokens, ahead int, took time.Duration, now time.Time) {
-	e.waitingOwn -= tokens
+// OnFirstToken learns from the time that the first token took: the speed, and
+// whether the prefix was still in the endpoint's cache.
+func (e *Endpoint) OnFirstToken(c *Choice, took time.Duration, now time.Time) {
+	e.waitingOwn -= c.Uncached
 	e.history.note(now, e.waitingOwn, e.inFlight)
-	sample := took.Seconds() / float64(tokens+ahead+overheadTokens)
+	tokens := c.Uncached + c.Ahead + overheadTokens
+	if c.Cached > 0 && e.learnReach(c, took, tokens) {
+		tokens += c.Cached
+	}
+	sample := took.Seconds() / float64(tokens)
 	if e.secondsPerToken == 0 {
 		e.secondsPerToken = sample
 		return
@@ -125,6 +140,20 @@
 	e.secondsPerToken += speedGain * (sample - e.secondsPerToken)
 }
 
+// learnReach learns after how many other requests a prefix has left the cache. It
+// returns true if this one had.
+func (e *Endpoint) learnReach(c *Choice, took time.Duration, tokens int) bool {
+	distance := float64(c.Distance)
+	missed := took.Seconds() > e.SecondsPerToken()*(float64(tokens)+float64(c.Cached)/2)
+	if missed && distance < e.cacheReach {
+		e.cacheReach += reachGain * (distance - e.cacheReach)
+	}
+	if !missed && distance > reachEdge*e.cacheReach {
+		e.cacheReach += reachGain * (distance/reachEdge - e.cacheReach)
+	}
+	return missed
+}
+
 // OnEnd counts a request as finished. Tokens are those of a request that never
 // gave a first token, else 0. Took is the time that it held a slot.
 func (e *Endpoint) OnEnd(tokens int, took time.Duration, now time.Time) {
--- a/internal/cwpolicy/pool.go
+++ b/internal/cwpolicy/pool.go
@@ -158,7 +158,7 @@
 		return
 	}
 	ahead := e.Ahead(s.now)
-	uncached := s.uncached(e)
+	uncached, distance := s.uncached(e)
 	slotWait := e.SlotWait(s.now)
 	perToken := e.SecondsPerToken()
 	first := slotWait + perToken*float64(ahead+uncached+overheadTokens)
@@ -174,6 +174,8 @@
 		Endpoint:   e,
 		FirstToken: time.Duration(first * float64(time.Second)),
 		Uncached:   uncached,
+		Cached:     s.demand.Tokens - uncached,
+		Distance:   distance,
 		Ahead:      ahead,
 		Free:       slotWait == 0,
 	}
@@ -182,12 +184,17 @@
 // busyWeight is the score of a full endpoint, which spreads decoding.
 const busyWeight = 0.1
 
-func (s *search) uncached(e *Endpoint) int {
-	held := 0
-	for held < s.known && s.entries[held].heldBy(e) {
+func (s *search) uncached(e *Endpoint) (int, uint32) {
+	held, distance := 0, uint32(0)
+	for held < s.known {
+		d, ok := s.entries[held].heldBy(e)
+		if !ok {
+			break
+		}
+		distance = max(distance, d)
 		held++
 	}
-	return max(s.demand.Tokens-held*blockTokens, 1)
+	return max(s.demand.Tokens-held*blockTokens, 1), distance
 }
 
 // scoreOf weighs latency against accelerator seconds, both relative to the target.
--- a/internal/cwpolicy/prefix_view.go
+++ b/internal/cwpolicy/prefix_view.go
@@ -18,10 +18,12 @@
 type holder struct {
 	endpoint *Endpoint
 	epoch    uint32
+	// sent is the endpoint's count of requests when it got the block.
+	sent uint32
 }
 
 func (h holder) valid(e *Endpoint) bool {
-	return h.endpoint == e && h.epoch == e.cacheEpoch
+	return h.endpoint == e && h.epoch == e.cacheEpoch && float64(e.dispatches-h.sent) <= e.cacheReach
 }
 
 // NewPrefixView returns an empty view.
@@ -65,7 +67,7 @@
 
 // with returns the entry with the endpoint as its most recent holder.
 func (p prefixEntry) with(e *Endpoint) prefixEntry {
-	fresh := holder{endpoint: e, epoch: e.cacheEpoch}
+	fresh := holder{endpoint: e, epoch: e.cacheEpoch, sent: e.dispatches}
 	if p.holders[0].endpoint != e {
 		p.holders[1] = p.holders[0]
 	}
@@ -73,6 +75,13 @@
 	return p
 }
 
-func (p prefixEntry) heldBy(e *Endpoint) bool {
-	return p.holders[0].valid(e) || p.holders[1].valid(e)
+// heldBy returns how many requests ago the endpoint got the block, and false if
+// it is not believed to hold it any more.
+func (p *prefixEntry) heldBy(e *Endpoint) (uint32, bool) {
+	for i := range p.holders {
+		if p.holders[i].valid(e) {
+			return e.dispatches - p.holders[i].sent, true
+		}
+	}
+	return 0, false
 }
--- a/internal/cwtrial/instance.go
+++ b/internal/cwtrial/instance.go
@@ -158,7 +158,7 @@
 	i.send(r, i.region, i.fakes[e.Address], observer{
 		first: func() {
 			begun = true
-			e.OnFirstToken(c.Uncached, c.Ahead, i.loop.now.Sub(sent), i.loop.now)
+			e.OnFirstToken(&c, i.loop.now.Sub(sent), i.loop.now)
 		},
 		ended: func() {
 			e.OnEnd(0, i.loop.now.Sub(sent), i.loop.now)
