Endpoints with a free slot go before those without

Cause: a full endpoint that held the prefix could win the score; its request then waited, and all behind it in the queue. Seen in the two-year domain at 1.5 of its load: p99 1361 ms against 658 for round robin.

--- a/internal/cwpolicy/pool.go
+++ b/internal/cwpolicy/pool.go
@@ -165,6 +165,9 @@
 	busy := float64(e.Occupied(s.now)) / float64(e.Report.Slots)
 	cost := perToken * float64(uncached+overheadTokens) * e.Accelerators
 	score := scoreOf(s.demand.Weights, first, cost, s.demand.Target.Seconds()) + busyWeight*busy
+	if slotWait > 0 {
+		score += fullPenalty
+	}
 	score *= 1 + scoreJitter*s.rng.Float64()
 	if s.best.Endpoint != nil && score >= s.score {
 		return
@@ -181,6 +184,10 @@
 	}
 }
 
+// fullPenalty puts every endpoint with a free slot before those without, since a
+// request that waits for a cached prefix keeps all behind it waiting too.
+const fullPenalty = 100
+
 // busyWeight is the score of a full endpoint, which spreads decoding.
 const busyWeight = 0.1
 
