Slopes of control from real processes

make slopes starts fleets that differ in one number each and measures one idle instance. A fetch that broke off now keeps its buckets, so that a platform over its budget is not asked twice.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 REVIVE := github.com/mgechev/revive@v1.17.0
 TWIRP := github.com/twitchtv/twirp/protoc-gen-twirp@v8.1.3+incompatible
 
-.PHONY: build demo test docs generate tools apt clean
+.PHONY: build demo test docs slopes trials generate tools apt clean
 
 build:
 	@mkdir -p bin
@@ -30,6 +30,16 @@
 test: build tools apt
 	@scripts/test.sh
 
+# The figures of docs/CAPACITY.md.
+slopes: build
+	@command -v curl >/dev/null || (apt-get update -qq && apt-get install -y -qq curl)
+	@scripts/slopes.sh
+	go test -run xxx -bench 'Path|Stream|InFlight' -benchtime 2s ./internal/cwapp
+	go test -run xxx -bench . ./internal/cwpolicy ./pkg/cwconfig
+
+trials: build
+	bin/cwtrial
+
 docs: build
 	bin/clementinewell settings > docs/CONFIG.md
 
--- a/internal/cwstandin/command.go
+++ b/internal/cwstandin/command.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/clementinewell/clementinewell/internal/cwplatform"
 )
@@ -22,7 +23,7 @@
 // NewRoot returns the command cwfake with its subcommands.
 func NewRoot() *cobra.Command {
 	root := &cobra.Command{Use: "cwfake", Short: "Stand-ins for what the gateway talks to", SilenceUsage: true}
-	root.AddCommand(newEngineCommand(), newPlainCommand(), newPlatformCommand(), newRelayCommand(), newWaitCommand())
+	root.AddCommand(newEngineCommand(), newPlainCommand(), newPlatformCommand(), newRelayCommand(), newWaitCommand(), newAccountsCommand())
 	return root
 }
 
@@ -49,15 +50,19 @@
 }
 
 func newPlainCommand() *cobra.Command {
-	var listen string
+	var listen []string
 	var delay time.Duration
 	cmd := &cobra.Command{
-		Use: "plain", Short: "Run a plain service", Args: cobra.NoArgs,
+		Use: "plain", Short: "Run a plain service at one or more addresses", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return serve(cmd.Context(), listen, NewPlain(listen, delay).Handler())
+			g, ctx := errgroup.WithContext(cmd.Context())
+			for _, address := range listen {
+				g.Go(func() error { return serve(ctx, address, NewPlain(address, delay).Handler()) })
+			}
+			return g.Wait()
 		},
 	}
-	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:9100", "address")
+	cmd.Flags().StringSliceVar(&listen, "listen", []string{"127.0.0.1:9100"}, "addresses")
 	cmd.Flags().DurationVar(&delay, "delay", 0, "time that a request takes")
 	return cmd
 }
--- a/internal/cwsync/config_follower.go
+++ b/internal/cwsync/config_follower.go
@@ -38,11 +38,14 @@
 	revision uint64
 	readAt   time.Time
 	backoff  time.Duration
+	// partial holds the buckets of a fetch that did not end, so that a platform
+	// over its budget is not asked for them again.
+	partial map[string][]byte
 }
 
 // NewConfigFollower returns a follower that has not started.
 func NewConfigFollower(common *cwcommon.Common, control *cwcontrol.Control, reader *cwplatform.Reader, client *cwpeer.Client, store *ManifestStore) *ConfigFollower {
-	return &ConfigFollower{Common: common, control: control, reader: reader, client: client, store: store, backoff: minBackoff}
+	return &ConfigFollower{Common: common, control: control, reader: reader, client: client, store: store, backoff: minBackoff, partial: make(map[string][]byte)}
 }
 
 // Run follows the platform until ctx ends. Readers of the domain watch; the
@@ -134,9 +137,13 @@
 func (f *ConfigFollower) build(ctx context.Context, m cwconfig.Manifest, manifest []byte, previous *cwconfig.State, fetch func(cwconfig.BucketRef) ([]byte, error)) error {
 	var fetched []cwconfig.KeyValue
 	for _, ref := range cwconfig.Missing(m, previous) {
-		data, err := fetch(ref)
-		if err != nil {
-			return fmt.Errorf("fetch bucket %s: %w", ref.Name, err)
+		data := f.partial[ref.Hash]
+		if data == nil {
+			var err error
+			if data, err = fetch(ref); err != nil {
+				return fmt.Errorf("fetch bucket %s: %w", ref.Name, err)
+			}
+			f.partial[ref.Hash] = data
 		}
 		fetched = append(fetched, cwconfig.KeyValue{Key: cwconfig.BucketKeyPrefix + ref.Hash, Value: data})
 	}
@@ -144,6 +151,7 @@
 	if err != nil {
 		return err
 	}
+	clear(f.partial)
 	f.store.Put(manifest)
 	f.control.Post(ctx, cwcontrol.ConfigFetched{State: state})
 	return nil
