--- a/internal/cwadmin/handler.go
+++ b/internal/cwadmin/handler.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/clementinewell/clementinewell/internal/cwburn"
@@ -36,6 +37,8 @@
 	mux.HandleFunc("GET /burn", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, h.burn.Report(time.Now())) })
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, h.Status(time.Now())) })
 	mux.HandleFunc("GET /explain", h.serveExplain)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	return mux
 }
 
--- a/internal/cwcontrol/event.go
+++ b/internal/cwcontrol/event.go
@@ -140,13 +140,20 @@
 }
 
 func (e PeerHeard) apply(s *state, now time.Time) {
+	before := s.membership.Presence(e.Member.Address)
 	fresh := s.membership.OnHeard(e.Member, now)
-	s.membersDirty = true
+	after := s.membership.Presence(e.Member.Address)
+	s.membersStale = true
+	if before.Incarnation != after.Incarnation || before.Leaving != after.Leaving || !before.FailedAt.IsZero() || len(e.Moves) > 0 {
+		s.membersDirty = true
+	}
 	if !fresh {
 		return
 	}
 	for _, other := range e.Others {
-		s.membership.OnGossip(other, now)
+		if s.membership.OnGossip(other, now) {
+			s.membersDirty = true
+		}
 	}
 	for _, move := range e.Moves {
 		s.membership.OnMoved(move.From, move.To)
--- a/internal/cwcontrol/state.go
+++ b/internal/cwcontrol/state.go
@@ -23,7 +23,11 @@
 	asked      bool
 	barriers   []barrier
 
+	// membersDirty is set by changes that matter at once, membersStale by fresh
+	// loads and life signs, which may wait a little.
 	membersDirty   bool
+	membersStale   bool
+	membersAt      time.Time
 	endpointsDirty bool
 	roomsDirty     bool
 	last           *Snapshot
@@ -102,7 +106,8 @@
 	next.Generation = s.generation
 	next.Config, next.Order, next.Self = s.config, s.order, s.self
 	next.Ready = s.order.Ready() && s.asked && !s.self.Leaving
-	if s.membersDirty {
+	stale := s.membersStale && now.Sub(s.membersAt) >= membersGap
+	if s.membersDirty || stale || len(s.barriers) > 0 {
 		s.publishMembers(&next, now)
 	}
 	if s.endpointsDirty {
@@ -114,12 +119,17 @@
 			next.Rooms[pool] = slices.Clone(rooms)
 		}
 	}
-	s.membersDirty, s.endpointsDirty, s.roomsDirty = false, false, false
+	s.endpointsDirty, s.roomsDirty = false, false
 	s.last = &next
 	return &next
 }
 
+// membersGap is the least time between two lists of members that differ in life
+// signs only.
+const membersGap = 300 * time.Millisecond
+
 func (s *state) publishMembers(next *Snapshot, now time.Time) {
+	s.membersDirty, s.membersStale, s.membersAt = false, false, now
 	next.Members = s.membership.All()
 	next.Moves = s.membership.Moves()
 	next.Demands, next.AllHeard = make(DemandTable), true
--- a/internal/cwendpoint/poller.go
+++ b/internal/cwendpoint/poller.go
@@ -6,8 +6,6 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/clementinewell/clementinewell/internal/cwcommon"
 	"github.com/clementinewell/clementinewell/internal/cwcontrol"
 	"github.com/clementinewell/clementinewell/internal/cwpolicy"
@@ -75,23 +73,12 @@
 	if now.Sub(p.asked[r.Address]) < p.Settings.PollInterval/2 {
 		return false
 	}
-	if p.owns(s, r.Address, now) {
+	if cwpolicy.OwnsPoll(s.Self.Address, s.Self.Domain, r.Address, s.Members, now) {
 		return age >= p.Settings.PollInterval || !r.FailedAt.IsZero()
 	}
 	return age >= 2*p.Settings.PollInterval
 }
 
-func (p *Poller) owns(s *cwcontrol.Snapshot, endpoint string, now time.Time) bool {
-	own := xxhash.Sum64String(s.Self.Address + endpoint)
-	for i := range s.Members {
-		m := &s.Members[i]
-		if m.Domain == s.Self.Domain && m.Usable(now, cwpolicy.MemberSilence) && xxhash.Sum64String(m.Address+endpoint) > own {
-			return false
-		}
-	}
-	return true
-}
-
 func (p *Poller) poll(ctx context.Context, address string) {
 	load, err := p.client.Load(ctx, address)
 	if err != nil {
--- a/internal/cwpeer/news.go
+++ b/internal/cwpeer/news.go
@@ -15,8 +15,8 @@
 // maxDemands bounds the limits in one message; the largest demands are kept.
 const maxDemands = 64
 
-// newsOf returns what an instance tells a peer. Endpoint reports and members
-// stay within the failure domain.
+// newsOf returns what an instance tells a peer: the reports of single endpoints
+// within the failure domain, their sums outside it.
 func newsOf(s *cwcontrol.Snapshot, traffic Traffic, sameDomain bool, now time.Time) *cwproto.News {
 	v := s.Order.Accepted()
 	news := &cwproto.News{
@@ -25,8 +25,12 @@
 		Config:          &cwproto.ConfigVersion{Number: v.Number, Hash: v.Hash},
 		ConfigConfirmed: s.Order.Ready(),
 	}
-	for _, r := range traffic.Rooms() {
-		news.Rooms = append(news.Rooms, protoRoom(r))
+	if sameDomain {
+		news.Endpoints = protoEndpoints(s.Endpoints, now)
+	} else {
+		for _, r := range traffic.Rooms() {
+			news.Rooms = append(news.Rooms, protoRoom(r))
+		}
 	}
 	for i := range s.Members {
 		m := &s.Members[i]
@@ -43,9 +47,6 @@
 			Service: d.Key.Service, Account: d.Key.Account, PerSecond: float32(d.PerSecond),
 		})
 	}
-	if sameDomain {
-		news.Endpoints = protoEndpoints(s.Endpoints, now)
-	}
 	return news
 }
 
--- a/internal/cwpolicy/membership.go
+++ b/internal/cwpolicy/membership.go
@@ -97,11 +97,12 @@
 }
 
 // OnGossip takes in what one member says of another: that it exists, and that
-// an incarnation leaves. It proves no life.
-func (m *Membership) OnGossip(news Member, now time.Time) {
+// an incarnation leaves. It proves no life. It returns true if that was news.
+func (m *Membership) OnGossip(news Member, now time.Time) bool {
 	if news.Address == m.self {
-		return
+		return false
 	}
+	before := m.Presence(news.Address)
 	member := m.members[news.Address]
 	if member == nil {
 		member = m.at(news.Address, now)
@@ -114,6 +115,15 @@
 	if news.Leaving {
 		member.MarkLeaving(news.Incarnation)
 	}
+	return member.Presence != before
+}
+
+// Presence returns what is believed of a member's life, or the zero value.
+func (m *Membership) Presence(address string) Presence {
+	if member := m.members[address]; member != nil {
+		return member.Presence
+	}
+	return Presence{}
 }
 
 // OnFailed records that contact with a member failed.
--- a/internal/cwsetting/settings.go
+++ b/internal/cwsetting/settings.go
@@ -21,7 +21,7 @@
 	LogLevel         string        `name:"log-level" default:"info" check:"level" help:"Lowest level that is logged: debug, info, warn or error."`
 	DrainTimeout     time.Duration `name:"drain-timeout" default:"60s" check:"positive" help:"How long a shutdown waits for requests in flight."`
 	ExchangeInterval time.Duration `name:"exchange-interval" default:"1s" check:"positive" help:"Time between exchanges with each instance of the own failure domain."`
-	RemoteInterval   time.Duration `name:"remote-interval" default:"3s" check:"positive" help:"Time between exchanges with one instance of each other failure domain that is followed."`
+	RemoteInterval   time.Duration `name:"remote-interval" default:"5s" check:"positive" help:"Time between exchanges with one instance of each other failure domain that is followed."`
 	RemoteDomains    int           `name:"remote-domains" default:"6" check:"positive" help:"Number of other failure domains that are followed as destinations."`
 	PollInterval     time.Duration `name:"poll-interval" default:"2s" check:"positive" help:"Age at which an endpoint's load report is asked for anew."`
 	WatchWait        time.Duration `name:"watch-wait" default:"30s" check:"positive" help:"How long one watch of the configuration or of a list waits at the platform."`
--- a/internal/cwstandin/command.go
+++ b/internal/cwstandin/command.go
@@ -23,7 +23,7 @@
 // NewRoot returns the command cwfake with its subcommands.
 func NewRoot() *cobra.Command {
 	root := &cobra.Command{Use: "cwfake", Short: "Stand-ins for what the gateway talks to", SilenceUsage: true}
-	root.AddCommand(newEngineCommand(), newPlainCommand(), newPlatformCommand(), newRelayCommand(), newWaitCommand(), newAccountsCommand())
+	root.AddCommand(newEngineCommand(), newPlainCommand(), newPlatformCommand(), newRelayCommand(), newWaitCommand(), newAccountsCommand(), newPeersCommand())
 	return root
 }
 
--- /dev/null
+++ b/internal/cwstandin/peers.go
@@ -0,0 +1,166 @@
+package cwstandin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/clementinewell/clementinewell/internal/cwnet"
+	"github.com/clementinewell/clementinewell/internal/cwpeer"
+	"github.com/clementinewell/clementinewell/internal/cwplatform"
+	"github.com/clementinewell/clementinewell/internal/cwpolicy"
+	"github.com/clementinewell/clementinewell/internal/cwproto"
+)
+
+// peer stands in for another instance in exchanges: it answers and begins them,
+// and serves nothing.
+type peer struct {
+	entry       cwplatform.Entry
+	incarnation uint64
+	// endpoints are those that the peer would poll.
+	endpoints []string
+}
+
+// Exchange answers with the news of an idle instance.
+func (p *peer) Exchange(_ context.Context, news *cwproto.News) (*cwproto.News, error) {
+	return p.news(news.GetSelf().GetDomain()), nil
+}
+
+// FetchConfig has nothing to give.
+func (p *peer) FetchConfig(context.Context, *cwproto.FetchConfigRequest) (*cwproto.FetchConfigResponse, error) {
+	return &cwproto.FetchConfigResponse{}, nil
+}
+
+// TakeOver refuses tickets.
+func (p *peer) TakeOver(context.Context, *cwproto.TakeOverRequest) (*cwproto.TakeOverResponse, error) {
+	return &cwproto.TakeOverResponse{}, nil
+}
+
+func (p *peer) news(toDomain string) *cwproto.News {
+	news := &cwproto.News{Protocol: cwpeer.ProtocolVersion, Config: &cwproto.ConfigVersion{}, Self: &cwproto.MemberState{
+		Incarnation: p.incarnation, PeerAddress: p.entry.PeerAddress, CallerAddress: p.entry.CallerAddress,
+		Region: p.entry.Region, Domain: p.entry.Domain, Size: 1, Load: rand.Float32(), Demand: 66,
+	}}
+	if toDomain == p.entry.Domain {
+		p.addEndpoints(news)
+		return news
+	}
+	for pool := range roomsPerPeer {
+		news.Rooms = append(news.Rooms, &cwproto.PoolRoom{
+			Pool: fmt.Sprintf("model-%d", pool), Endpoints: 3, Slots: 48, Free: uint32(rand.IntN(48)), WaitSeconds: 0.1, SecondsPerToken: 0.0002,
+		})
+	}
+	return news
+}
+
+func (p *peer) addEndpoints(news *cwproto.News) {
+	for _, address := range p.endpoints {
+		news.Endpoints = append(news.Endpoints, &cwproto.EndpointState{
+			Address: address, Incarnation: 1, AgeMillis: 500, Slots: plainSlots, Pool: "job-lookup", Accelerators: 1,
+		})
+	}
+}
+
+// divide gives each peer of the domain the endpoints that it would poll, as the
+// instances of a domain divide them.
+func divide(peers []*peer, target, domain string, endpoints []cwplatform.EndpointEntry) {
+	members := []cwpolicy.Member{{Address: target, Domain: domain}}
+	for _, p := range peers {
+		members = append(members, cwpolicy.Member{Address: p.entry.PeerAddress, Domain: p.entry.Domain})
+	}
+	now := time.Now()
+	for _, p := range peers {
+		for _, e := range endpoints {
+			if p.entry.Domain == domain && cwpolicy.OwnsPoll(p.entry.PeerAddress, domain, e.Address, members, now) {
+				p.endpoints = append(p.endpoints, e.Address)
+			}
+		}
+	}
+}
+
+// roomsPerPeer is the number of pools that each peer tells of.
+const roomsPerPeer = 23
+
+// begin exchanges with the target again and again.
+func (p *peer) begin(ctx context.Context, client *cwpeer.Client, target, domain string, every time.Duration) {
+	for ctx.Err() == nil {
+		// A target that is down is asked again at the next turn.
+		_, _, _ = client.Exchange(ctx, target, p.news(domain))
+		select {
+		case <-ctx.Done():
+		case <-time.After(every):
+		}
+	}
+}
+
+// peersOptions are the flags of the command.
+type peersOptions struct {
+	entries, endpoints, target, domain, key string
+	callers                                 int
+}
+
+func newPeersCommand() *cobra.Command {
+	o := peersOptions{}
+	cmd := &cobra.Command{
+		Use: "peers", Short: "Stand in for all other instances of a list in exchanges", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error { return runPeers(cmd.Context(), o) },
+	}
+	f := cmd.Flags()
+	f.StringVar(&o.entries, "entries", "", "file with the platform's list of instances")
+	f.StringVar(&o.endpoints, "endpoints", "", "file with the list of the domain's endpoints")
+	f.StringVar(&o.target, "target", "", "peer address of the instance that is real")
+	f.StringVar(&o.domain, "domain", "", "its failure domain")
+	f.StringVar(&o.key, "peer-key", "", "key of the peers")
+	f.IntVar(&o.callers, "callers", 6, "instances of other domains that begin exchanges with it")
+	return cmd
+}
+
+func runPeers(ctx context.Context, o peersOptions) error {
+	var entries []cwplatform.Entry
+	var endpoints []cwplatform.EndpointEntry
+	if err := errors.Join(readJSON(o.entries, &entries), readJSON(o.endpoints, &endpoints)); err != nil {
+		return err
+	}
+	var peers []*peer
+	for i, entry := range entries {
+		if entry.PeerAddress != o.target {
+			peers = append(peers, &peer{entry: entry, incarnation: uint64(i + 1)})
+		}
+	}
+	divide(peers, o.target, o.domain, endpoints)
+	client := cwpeer.NewClient(cwnet.NewTCP(), cwpeer.NewAuth(o.key))
+	g, ctx := errgroup.WithContext(ctx)
+	for _, p := range peers {
+		g.Go(func() error { return serve(ctx, p.entry.PeerAddress, cwproto.NewPeerServer(p)) })
+		if p.entry.Domain == o.domain {
+			go p.begin(ctx, client, o.target, o.domain, domainEvery)
+		} else if o.callers > 0 {
+			o.callers--
+			go p.begin(ctx, client, o.target, o.domain, remoteEvery)
+		}
+	}
+	return g.Wait()
+}
+
+const (
+	domainEvery = time.Second
+	remoteEvery = 5 * time.Second
+)
+
+func readJSON(file string, out any) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return fmt.Errorf("read list: %w", err)
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return fmt.Errorf("read list %s: %w", file, err)
+	}
+	return nil
+}
--- a/internal/cwtrial/trial.go
+++ b/internal/cwtrial/trial.go
@@ -12,7 +12,7 @@
 	trialTime     = 150 * time.Second
 	drainTime     = 30 * time.Second
 	reportEvery   = 500 * time.Millisecond
-	summaryEvery  = 3 * time.Second
+	summaryEvery  = 5 * time.Second
 	pumpEvery     = 10 * time.Millisecond
 	maxTries      = 3
 	refusedTime   = time.Millisecond
