--- a/internal/cwcommand/root.go
+++ b/internal/cwcommand/root.go
@@ -21,7 +21,7 @@
 	root.SetOut(os.Stdout)
 	root.AddCommand(
 		newServe(), newPublish(), newCheck(), newCall(), newBurn(), newStatus(), newExplain(),
-		newSettings(), newVersion(),
+		newReplay(), newSettings(), newVersion(),
 	)
 	return root
 }
--- /dev/null
+++ b/internal/cwtrace/replay_test.go
@@ -0,0 +1,40 @@
+package cwtrace_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/clementinewell/clementinewell/internal/cwtrace"
+)
+
+func TestTraces(t *testing.T) {
+	files, err := filepath.Glob("../../testdata/traces/*.jsonl")
+	if err != nil || len(files) < 12 {
+		t.Fatalf("%d traces found: %v", len(files), err)
+	}
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			is := is.New(t)
+			f, err := os.Open(file)
+			is.NoErr(err)
+			defer f.Close()
+			compared, err := cwtrace.Replay(f)
+			is.NoErr(err)
+			is.True(compared > 0) // a trace that states nothing proves nothing
+		})
+	}
+}
+
+func TestReplayTellsWrongOutcomes(t *testing.T) {
+	is := is.New(t)
+	_, err := cwtrace.Replay(strings.NewReader(`{"do":"places","instance":"a","places":["north"],"home":"south","expect":"south"}`))
+	is.True(err != nil)
+	_, err = cwtrace.Replay(strings.NewReader(`{"do":"nothing"}`))
+	is.True(err != nil)
+	_, err = cwtrace.Replay(strings.NewReader(`{"do":"places","plaices":[]}`))
+	is.True(err != nil)
+}
