--- a/internal/cwapp/helpers_test.go
+++ b/internal/cwapp/helpers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 
@@ -50,3 +51,5 @@
 }
 
 const chatBody = `{"model":"chat-model","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"hello"}]}`
+
+func newRecorder() *httptest.ResponseRecorder { return httptest.NewRecorder() }
--- /dev/null
+++ b/internal/cwapp/order_test.go
@@ -0,0 +1,51 @@
+package cwapp_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/clementinewell/clementinewell/internal/cwscene"
+	"github.com/clementinewell/clementinewell/internal/cwstandin"
+	"github.com/clementinewell/clementinewell/pkg/cwservice"
+)
+
+func TestEnginesAreOrderedToLoad(t *testing.T) {
+	for _, fencing := range []cwservice.Fencing{cwservice.Checked, cwservice.Ignored} {
+		t.Run(string(fencing), func(t *testing.T) {
+			service := cwscene.Chat("north")
+			service.Fencing = fencing
+			inScene(t, services(service), func(t *testing.T, is *is.I, s *cwscene.Scene) {
+				engine := cwstandin.NewEngine("engine", cwstandin.EngineOptions{
+					Model: "another-model", Slots: 4, PromptTokensPerSecond: 4000, Tokens: 2, LoadTime: 3 * time.Second,
+					IgnoreFencing: fencing == cwservice.Ignored,
+				})
+				s.AddEndpoint("north-a", "10.1.0.5", "chat-model", engine.Handler())
+				s.Publish()
+				i := s.AddInstance("10.1.0.1", "north", "north-a")
+				s.AddInstance("10.1.0.2", "north", "north-a")
+				s.AwaitReady()
+				// While the model loads, nothing is sent to the engine.
+				is.Equal(chat(t, s, i, 2).Status, http.StatusServiceUnavailable)
+				s.Await(func() bool { return chat(t, s, i, 2).Status == http.StatusOK })
+				is.Equal(engine.Load().Fence, uint64(1))
+			})
+		})
+	}
+}
+
+func TestEngineRefusesOldOrder(t *testing.T) {
+	is := is.New(t)
+	engine := cwstandin.NewEngine("engine", cwstandin.EngineOptions{Model: "m", Slots: 1})
+	post := func(fence string) int {
+		req, _ := http.NewRequest(http.MethodPost, "/orders", strings.NewReader(`{"model":"m","fence":`+fence+`}`))
+		w := newRecorder()
+		engine.Handler().ServeHTTP(w, req)
+		return w.Code
+	}
+	is.Equal(post("5"), http.StatusOK)
+	is.Equal(post("4"), http.StatusConflict) // an instance that woke late
+}
--- a/internal/cwburn/observation.go
+++ b/internal/cwburn/observation.go
@@ -4,12 +4,13 @@
 
 import "time"
 
-// Reason says why a request burnt error budget. None means that it did not.
+// Reason says why a request burnt error budget. The zero value means that it did
+// not.
 type Reason string
 
 const (
 	// None means that the request met its targets.
-	None Reason = "none"
+	None Reason = ""
 	// Slow means that the first byte came after its target.
 	Slow Reason = "slow"
 	// Overload means that the request was refused for lack of capacity.
--- a/internal/cwentry/request_metrics.go
+++ b/internal/cwentry/request_metrics.go
@@ -54,7 +54,11 @@
 	if found, ok := s.byReason.Load(reason); ok {
 		return found.(tally.Counter)
 	}
-	made := s.scope.Tagged(map[string]string{"reason": string(reason)}).Counter("requests")
+	tag := string(reason)
+	if reason == cwburn.None {
+		tag = "none"
+	}
+	made := s.scope.Tagged(map[string]string{"reason": tag}).Counter("requests")
 	found, _ := s.byReason.LoadOrStore(reason, made)
 	return found.(tally.Counter)
 }
