--- /dev/null
+++ b/internal/cwapp/instances_test.go
@@ -0,0 +1,44 @@
+package cwapp_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/clementinewell/clementinewell/internal/cwscene"
+	"github.com/clementinewell/clementinewell/pkg/cwclient"
+)
+
+// TestCallersShareInstancesBySize has instances of sizes 1 and 3 without a
+// balancer: callers that follow the answer of the gateway share them so.
+func TestCallersShareInstancesBySize(t *testing.T) {
+	inScene(t, services(cwscene.Lookup("north")), func(t *testing.T, is *is.I, s *cwscene.Scene) {
+		p := newPair(s, "lookup")
+		big := s.AddInstance("10.1.0.3", "north", "north-a", "--size=3")
+		s.AwaitReady()
+		s.Await(func() bool {
+			for _, m := range p.a.Control.Snapshot().Members {
+				if m.Size == 3 {
+					return true
+				}
+			}
+			return false
+		})
+		client := s.Client(p.a)
+		served := 0
+		const calls = 500
+		for range calls {
+			resp, err := client.Call(t.Context(), cwclient.Request{Service: "lookup", Method: "GET", Path: "/x"})
+			is.NoErr(err)
+			if resp.Header.Get("Clementinewell-Instance") == big.Settings.CallerAddress {
+				served++
+			}
+			_ = resp.Body.Close()
+			time.Sleep(10 * time.Millisecond)
+		}
+		share := float64(served) / calls
+		t.Logf("the instance of size 3 of 5 served %.2f", share)
+		is.True(share > 0.5 && share < 0.7) // three fifths, within a tenth
+	})
+}
--- a/internal/cwscene/scene.go
+++ b/internal/cwscene/scene.go
@@ -158,11 +158,26 @@
 // AddInstance lists and starts an instance. Extra settings are flags such as
 // --idle-timeout=5s.
 func (s *Scene) AddInstance(ip, region, domain string, extra ...string) *Instance {
+	s.List(ip, region, domain)
+	return s.StartInstance(ip, region, domain, extra...)
+}
+
+// List puts an instance on the platform's list without starting it.
+func (s *Scene) List(ip, region, domain string) {
 	s.entries = append(s.entries, cwplatform.Entry{
 		PeerAddress: s.ip(ip) + peerPort, CallerAddress: s.ip(ip) + callerPort, Region: region, Domain: domain, Size: 1,
 	})
 	s.Platform.PutDirectory(s.entries)
-	return s.StartInstance(ip, region, domain, extra...)
+}
+
+// Flags returns the command-line flags of an instance.
+func (s *Scene) Flags(ip, region, domain string) []string {
+	ip = s.ip(ip)
+	return []string{
+		"--caller-address=" + ip + callerPort, "--peer-address=" + ip + peerPort, "--admin-address=" + ip + adminPort,
+		"--region=" + region, "--domain=" + domain, "--platform=http://" + s.ip(PlatformIP) + backendPort,
+		"--peer-key=scene-peer-key-0123", "--idle-timeout=5s", "--fallback-interval=20s",
+	}
 }
 
 // StartInstance starts an instance that may be listed already.
@@ -173,11 +188,7 @@
 	}
 	flags := pflag.NewFlagSet(ip, pflag.ContinueOnError)
 	cwsetting.AddFlags(flags)
-	args := append([]string{
-		"--caller-address=" + ip + callerPort, "--peer-address=" + ip + peerPort, "--admin-address=" + ip + adminPort,
-		"--region=" + region, "--domain=" + domain, "--platform=http://" + s.ip(PlatformIP) + backendPort,
-		"--peer-key=scene-peer-key-0123", "--idle-timeout=5s", "--fallback-interval=20s",
-	}, extra...)
+	args := append(s.Flags(ip, region, domain), extra...)
 	if err := flags.Parse(args); err != nil {
 		s.t.Fatal(err)
 	}
