An endpoint is blamed only for what it did

Cause, found by reading: every failed attempt counted against the endpoint, also one that the gateway itself stopped before the first byte (place taken away, ticket over) or that the endpoint refused truthfully.

--- a/internal/cwdispatch/call_endpoint.go
+++ b/internal/cwdispatch/call_endpoint.go
@@ -68,7 +68,7 @@
 func (c *endpointCall) finish(ctx context.Context, r result) {
 	now := time.Now()
 	e := c.choice.Endpoint
-	failed := r.err != nil && ctx.Err() == nil
+	failed := r.blame && ctx.Err() == nil
 	c.mu.Lock()
 	if c.firstAt.IsZero() {
 		e.OnEnd(c.choice.Uncached, 0, now)
@@ -82,7 +82,7 @@
 	}
 	c.pump(c.pool(poolName(c.job)), now)
 	c.mu.Unlock()
-	if failed && r.outcome == cwanswer.NotRun {
+	if failed && r.unreachable {
 		c.control.Offer(cwcontrol.EndpointFailed{Address: e.Address})
 	}
 }
@@ -113,7 +113,7 @@
 	if c.job.Repeatable && retryableStatus(resp.StatusCode) {
 		_ = resp.Body.Close()
 		err := fmt.Errorf("endpoint %s answered %d", c.choice.Endpoint.Address, resp.StatusCode)
-		return result{outcome: cwanswer.Unknown, err: err, elsewhere: true}
+		return result{outcome: cwanswer.Unknown, err: err, elsewhere: true, blame: true}
 	}
 	c.resp = resp
 	defer func() { _ = c.resp.Body.Close() }()
@@ -166,9 +166,9 @@
 }
 
 func (c *endpointCall) sendFailed(ctx context.Context, err error, watch *cwnet.SendWatch) result {
-	r := result{outcome: cwanswer.Unknown, err: err, elsewhere: true}
+	r := result{outcome: cwanswer.Unknown, err: err, elsewhere: true, blame: true}
 	if watch.NothingSent() {
-		r.outcome = cwanswer.NotRun
+		r.outcome, r.unreachable = cwanswer.NotRun, true
 	}
 	if cause := context.Cause(ctx); cause != nil {
 		r.err = fmt.Errorf("%w: %w", cause, err)
@@ -221,7 +221,7 @@
 		}
 		if c.tracker == nil || !c.job.Service.Resume || resumed >= maxResumes || !c.resume(ctx) {
 			c.cancelAtEngine()
-			return result{outcome: cwanswer.Unknown, err: err, elsewhere: true}
+			return result{outcome: cwanswer.Unknown, err: err, elsewhere: true, blame: true}
 		}
 	}
 }
--- a/internal/cwdispatch/serve.go
+++ b/internal/cwdispatch/serve.go
@@ -22,6 +22,9 @@
 	err     error
 	// elsewhere is set if the failure says nothing against another try.
 	elsewhere bool
+	// blame is set if the endpoint failed, and unreachable if it could not even be
+	// connected to.
+	blame, unreachable bool
 }
 
 // Serve runs a job to its end. It returns nil once the whole answer was
