Read and mend: smaller files, logic in one place, quieter shutdown

Read as a newcomer: events, the endpoint call, the dispatcher and the entry handler did several jobs in one file each; the pool's name, the pause in loops and the check of a forwarded head stood twice or more. Split and joined, no change of behaviour there.

Changes of behaviour: an alarm needs five bad requests (the demo paged on one of one; test added); a shutdown no longer logs its own end as failures of the platform; label values keep their dashes, so that services have their names in metrics.

--- a/internal/cwapp/app.go
+++ b/internal/cwapp/app.go
@@ -58,7 +58,7 @@
 		Prefix:                 "clementinewell",
 		CachedReporter:         reporter,
 		Separator:              tallyprom.DefaultSeparator,
-		SanitizeOptions:        &tallyprom.DefaultSanitizerOpts,
+		SanitizeOptions:        sanitizeOptions(),
 		OmitCardinalityMetrics: true,
 	}, time.Second)
 	a := &App{Common: &cwcommon.Common{
--- a/internal/cwburn/burn_test.go
+++ b/internal/cwburn/burn_test.go
@@ -84,3 +84,13 @@
 	is.Equal(joined.Series[0].Reasons[0], cwburn.ReasonCount{Reason: cwburn.Slow, Count: 3})
 	is.Equal(reports[0].Series[0].Windows[0].Total, int64(2)) // joining changes no input
 }
+
+func TestFirstFailureOfQuietServiceIsNoAlarm(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	r := cwburn.NewRecorder(now)
+	for n := 1; n <= 5; n++ {
+		r.Observe(cwburn.Observation{Service: "s", Region: "north", Reason: cwburn.Failed}, targets, now)
+		is.Equal(len(r.Report(now).Series[0].Firing) > 0, n == 5)
+	}
+}
--- a/internal/cwburn/report.go
+++ b/internal/cwburn/report.go
@@ -56,20 +56,25 @@
 		s.Windows[i].Rate = s.Windows[i].Counts.Rate(s.Objective)
 	}
 	for _, a := range Alarms() {
-		if s.rate(a.Short) >= a.Rate && s.rate(a.Long) >= a.Rate {
+		short, long := s.window(a.Short), s.window(a.Long)
+		if short.Rate >= a.Rate && long.Rate >= a.Rate && long.Bad >= minAlarmBad {
 			s.Firing = append(s.Firing, a.Name)
 		}
 	}
 	s.BudgetLeft = 1 - s.Windows[len(s.Windows)-1].Rate
 }
 
-func (s *SeriesReport) rate(window string) float64 {
+// minAlarmBad is the number of bad requests below which no alarm fires: the first
+// failure of a quiet service is no emergency.
+const minAlarmBad = 5
+
+func (s *SeriesReport) window(name string) WindowReport {
 	for _, w := range s.Windows {
-		if w.Window == window {
-			return w.Rate
+		if w.Window == name {
+			return w
 		}
 	}
-	return 0
+	return WindowReport{}
 }
 
 // Uptime returns how long the report covers at most.
--- /dev/null
+++ b/internal/cwcontrol/endpoint_events.go
@@ -0,0 +1,36 @@
+package cwcontrol
+
+import (
+	"time"
+)
+
+// EndpointHeard brings a load report.
+type EndpointHeard struct {
+	EndpointReport
+}
+
+func (e EndpointHeard) apply(s *state, now time.Time) {
+	r := s.endpoints[e.Address]
+	if r == nil {
+		if e.Pool == "" {
+			return
+		}
+		r = s.endpointAt(e.Address, e.Report.At)
+		r.Pool, r.Accelerators = e.Pool, e.Accelerators
+	}
+	r.apply(e.EndpointReport, now)
+	s.touch(r)
+}
+
+// EndpointFailed says that an endpoint could not be reached.
+type EndpointFailed struct {
+	// Address is the endpoint's host and port.
+	Address string
+}
+
+func (e EndpointFailed) apply(s *state, now time.Time) {
+	if r := s.endpoints[e.Address]; r != nil {
+		r.Failed(now)
+		s.touch(r)
+	}
+}
--- /dev/null
+++ b/internal/cwcontrol/list_events.go
@@ -0,0 +1,55 @@
+package cwcontrol
+
+import (
+	"time"
+
+	"github.com/clementinewell/clementinewell/internal/cwplatform"
+	"github.com/clementinewell/clementinewell/internal/cwpolicy"
+)
+
+// EntriesListed brings the platform's list of entry instances.
+type EntriesListed struct {
+	// Entries is the list; it lags.
+	Entries []cwplatform.Entry
+}
+
+func (e EntriesListed) apply(s *state, now time.Time) {
+	list := make([]cwpolicy.Listing, 0, len(e.Entries))
+	for _, entry := range e.Entries {
+		list = append(list, cwpolicy.Listing{
+			Address:       entry.PeerAddress,
+			CallerAddress: entry.CallerAddress,
+			Region:        entry.Region,
+			Domain:        entry.Domain,
+			Size:          entry.Size,
+			Leaving:       entry.Leaving,
+		})
+	}
+	s.membership.OnList(list, now)
+	s.membersDirty = true
+}
+
+// EndpointsListed brings the platform's list of the domain's endpoints.
+type EndpointsListed struct {
+	// Endpoints is the list; it lags.
+	Endpoints []cwplatform.EndpointEntry
+}
+
+func (e EndpointsListed) apply(s *state, now time.Time) {
+	if len(e.Endpoints) == 0 {
+		return
+	}
+	for _, r := range s.endpoints {
+		r.Listed = false
+	}
+	for _, entry := range e.Endpoints {
+		r := s.endpointAt(entry.Address, now)
+		r.Listed = true
+		r.Pool, r.Accelerators = entry.Pool, max(entry.Accelerators, 1)
+		if entry.Leaving {
+			r.MarkLeaving(0)
+		}
+		s.touch(r)
+	}
+	s.forgetEndpoints(now)
+}
--- /dev/null
+++ b/internal/cwcontrol/peer_events.go
@@ -0,0 +1,83 @@
+package cwcontrol
+
+import (
+	"time"
+
+	"github.com/clementinewell/clementinewell/internal/cwpolicy"
+)
+
+// PeerHeard brings what another instance says of itself and of others.
+type PeerHeard struct {
+	// Member is the peer.
+	Member cwpolicy.Member
+	// Others are members that the peer knows.
+	Others []cwpolicy.Member
+	// Rooms are the peer's pools, by name, in Pools.
+	Rooms []PeerRoom
+	// Endpoints are reports from a peer of the own domain.
+	Endpoints []EndpointReport
+	// Demands are the peer's limits in use.
+	Demands []cwpolicy.LimitDemand
+	// Moves are handovers of tickets.
+	Moves []cwpolicy.Move
+	// RoundTrip is the time that the exchange took; 0 if the peer called.
+	RoundTrip time.Duration
+}
+
+// PeerRoom is the room of one pool at a peer.
+type PeerRoom struct {
+	// Pool is the pool's name.
+	Pool string
+	// Room is what it can take.
+	Room cwpolicy.Room
+}
+
+func (e PeerHeard) apply(s *state, now time.Time) {
+	before := s.membership.Presence(e.Member.Address)
+	fresh := s.membership.OnHeard(e.Member, now)
+	after := s.membership.Presence(e.Member.Address)
+	s.membersStale = true
+	if before.Incarnation != after.Incarnation || before.Leaving != after.Leaving || !before.FailedAt.IsZero() || len(e.Moves) > 0 {
+		s.membersDirty = true
+	}
+	if !fresh {
+		return
+	}
+	for _, other := range e.Others {
+		if s.membership.OnGossip(other, now) {
+			s.membersDirty = true
+		}
+	}
+	for _, move := range e.Moves {
+		s.membership.OnMoved(move.From, move.To)
+	}
+	s.demands[e.Member.Address] = e.Demands
+	if e.Member.Domain == s.self.Domain {
+		for _, report := range e.Endpoints {
+			EndpointHeard{report}.apply(s, now)
+		}
+		return
+	}
+	s.setRooms(e, now)
+}
+
+// PeerFailed says that an instance could not be reached.
+type PeerFailed struct {
+	// Address is the peer's host and port.
+	Address string
+}
+
+func (e PeerFailed) apply(s *state, now time.Time) {
+	s.membership.OnFailed(e.Address, now)
+	s.membersDirty = true
+}
+
+// TicketsMoved says that the tickets of one incarnation went to another.
+type TicketsMoved struct {
+	cwpolicy.Move
+}
+
+func (e TicketsMoved) apply(s *state, _ time.Time) {
+	s.membership.OnMoved(e.From, e.To)
+	s.membersDirty = true
+}
--- /dev/null
+++ b/internal/cwcontrol/self_events.go
@@ -0,0 +1,36 @@
+package cwcontrol
+
+import (
+	"time"
+)
+
+// RoundDone says that every known peer was asked once since the start.
+type RoundDone struct{}
+
+func (RoundDone) apply(s *state, _ time.Time) {
+	s.asked = true
+}
+
+// SelfLoad brings this instance's own load.
+type SelfLoad struct {
+	// Load is the used share of the own capacity; Demand is requests per second.
+	Load, Demand float64
+}
+
+func (e SelfLoad) apply(s *state, _ time.Time) {
+	s.self.Load, s.self.Demand = e.Load, e.Demand
+}
+
+// SelfLeaving says that this instance shuts down.
+type SelfLeaving struct{}
+
+func (SelfLeaving) apply(s *state, _ time.Time) {
+	s.self.Leaving = true
+}
+
+// barrier is closed once the snapshot that follows it is published.
+type barrier chan struct{}
+
+func (b barrier) apply(s *state, _ time.Time) {
+	s.barriers = append(s.barriers, b)
+}
--- a/internal/cwdispatch/accept.go
+++ b/internal/cwdispatch/accept.go
@@ -10,14 +10,10 @@
 // Accepts reports whether this domain takes a request for the service that
 // another domain sends by choice.
 func (d *Dispatcher) Accepts(service *cwservice.Service) bool {
-	name := service.Model
-	if name == "" {
-		name = service.Name
-	}
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.sync(now)
-	p := d.pool(name)
+	p := d.pool(service.Pool())
 	return p.Queue.Len() == 0 && cwpolicy.AcceptSpill(p.Room(now))
 }
--- a/internal/cwdispatch/explain.go
+++ b/internal/cwdispatch/explain.go
@@ -87,7 +87,7 @@
 
 func (d *Dispatcher) explain(job *Job, now time.Time) *Explanation {
 	s := d.control.Snapshot()
-	p := d.pool(poolName(job))
+	p := d.pool(job.Service.Pool())
 	d.fillDemand(job, now)
 	out := &Explanation{Service: job.Service.Name, Places: job.Places, Queued: p.Queue.Len(), QueueMillis: millis(p.Queue.Wait())}
 	rooms := d.reachable(p, s, job, now)
@@ -104,7 +104,7 @@
 			Free: e.Free(work), InFlight: e.InFlight(), Ahead: work.Ahead, MicrosPerToken: e.SecondsPerToken() * 1e6,
 		})
 	}
-	for _, r := range s.Rooms[poolName(job)] {
+	for _, r := range s.Rooms[job.Service.Pool()] {
 		out.Domains = append(out.Domains, DomainView{
 			Domain: r.Domain, Region: r.Region, Free: r.Free, Slots: r.Slots,
 			WaitMillis: r.WaitSeconds * 1000, AgeSeconds: now.Sub(r.At).Seconds(), RoundTripMillis: millis(r.RoundTrip),
--- a/internal/cwdispatch/place.go
+++ b/internal/cwdispatch/place.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/clementinewell/clementinewell/internal/cwcontrol"
 	"github.com/clementinewell/clementinewell/internal/cwpolicy"
 	"github.com/clementinewell/clementinewell/pkg/cwanswer"
@@ -25,7 +27,7 @@
 	now := time.Now()
 	d.mu.Lock()
 	s := d.sync(now)
-	p := d.pool(poolName(job))
+	p := d.pool(job.Service.Pool())
 	d.fillDemand(job, now)
 	got, wait := d.placeNow(p, s, job, now)
 	if !wait {
@@ -107,19 +109,19 @@
 	if job.Hop.ServeLeft == 0 {
 		return nil
 	}
-	return slices.DeleteFunc(p.withSent(s.Rooms[poolName(job)]), func(r cwpolicy.DomainRoom) bool {
+	return slices.DeleteFunc(p.withSent(s.Rooms[job.Service.Pool()]), func(r cwpolicy.DomainRoom) bool {
 		return slices.Contains(job.avoided, r.Domain) || len(s.Exits(r.Domain, now)) == 0
 	})
 }
 
 func (d *Dispatcher) noRoute(job *Job, detail string) *cwanswer.Problem {
 	return cwanswer.NewProblem(http.StatusServiceUnavailable, "no-route", job.outcomeNow(), detail).
-		At("place", poolName(job)).After(cwpolicy.RetryAfter(0, d.rng.Float64()))
+		At("place", job.Service.Pool()).After(cwpolicy.RetryAfter(0, d.rng.Float64()))
 }
 
 func (d *Dispatcher) overloaded(p *poolState, job *Job, detail string) *cwanswer.Problem {
 	return cwanswer.NewProblem(http.StatusServiceUnavailable, "overloaded", job.outcomeNow(), detail).
-		At("admit", poolName(job)).After(cwpolicy.RetryAfter(p.Queue.Wait(), d.rng.Float64()))
+		At("admit", job.Service.Pool()).After(cwpolicy.RetryAfter(p.Queue.Wait(), d.rng.Float64()))
 }
 
 // startPump looks at the queue again and again while requests wait. The caller
@@ -160,7 +162,7 @@
 
 // prefixSeed keeps prompt hashes of different services and homes apart.
 func prefixSeed(job *Job) uint64 {
-	return hashOf(fmt.Sprintf("%s %v", poolName(job), job.Places))
+	return xxhash.Sum64String(fmt.Sprintf("%s %v", job.Service.Pool(), job.Places))
 }
 
 func (j *Job) outcomeNow() cwanswer.Outcome {
--- a/internal/cwdispatch/pool_state.go
+++ b/internal/cwdispatch/pool_state.go
@@ -39,14 +39,6 @@
 	problem *cwanswer.Problem
 }
 
-// poolName returns the name of the pool that serves the job.
-func poolName(job *Job) string {
-	if job.Service.Model != "" {
-		return job.Service.Model
-	}
-	return job.Service.Name
-}
-
 // noteSent counts a request sent to a domain by choice.
 func (p *poolState) noteSent(r *cwpolicy.DomainRoom) {
 	c := p.sent[r.Domain]
--- /dev/null
+++ b/internal/cwdispatch/probe.go
@@ -0,0 +1,55 @@
+package cwdispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/clementinewell/clementinewell/internal/cwendpoint"
+	"github.com/clementinewell/clementinewell/pkg/cwservice"
+)
+
+// onSilent runs when no byte came for a while. It finds out on a new connection
+// whether the endpoint or only this connection is gone.
+func (c *endpointCall) onSilent(ctx context.Context) {
+	path := c.job.Service.Health
+	if path == "" {
+		path = cwendpoint.LoadPath
+	}
+	err := c.endpoints.Probe(ctx, c.choice.Endpoint.Address, path)
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		c.Metrics.Counter("probes_failed").Inc(1)
+		c.cancel(errProbe)
+		return
+	}
+	// The endpoint lives. A stream that can be resumed moves to a new connection
+	// at no risk; a repeatable request that waits far beyond its prediction goes
+	// elsewhere; anything else may just be slow and keeps its connection.
+	if c.tracker != nil && c.job.Service.Resume {
+		_ = c.resp.Body.Close()
+		return
+	}
+	slow := time.Since(c.start) > slowFactor*c.choice.FirstToken
+	if c.job.Repeatable && !c.out.started && slow {
+		c.cancel(errSilent)
+	}
+}
+
+// slowFactor is how far beyond its prediction a first byte may be before its
+// connection is taken for silent.
+const slowFactor = 3
+
+// cancelAtEngine stops an attempt that nobody waits for. Engines that resume
+// streams would go on with it.
+func (c *endpointCall) cancelAtEngine() {
+	if !c.job.Service.Resume || c.job.Service.Kind != cwservice.Engine {
+		return
+	}
+	go func() {
+		if err := c.endpoints.Cancel(context.Background(), c.choice.Endpoint.Address, c.attemptID); err != nil {
+			c.Log.Sugar().Debugw("attempt not cancelled", "request", c.job.RequestID, "error", err)
+		}
+	}()
+}
--- a/internal/cwendpoint/orderer.go
+++ b/internal/cwendpoint/orderer.go
@@ -29,10 +29,7 @@
 func (o *Orderer) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		o.Round(ctx)
-		select {
-		case <-ctx.Done():
-		case <-time.After(orderInterval):
-		}
+		cwcommon.Pause(ctx, orderInterval)
 	}
 	return nil
 }
--- a/internal/cwendpoint/poller.go
+++ b/internal/cwendpoint/poller.go
@@ -35,10 +35,7 @@
 func (p *Poller) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		p.Round(ctx)
-		select {
-		case <-ctx.Done():
-		case <-time.After(pollTick):
-		}
+		cwcommon.Pause(ctx, pollTick)
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/cwentry/instances.go
@@ -0,0 +1,48 @@
+package cwentry
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/clementinewell/clementinewell/internal/cwpolicy"
+	"github.com/clementinewell/clementinewell/pkg/cwanswer"
+)
+
+// serveInstances tells the caller which instances to use.
+func (h *Handler) serveInstances(w http.ResponseWriter, r *http.Request) {
+	s := h.control.Snapshot()
+	var places cwpolicy.Places
+	if name := r.URL.Query().Get("service"); name != "" {
+		service := s.Config.Service(name)
+		if service == nil {
+			h.problem(http.StatusNotFound, "no-service", "the service is not known").Write(w)
+			return
+		}
+		home := ""
+		if account := accountOf(s, r); account != nil {
+			home = account.Home
+		}
+		places = cwpolicy.NewPlaces(service.Places, home)
+	}
+	list := cwanswer.InstanceList{
+		Instances:   cwpolicy.RankInstances(s.MembersWithSelf(), h.Settings.Region, places, time.Now()),
+		HoldSeconds: cwpolicy.InstanceListHold.Seconds(),
+	}
+	writeJSON(w, list)
+}
+
+// serveTickets issues a ticket for the service that the query names.
+func (h *Handler) serveTickets(w http.ResponseWriter, r *http.Request) {
+	s := h.control.Snapshot()
+	service, account, problem := h.authorize(s, r, r.URL.Query().Get("service"))
+	if problem != nil {
+		problem.Write(w)
+		return
+	}
+	ticket, ok := h.dispatcher.IssueTicket(service.Name, account.Name)
+	if !ok {
+		h.leavingProblem(s, nil).Write(w)
+		return
+	}
+	writeJSON(w, cwanswer.TicketGrant{Ticket: ticket, ExpiresInSeconds: cwpolicy.TicketLife.Seconds()})
+}
--- a/internal/cwexit/handler.go
+++ b/internal/cwexit/handler.go
@@ -20,8 +20,6 @@
 	"github.com/clementinewell/clementinewell/pkg/cwanswer"
 )
 
-const authHeader = "Clementinewell-Auth"
-
 // Handler answers forwarded requests.
 type Handler struct {
 	*cwcommon.Common
@@ -44,7 +42,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if err := h.auth.Verify(r.Header.Get(authHeader), cwpeer.ForwardPath, message, time.Now()); err != nil {
+	if err := h.auth.VerifyForward(r.Header, message, time.Now()); err != nil {
 		http.Error(w, err.Error(), http.StatusUnauthorized)
 		return
 	}
--- a/internal/cwpeer/auth.go
+++ b/internal/cwpeer/auth.go
@@ -7,6 +7,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -35,6 +36,11 @@
 	return authScheme + " " + stamp + " " + hex.EncodeToString(a.mac(path, stamp, message))
 }
 
+// VerifyForward checks the head of a forwarded request.
+func (a *Auth) VerifyForward(h http.Header, message []byte, now time.Time) error {
+	return a.Verify(h.Get(authHeader), ForwardPath, message, now)
+}
+
 // Verify checks the header value of a message that came to the path.
 func (a *Auth) Verify(header, path string, message []byte, now time.Time) error {
 	parts := strings.Split(header, " ")
--- a/internal/cwpeer/exchanger.go
+++ b/internal/cwpeer/exchanger.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/clementinewell/clementinewell/internal/cwcommon"
 	"github.com/clementinewell/clementinewell/internal/cwcontrol"
 	"github.com/clementinewell/clementinewell/internal/cwpolicy"
@@ -107,7 +109,7 @@
 	news := newsOf(s, x.traffic, x.sameDomain(s, address), now)
 	answer, roundTrip, err := x.client.Exchange(ctx, address, news)
 	if err != nil {
-		x.Log.Debug("exchange failed", zapPeer(address), zapError(err))
+		x.Log.Debug("exchange failed", zap.String("peer", address), zap.Error(err))
 		x.Metrics.Counter("exchange_failures").Inc(1)
 		x.control.Post(ctx, cwcontrol.PeerFailed{Address: address})
 		return
--- a/internal/cwsync/config_follower.go
+++ b/internal/cwsync/config_follower.go
@@ -60,10 +60,7 @@
 		} else {
 			pause = rankCheck
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
+		cwcommon.Pause(ctx, pause)
 	}
 	return nil
 }
@@ -86,6 +83,9 @@
 		f.backoff = minBackoff
 		return 0
 	}
+	if ctx.Err() != nil {
+		return 0
+	}
 	f.Log.Warn("configuration not read", zap.Error(err))
 	f.Metrics.Counter("platform_failures").Inc(1)
 	// Full jitter keeps a fleet that lost the platform from returning as one.
--- a/internal/cwsync/list_follower.go
+++ b/internal/cwsync/list_follower.go
@@ -40,12 +40,12 @@
 			f.backoff = minBackoff
 			continue
 		}
+		if ctx.Err() != nil {
+			return nil
+		}
 		f.Log.Warn("instance list not read", zap.Error(err))
 		f.Metrics.Counter("platform_failures").Inc(1)
-		select {
-		case <-ctx.Done():
-		case <-time.After(f.backoff/2 + rand.N(f.backoff)):
-		}
+		cwcommon.Pause(ctx, f.backoff/2+rand.N(f.backoff))
 		f.backoff = min(2*f.backoff, maxBackoff)
 	}
 	return nil
--- a/internal/cwtrial/policy.go
+++ b/internal/cwtrial/policy.go
@@ -6,12 +6,13 @@
 const (
 	// Gateway is cwpolicy as the gateway runs it.
 	Gateway Policy = "clementinewell"
-	// NoPrefix is the same without knowledge of prefixes, NoSpill without sending
-	// anything away, NoQueue without a queue of its own.
+	// NoPrefix is the same without knowledge of prefixes.
 	NoPrefix Policy = "- without prefixes"
-	NoSpill  Policy = "- without spill"
-	// Random draws a local endpoint; RoundRobin takes the next one.
-	Random     Policy = "random"
+	// NoSpill is the same without sending anything away.
+	NoSpill Policy = "- without spill"
+	// Random draws a local endpoint.
+	Random Policy = "random"
+	// RoundRobin takes the next local endpoint.
 	RoundRobin Policy = "round robin"
 	// LeastInFlight takes the local endpoint with the fewest requests of the
 	// instance.
--- a/pkg/cwservice/service.go
+++ b/pkg/cwservice/service.go
@@ -41,6 +41,15 @@
 	Health string `yaml:"health" json:"health,omitempty"`
 }
 
+// Pool returns the name of the endpoints that serve requests: the model of an
+// engine, or the service itself.
+func (s *Service) Pool() string {
+	if s.Model != "" {
+		return s.Model
+	}
+	return s.Name
+}
+
 // Repeatable reports whether a request with the method and path may run more than once.
 func (s *Service) Repeatable(method, path string) bool {
 	if op := s.Operation(method, path); op != nil {
