--- a/internal/cwapp/stream_test.go
+++ b/internal/cwapp/stream_test.go
@@ -141,3 +141,33 @@
 		wg.Wait()
 	})
 }
+
+// stalledEngine sends one event of each stream and then nothing more.
+func stalledEngine() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /load", newEngine().Handler())
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = w.Write([]byte("id: 1\ndata: {\"choices\":[]}\n\n"))
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	})
+	return mux
+}
+
+// TestStalledStreamWithoutResume has an engine that falls silent in a stream that
+// can't be resumed. The caller sees a cut after the idle time, not a clean end.
+func TestStalledStreamWithoutResume(t *testing.T) {
+	service := cwscene.Chat("north")
+	service.Resume = false
+	inScene(t, services(service), func(t *testing.T, is *is.I, s *cwscene.Scene) {
+		s.AddEndpoint("north-a", "10.1.0.5", "chat-model", stalledEngine())
+		s.Publish()
+		i := s.AddInstance("10.1.0.1", "north", "north-a")
+		s.AwaitReady()
+		start := time.Now()
+		a := chat(t, s, i, 100)
+		is.True(a.Err != nil)
+		is.True(time.Since(start) < 8*time.Second) // idle time 5 s
+	})
+}
--- a/internal/cwdispatch/call_endpoint.go
+++ b/internal/cwdispatch/call_endpoint.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/clementinewell/clementinewell/internal/cwcontrol"
@@ -39,6 +40,9 @@
 	quiet     *silence
 	cancel    context.CancelCauseFunc
 	resp      *http.Response
+	// followed is the answer of a stream of events, for the probe, which runs in
+	// another goroutine.
+	followed atomic.Pointer[http.Response]
 }
 
 func (d *Dispatcher) callEndpoint(ctx context.Context, job *Job, choice cwpolicy.Choice, out *delivery, served *Served) result {
@@ -87,7 +91,8 @@
 	defer c.cancel(nil)
 	c.quiet = newSilence(c.Settings.ProbeAfter, c.Settings.IdleTimeout,
 		func() { c.onSilent(ctx) }, func() { c.cancel(errIdle) })
-	defer func() { c.quiet.stop() }()
+	c.quiet.begin()
+	defer c.quiet.stop()
 	watch := &cwnet.SendWatch{}
 	resp, err := c.endpoints.Do(ctx, c.request(body), watch)
 	if err != nil {
--- a/internal/cwdispatch/deliver.go
+++ b/internal/cwdispatch/deliver.go
@@ -29,6 +29,7 @@
 	engine := c.job.Service.Kind == cwservice.Engine
 	if events && engine {
 		c.tracker = &eventTracker{}
+		c.followed.Store(c.resp)
 	}
 	for resumed := 0; ; resumed++ {
 		err := c.copyBody(events)
@@ -63,6 +64,7 @@
 	c.Metrics.Counter("streams_resumed").Inc(1)
 	_ = c.resp.Body.Close()
 	c.resp = resp
+	c.followed.Store(resp)
 	c.tracker.restart()
 	c.quiet.progress()
 	return true
@@ -127,7 +129,7 @@
 // begin sends status and header before the first byte of the body, so that an
 // attempt that fails earlier can still be made elsewhere.
 func (c *endpointCall) begin() error {
-	if c.out.started {
+	if c.out.started.Load() {
 		return nil
 	}
 	now := time.Now()
--- a/internal/cwdispatch/forward.go
+++ b/internal/cwdispatch/forward.go
@@ -51,6 +51,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	quiet := newSilence(d.Settings.IdleTimeout, d.Settings.IdleTimeout, func() {}, func() { cancel(errIdle) })
+	quiet.begin()
 	defer quiet.stop()
 	head := d.forwardHead(job, hop)
 	forwarded, err := d.forwarder.Forward(ctx, to.Address, head, body)
--- a/internal/cwdispatch/probe.go
+++ b/internal/cwdispatch/probe.go
@@ -16,7 +16,8 @@
 		path = cwendpoint.LoadPath
 	}
 	err := c.endpoints.Probe(ctx, c.choice.Endpoint.Address, path)
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || c.quiet.quiet() < c.Settings.ProbeAfter {
+		// The attempt ended or went on while the probe ran.
 		return
 	}
 	if err != nil {
@@ -27,12 +28,12 @@
 	// The endpoint lives. A stream that can be resumed moves to a new connection
 	// at no risk; a repeatable request that waits far beyond its prediction goes
 	// elsewhere; anything else may just be slow and keeps its connection.
-	if c.tracker != nil && c.job.Service.Resume {
-		_ = c.resp.Body.Close()
+	if stream := c.followed.Load(); stream != nil && c.job.Service.Resume {
+		_ = stream.Body.Close()
 		return
 	}
 	slow := time.Since(c.start) > slowFactor*c.choice.FirstToken
-	if c.job.Repeatable && !c.out.started && slow {
+	if c.job.Repeatable && !c.out.started.Load() && slow {
 		c.cancel(errSilent)
 	}
 }
--- a/internal/cwdispatch/serve.go
+++ b/internal/cwdispatch/serve.go
@@ -46,7 +46,7 @@
 			d.earn(job, where)
 			return served, nil
 		}
-		if out.started {
+		if out.started.Load() {
 			return served, errors.Join(ErrTruncated, r.err)
 		}
 		last = r.err
--- a/internal/cwdispatch/serve_ticket.go
+++ b/internal/cwdispatch/serve_ticket.go
@@ -126,7 +126,7 @@
 	if r.err == nil {
 		return served, nil
 	}
-	if out.started {
+	if out.started.Load() {
 		return served, errors.Join(ErrTruncated, r.err)
 	}
 	return served, d.ownerProblem(ctx, job, r)
--- a/internal/cwdispatch/sink.go
+++ b/internal/cwdispatch/sink.go
@@ -1,6 +1,9 @@
 package cwdispatch
 
-import "net/http"
+import (
+	"net/http"
+	"sync/atomic"
+)
 
 // Sink takes the answer to a request.
 type Sink interface {
@@ -15,10 +18,11 @@
 // delivery remembers whether anything reached the caller.
 type delivery struct {
 	Sink
-	started bool
+	// started is also read by the probe of a silent attempt.
+	started atomic.Bool
 }
 
 func (d *delivery) Start(status int, header http.Header, served *Served) error {
-	d.started = true
+	d.started.Store(true)
 	return d.Sink.Start(status, header, served)
 }
