--- a/internal/cwdispatch/explain.go
+++ b/internal/cwdispatch/explain.go
@@ -88,7 +88,7 @@
 func (d *Dispatcher) explain(job *Job, now time.Time) *Explanation {
 	s := d.control.Snapshot()
 	p := d.pool(job.Service.Pool())
-	d.fillDemand(job, now)
+	d.fillDemand(job)
 	out := &Explanation{Service: job.Service.Name, Places: job.Places, Queued: p.Queue.Len(), QueueMillis: millis(p.Queue.Wait())}
 	rooms := d.reachable(p, s, job, now)
 	switch decision := p.Decide(d.arrival(job, rooms), now, d.rng); decision.Verdict {
--- a/internal/cwdispatch/place.go
+++ b/internal/cwdispatch/place.go
@@ -15,12 +15,8 @@
 	"github.com/clementinewell/clementinewell/pkg/cwservice"
 )
 
-const (
-	// pumpInterval is how often a queue is looked at while requests wait in it.
-	pumpInterval = 10 * time.Millisecond
-	// defaultOutput is the expected number of generated tokens.
-	defaultOutput = 128
-)
+// pumpInterval is how often a queue is looked at while requests wait in it.
+const pumpInterval = 10 * time.Millisecond
 
 // place finds where the job goes, waiting in the queue if it must.
 func (d *Dispatcher) place(ctx context.Context, job *Job) placement {
@@ -28,7 +24,7 @@
 	d.mu.Lock()
 	s := d.sync(now)
 	p := d.pool(job.Service.Pool())
-	d.fillDemand(job, now)
+	d.fillDemand(job)
 	got, wait := d.placeNow(p, s, job, now)
 	if !wait {
 		d.mu.Unlock()
@@ -62,15 +58,13 @@
 	return placement{problem: d.overloaded(p, w.job, "the deadline passed in the queue")}
 }
 
-func (d *Dispatcher) fillDemand(job *Job, now time.Time) {
+func (d *Dispatcher) fillDemand(job *Job) {
 	tokens := 1
 	if job.Service.Kind == cwservice.Engine {
 		tokens = max(1, int(job.Body.Length())/cwpolicy.BytesPerToken)
 	}
 	job.demand.Tokens = tokens
-	job.demand.Output = defaultOutput
 	job.demand.Target = job.Service.Targets.FirstToken()
-	job.demand.Left = job.Deadline.Sub(now)
 	job.demand.Weights = job.Service.Weights
 	if job.Service.PrefixCache && job.demand.Prefix == nil {
 		job.demand.Prefix = cwpolicy.PrefixHashes(nil, prefixSeed(job), job.Body.Prefix())
--- a/internal/cwpolicy/demand.go
+++ b/internal/cwpolicy/demand.go
@@ -10,14 +10,10 @@
 type Demand struct {
 	// Tokens is the estimated number of prompt tokens, at least 1.
 	Tokens int
-	// Output is the expected number of generated tokens.
-	Output int
 	// Prefix are the chained hashes of the leading blocks of the prompt.
 	Prefix []uint64
 	// Target is the service's time to the first token.
 	Target time.Duration
-	// Left is the time to the deadline.
-	Left time.Duration
 	// Weights decide between cost and latency.
 	Weights cwservice.Weights
 }
--- a/internal/cwpolicy/spill.go
+++ b/internal/cwpolicy/spill.go
@@ -41,11 +41,6 @@
 	s.returned[domain] = now
 }
 
-// Active reports whether requests are being sent away.
-func (s *Spill) Active() bool {
-	return s.active
-}
-
 // SpillInput is what the decision rests on.
 type SpillInput struct {
 	// Demand is the request.
--- a/internal/cwpolicy/ticket_book.go
+++ b/internal/cwpolicy/ticket_book.go
@@ -163,11 +163,6 @@
 	return ok && !b.givenUp
 }
 
-// Len returns the number of uses that are remembered.
-func (b *TicketBook) Len() int {
-	return len(b.uses)
-}
-
 func (b *TicketBook) record(use *TicketUse) {
 	b.uses[use.ID] = use
 	b.byExpiry.push(use)
--- a/internal/cwtrace/placing_actions.go
+++ b/internal/cwtrace/placing_actions.go
@@ -45,7 +45,7 @@
 	deadline := now.Add(time.Duration(s.DeadlineMillis) * time.Millisecond)
 	d := &cwpolicy.Demand{
 		Tokens: max(s.Tokens, 1), Target: time.Duration(s.TargetMillis) * time.Millisecond,
-		Left: deadline.Sub(now), Weights: cwservice.Weights{Tail: 1},
+		Weights: cwservice.Weights{Tail: 1},
 	}
 	a := &cwpolicy.Arrival{
 		Demand: d, Deadline: deadline, Region: s.Region, Places: cwpolicy.NewPlaces(s.Places, s.Home), Domains: i.rooms,
--- a/internal/cwtrial/trial.go
+++ b/internal/cwtrial/trial.go
@@ -256,8 +256,7 @@
 
 func (t *trial) demandOf(r *request) *cwpolicy.Demand {
 	return &cwpolicy.Demand{
-		Tokens: r.tokens, Output: r.output, Prefix: t.prefixOf(r), Target: t.Target,
-		Left: t.Deadline - t.loop.now.Sub(r.arrived), Weights: t.Weights,
+		Tokens: r.tokens, Prefix: t.prefixOf(r), Target: t.Target, Weights: t.Weights,
 	}
 }
 
--- a/pkg/cwservice/limits.go
+++ b/pkg/cwservice/limits.go
@@ -16,6 +16,4 @@
 	MaxAttempts int `yaml:"maxAttempts" json:"maxAttempts,omitempty"`
 	// Ratio is the number of retries that each success allows, such as 0.1.
 	Ratio float64 `yaml:"ratio" json:"ratio,omitempty"`
-	// Hedge allows a second attempt while the first one still waits.
-	Hedge bool `yaml:"hedge" json:"hedge,omitempty"`
 }
