A known red test: requests lost when all connections fall silent at once

The answer of the failed requests says that the connection went silent while the endpoint answers on others, after one attempt: the retry budget (5 at the start, at most 10) was spent by the other silent requests.

Ruled out: mixed answers (none), a wrong outcome (unknown, as it must be), the attempt limit (one of three was used).

A failed attempt now also names its step and peer.

--- a/internal/cwdispatch/serve.go
+++ b/internal/cwdispatch/serve.go
@@ -136,7 +136,7 @@
 func (d *Dispatcher) finalProblem(ctx context.Context, job *Job, r result) *cwanswer.Problem {
 	var p *cwanswer.Problem
 	if !errors.As(r.err, &p) {
-		p = cwanswer.NewProblem(http.StatusBadGateway, "attempt-failed", r.outcome, r.err.Error())
+		p = cwanswer.NewProblem(http.StatusBadGateway, "attempt-failed", r.outcome, r.err.Error()).At("dispatch", job.avoid)
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		p.Status, p.Title = http.StatusGatewayTimeout, http.StatusText(http.StatusGatewayTimeout)
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -45,8 +45,9 @@
   for t in $red; do
     grep -q "^${t%%/*}\b" KNOWN-RED.txt 2>/dev/null || { echo "red and not known: $t"; return 1; }
   done
-  echo "== known to be red, passed over:"; cat KNOWN-RED.txt
+  echo "== red and known, passed over:" $red
 }
+known() { [ ! -f KNOWN-RED.txt ] || cat KNOWN-RED.txt; }
 
 step "gofumpt" formatted
 step "revive" linted
@@ -57,5 +58,6 @@
 step "models" models
 step "schedules" schedules
 step "tests" tests
+step "known to be red" known
 [ "$failed" = 0 ] && echo "all checks passed" || echo "some checks failed"
 exit "$failed"
