Errors no longer quote the caller's path and query

Cause, found by reading: an error of net/http holds the whole URL; it went into the log and back to the caller, while SECURITY.md said that neither is logged.

Before: TestFailureDoesNotQuoteTheRequest 'not true: !strings.Contains(a.Body, private)'. After: passes; the endpoint's address stays, the URL is taken out.

--- a/internal/cwendpoint/client.go
+++ b/internal/cwendpoint/client.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"time"
 
 	"github.com/clementinewell/clementinewell/internal/cwnet"
@@ -85,11 +87,11 @@
 
 // Do sends the attempt. The watch tells afterwards whether any byte left.
 func (c *Client) Do(ctx context.Context, r *Request, watch *cwnet.SendWatch) (*http.Response, error) {
-	url := "http://" + r.Address + r.Path
+	target := "http://" + r.Address + r.Path
 	if r.Query != "" {
-		url += "?" + r.Query
+		target += "?" + r.Query
 	}
-	req, err := http.NewRequestWithContext(watch.Attach(ctx), r.Method, url, bodyOf(r))
+	req, err := http.NewRequestWithContext(watch.Attach(ctx), r.Method, target, bodyOf(r))
 	if err != nil {
 		return nil, fmt.Errorf("make request to %s: %w", r.Address, err)
 	}
@@ -97,11 +99,21 @@
 	req.ContentLength = r.Length
 	resp, err := c.pooled.Do(req)
 	if err != nil {
-		return nil, fmt.Errorf("send request to %s: %w", r.Address, err)
+		return nil, fmt.Errorf("send request to %s: %w", r.Address, withoutURL(err))
 	}
 	return resp, nil
 }
 
+// withoutURL takes the URL out of an error of net/http: path and query are the
+// caller's and belong neither in logs nor in answers.
+func withoutURL(err error) error {
+	var failed *url.Error
+	if errors.As(err, &failed) {
+		return failed.Err
+	}
+	return err
+}
+
 // bodyOf returns the body in a form that net/http does not replay by itself. It
 // replays a request that carries an Idempotency-Key if it has a GetBody or no
 // body; the wrapper gives it neither, and still lets it send header and body in
