A silent connection no longer uses up the retry budget

Cause: when all connections to an endpoint fell silent at once, each request needed another try and the budget (5, at most 10) ran out; the rest got 502. The other try also went to another domain, so the endpoint never got to prove that it was alive.

Change: an attempt whose connection is silent is replaced without budget once the endpoint has answered a request that began later; without that proof it takes from the budget or waits for the next check. The retry may go to the same endpoint on a new connection, idle connections are dropped, and the endpoint is not blamed.

--- a/internal/cwdispatch/call_endpoint.go
+++ b/internal/cwdispatch/call_endpoint.go
@@ -166,6 +166,9 @@
 	if cause := context.Cause(ctx); cause != nil {
 		r.err = fmt.Errorf("%w: %w", cause, err)
 	}
+	if errors.Is(r.err, errSilent) {
+		r.blame = false
+	}
 	c.cancelAtEngine()
 	return r
 }
--- a/internal/cwdispatch/probe.go
+++ b/internal/cwdispatch/probe.go
@@ -33,11 +33,27 @@
 		return
 	}
 	slow := time.Since(c.start) > slowFactor*c.choice.FirstToken
-	if c.job.Repeatable && !c.out.started.Load() && slow {
+	if c.job.Repeatable && !c.out.started.Load() && slow && c.mayReplaceSilent() {
+		c.endpoints.CloseIdle()
 		c.cancel(errSilent)
 	}
 }
 
+// mayReplaceSilent decides whether another attempt may take the place of one
+// whose connection seems to be silent. It needs no retry budget once the endpoint
+// has answered a later request: the load is not doubled then. Without that proof
+// it takes from the budget, and an empty budget leaves the attempt waiting for the
+// next check.
+func (c *endpointCall) mayReplaceSilent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.choice.Endpoint.AnsweredLaterThan(c.start) {
+		c.Metrics.Counter("silent_connections").Inc(1)
+		return true
+	}
+	return c.budget(c.job, placement{choice: c.choice}).Take()
+}
+
 // slowFactor is how far beyond its prediction a first byte may be before its
 // connection is taken for silent.
 const slowFactor = 3
--- a/internal/cwdispatch/serve.go
+++ b/internal/cwdispatch/serve.go
@@ -82,9 +82,12 @@
 
 // mayRetry decides on another attempt and notes where not to go again.
 func (d *Dispatcher) mayRetry(ctx context.Context, job *Job, where placement, r result, attempts int) bool {
-	if where.domain != "" {
+	silent := errors.Is(r.err, errSilent)
+	switch {
+	case where.domain != "":
 		job.avoided = append(job.avoided, where.domain)
-	} else {
+	case !silent:
+		// A silent connection says nothing against its endpoint.
 		job.avoid = where.choice.Endpoint.Address
 	}
 	if ctx.Err() != nil || !r.elsewhere || !job.Body.Sendable() {
@@ -102,6 +105,10 @@
 	if attempts >= most {
 		return false
 	}
+	if silent {
+		// Paid for when the silent attempt was given up.
+		return true
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.budget(job, where).Take()
--- a/internal/cwendpoint/client.go
+++ b/internal/cwendpoint/client.go
@@ -104,6 +104,12 @@
 	return resp, nil
 }
 
+// CloseIdle drops the connections that are not in use: what silenced one may have
+// silenced them too.
+func (c *Client) CloseIdle() {
+	c.pooled.CloseIdleConnections()
+}
+
 // withoutURL takes the URL out of an error of net/http: path and query are the
 // caller's and belong neither in logs nor in answers.
 func withoutURL(err error) error {
--- a/internal/cwpolicy/endpoint.go
+++ b/internal/cwpolicy/endpoint.go
@@ -46,6 +46,8 @@
 	cacheEpoch      uint32
 	dispatches      uint32
 	cacheReach      float64
+	// answeredStart is the latest start among the requests that got a first token.
+	answeredStart time.Time
 }
 
 // othersWork is the work of other instances at an endpoint: as the latest report
@@ -123,9 +125,19 @@
 	e.history.note(now, e.waitingOwn, e.inFlight)
 }
 
+// AnsweredLaterThan reports whether the endpoint has answered a request that
+// began after the given time. A request from before that is still without an
+// answer then waits on a dead connection, not on a slow endpoint.
+func (e *Endpoint) AnsweredLaterThan(start time.Time) bool {
+	return e.answeredStart.After(start)
+}
+
 // OnFirstToken learns from the time that the first token took: the speed, and
 // whether the prefix was still in the endpoint's cache.
 func (e *Endpoint) OnFirstToken(c *Choice, took time.Duration, now time.Time) {
+	if start := now.Add(-took); start.After(e.answeredStart) {
+		e.answeredStart = start
+	}
 	e.waitingOwn -= c.Uncached
 	e.history.note(now, e.waitingOwn, e.inFlight)
 	tokens := c.Uncached + c.Ahead + overheadTokens
--- /dev/null
+++ b/internal/cwpolicy/silent_connection_test.go
@@ -0,0 +1,23 @@
+package cwpolicy_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/clementinewell/clementinewell/internal/cwpolicy"
+)
+
+// TestLaterAnswerProvesSilentConnection: only an answer to a request that began
+// later shows that an older request waits on a dead connection.
+func TestLaterAnswerProvesSilentConnection(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	e := cwpolicy.NewEndpoint("10.0.0.1:80", start)
+	is.True(!e.AnsweredLaterThan(start))
+	e.OnFirstToken(&cwpolicy.Choice{Endpoint: e}, time.Second, start.Add(500*time.Millisecond))
+	is.True(!e.AnsweredLaterThan(start)) // that request began before
+	e.OnFirstToken(&cwpolicy.Choice{Endpoint: e}, time.Second, start.Add(3*time.Second))
+	is.True(e.AnsweredLaterThan(start))
+}
