--- /dev/null
+++ b/internal/cwapp/instance.go
@@ -0,0 +1,164 @@
+package cwapp
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	tallyprom "github.com/uber-go/tally/v4/prometheus"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/clementinewell/clementinewell/internal/cwcommon"
+	"github.com/clementinewell/clementinewell/internal/cwcontrol"
+	"github.com/clementinewell/clementinewell/internal/cwnet"
+	"github.com/clementinewell/clementinewell/internal/cwpeer"
+	"github.com/clementinewell/clementinewell/internal/cwpolicy"
+	"github.com/clementinewell/clementinewell/internal/cwsetting"
+)
+
+// instance is what every kind of app has: control, the exchange with peers, and
+// loops and servers to run. It is embedded.
+type instance struct {
+	*cwcommon.Common
+	// Control is open to tests and to the command line.
+	Control *cwcontrol.Control
+
+	auth      *cwpeer.Auth
+	client    *cwpeer.Client
+	exchanger *cwpeer.Exchanger
+	metrics   http.Handler
+	loops     []loop
+	servers   []*server
+	closers   []func() error
+}
+
+// loop is a part that runs until its context ends.
+type loop func(ctx context.Context) error
+
+func newInstance(settings *cwsetting.Settings, log *zap.Logger, n cwnet.Net) *instance {
+	registry := prometheus.NewRegistry()
+	reporter := tallyprom.NewReporter(tallyprom.Options{Registerer: registry, Gatherer: registry})
+	metrics, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 "clementinewell",
+		CachedReporter:         reporter,
+		Separator:              tallyprom.DefaultSeparator,
+		SanitizeOptions:        sanitizeOptions(),
+		OmitCardinalityMetrics: true,
+	}, settings.MetricsInterval)
+	i := &instance{
+		Common: &cwcommon.Common{
+			Log:         log.With(zap.String("instance", settings.CallerAddress)),
+			Settings:    settings,
+			Metrics:     metrics,
+			Net:         n,
+			Incarnation: newIncarnation(time.Now()),
+		},
+		auth:    cwpeer.NewAuth(settings.PeerKey),
+		metrics: reporter.HTTPHandler(),
+		closers: []func() error{closer.Close},
+	}
+	i.Control = cwcontrol.NewControl(i.Common, i.self())
+	i.client = cwpeer.NewClient(n, i.auth)
+	return i
+}
+
+func (i *instance) self() cwpolicy.Member {
+	m := cwpolicy.Member{
+		Address:       i.Settings.PeerAddress,
+		CallerAddress: i.Settings.CallerAddress,
+		Region:        i.Settings.Region,
+		Domain:        i.Settings.Domain,
+		Size:          i.Settings.Size,
+	}
+	m.Incarnation = i.Incarnation
+	m.HeardAt = time.Now()
+	return m
+}
+
+// randomIncarnationBits tell processes apart that start in the same millisecond.
+const randomIncarnationBits = 22
+
+// newIncarnation returns a number that orders the lives of one address by their
+// start and is unlike that of any other process.
+func newIncarnation(now time.Time) uint64 {
+	random := newSeed() >> (64 - randomIncarnationBits)
+	return uint64(now.UnixMilli())<<randomIncarnationBits | random
+}
+
+func newTicketKey() cwpolicy.TicketKey {
+	var key cwpolicy.TicketKey
+	_, _ = rand.Read(key[:])
+	return key
+}
+
+func newSeed() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	return binary.LittleEndian.Uint64(b[:])
+}
+
+// server is one HTTP interface.
+type server struct {
+	*http.Server
+	address string
+}
+
+func (i *instance) newServer(address string, handler http.Handler, most int) *server {
+	return &server{address: address, Server: &http.Server{
+		ConnState:         limitConns(most),
+		Handler:           handler,
+		ReadHeaderTimeout: i.Settings.HeaderTimeout,
+		IdleTimeout:       time.Minute,
+		MaxHeaderBytes:    i.Settings.MaxHeaderBytes,
+		ErrorLog:          zap.NewStdLog(i.Log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+	}}
+}
+
+// run serves until ctx ends, then calls shutdown. The loops go on meanwhile: a
+// shutdown still needs control and exchanges.
+func (i *instance) run(ctx context.Context, shutdown func(ctx context.Context)) error {
+	listeners := make([]net.Listener, 0, len(i.servers))
+	for _, s := range i.servers {
+		l, err := i.Net.Listen(ctx, s.address)
+		if err != nil {
+			return fmt.Errorf("start instance: %w", err)
+		}
+		listeners = append(listeners, l)
+	}
+	loopCtx, stopLoops := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopLoops()
+	g, gctx := errgroup.WithContext(loopCtx)
+	for _, run := range i.loops {
+		g.Go(func() error { return run(gctx) })
+	}
+	for n, s := range i.servers {
+		g.Go(func() error { return ignoreClosed(s.Serve(listeners[n])) })
+	}
+	i.Log.Info("instance started", zap.Uint64("incarnation", i.Incarnation), zap.String("region", i.Settings.Region), zap.String("domain", i.Settings.Domain))
+	select {
+	case <-ctx.Done():
+	case <-gctx.Done():
+	}
+	shutdown(context.WithoutCancel(ctx))
+	stopLoops()
+	err := g.Wait()
+	for _, c := range i.closers {
+		_ = c()
+	}
+	return err
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/cwapp/reload.go
@@ -0,0 +1,50 @@
+package cwapp
+
+import (
+	"context"
+	"os"
+	"reflect"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/clementinewell/clementinewell/internal/cwsite"
+)
+
+// reloadCheck is how often the settings are read without a signal. They may change
+// without one; nothing depends on a change at once.
+const reloadCheck = 10 * time.Second
+
+// ReloadOn reads the settings again at each signal and now and then, until ctx ends.
+// Requests in flight are not touched.
+func (r *Routed) ReloadOn(ctx context.Context, signals <-chan os.Signal, read func() (*cwsite.Site, error)) {
+	for {
+		signalled := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+			signalled = true
+		case <-time.After(reloadCheck):
+		}
+		site, err := read()
+		if err != nil {
+			r.Log.Warn("settings not reloaded", zap.Error(err))
+			continue
+		}
+		r.reload(site, signalled)
+	}
+}
+
+// reload takes over what can change while the instance runs: seeds and bounds.
+// Addresses and place change only with a restart.
+func (r *Routed) reload(site *cwsite.Site, signalled bool) {
+	changed := !reflect.DeepEqual(site.Seeds, r.seeds) || site.Bounds != r.Gate.Bounds()
+	if !changed && !signalled {
+		return
+	}
+	r.Log.Info("settings reloaded", zap.Bool("changed", changed), zap.Strings("seeds", site.Seeds))
+	r.seeds = site.Seeds
+	r.exchanger.SetSeeds(site.Seeds)
+	r.Gate.SetBounds(site.Bounds)
+}
--- /dev/null
+++ b/internal/cwapp/routed.go
@@ -0,0 +1,137 @@
+package cwapp
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/clementinewell/clementinewell/internal/cwcontrol"
+	"github.com/clementinewell/clementinewell/internal/cwgate"
+	"github.com/clementinewell/clementinewell/internal/cwnet"
+	"github.com/clementinewell/clementinewell/internal/cwpeer"
+	"github.com/clementinewell/clementinewell/internal/cwpolicy"
+	"github.com/clementinewell/clementinewell/internal/cwpublished"
+	"github.com/clementinewell/clementinewell/internal/cwsetting"
+	"github.com/clementinewell/clementinewell/internal/cwsite"
+	"github.com/clementinewell/clementinewell/internal/cwsync"
+	cwwire "github.com/clementinewell/clementinewell/platform"
+)
+
+// Routed is one instance on the users' platform: it serves the routes that are
+// published there.
+type Routed struct {
+	*instance
+	// Gate and State are open to tests.
+	Gate  *cwgate.Gate
+	State *cwpublished.State
+
+	site *cwsite.Site
+	// seeds are those of the settings read last; only ReloadOn uses them.
+	seeds    []string
+	follower *cwpublished.Follower
+	front    *server
+	relay    *server
+}
+
+// NewRouted builds an instance that is not running yet.
+func NewRouted(settings *cwsetting.Settings, site *cwsite.Site, log *zap.Logger, n cwnet.Net) *Routed {
+	r := &Routed{instance: newInstance(settings, log, n), site: site, seeds: site.Seeds}
+	r.State = cwpublished.NewState(r.Common, cwwire.Decode)
+	r.State.OnApply = func(revision uint64) { r.Control.Offer(cwcontrol.PublishedTaken{Revision: revision}) }
+	r.follower = cwpublished.NewFollower(r.Common, r.State, cwwire.NewStoreClient(site.Store, n))
+	r.Gate = cwgate.NewGate(r.Common, site, r.Control, r.State, cwwire.Codec{}, newSeed())
+	puller := cwsync.NewPublishedPuller(r.Common, r.State, r.client, r.follower)
+	r.exchanger = cwpeer.NewExchanger(r.Common, r.Control, r.client, r.Gate, puller)
+	peers := cwpeer.NewServer(r.Common, r.Control, r.Gate, cwpeer.Sources{Published: r.State}, puller, r.auth)
+	r.front = r.newServer(site.Front, cwwire.NewFrontHandler(r.Gate), settings.MaxConnections)
+	r.relay = r.newServer(site.Relay, cwwire.NewRelayHandler(r.Gate), 0)
+	r.servers = []*server{
+		r.front,
+		r.relay,
+		r.newServer(site.Peer, peers.Handler(), 0),
+		r.newServer(site.Ready, cwwire.NewReadyHandler(r.Ready), 0),
+		r.newServer(site.Directory, cwwire.NewDirectoryHandler(r), 0),
+		r.newServer(settings.AdminAddress, r.adminMux(), 0),
+	}
+	r.loops = []loop{
+		r.Control.Run,
+		r.follower.Run,
+		r.Gate.Conns().Run,
+		r.exchanger.Run,
+		newFreezeGuard(r.onFrozen).Run,
+	}
+	return r
+}
+
+func (r *Routed) adminMux() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", r.metrics)
+	return mux
+}
+
+// Ready reports whether callers may be sent here.
+func (r *Routed) Ready() bool {
+	return r.Control.Snapshot().Ready && r.State.View().Config != nil
+}
+
+// Fronts returns the addresses that callers in a place should use.
+func (r *Routed) Fronts(region, domain string) (addresses []string, keepSeconds float64) {
+	s := r.Control.Snapshot()
+	members := s.MembersWithSelf()
+	if !r.Ready() && !s.Self.Leaving {
+		members = s.Members
+	}
+	hold := min(cwpolicy.FrontHold, r.site.Bounds.MaxAnswerAge)
+	return cwpolicy.Fronts(members, region, domain, time.Now()), hold.Seconds()
+}
+
+// onFrozen makes an instance that stood still ask before it serves again.
+func (r *Routed) onFrozen(stood time.Duration) {
+	r.Log.Warn("instance stood still", zap.Duration("stood", stood))
+	r.Control.Offer(cwcontrol.SelfFrozen{})
+	r.follower.Restart()
+}
+
+// Run serves until ctx ends, then shuts down gracefully.
+func (r *Routed) Run(ctx context.Context) error {
+	return r.run(ctx, r.shutdown)
+}
+
+const (
+	// acceptFor is how long a leaving instance goes on accepting connections, for
+	// callers that still have its address. It is a little over the hold of the
+	// directory's answers; most of the grace stays for streams.
+	acceptFor = 2500 * time.Millisecond
+	// killMargin is left of the grace when the last streams are cut off.
+	killMargin = 400 * time.Millisecond
+)
+
+// shutdown leaves without cutting off a request: peers and callers are told first,
+// then what arrives goes down to nothing, and streams get the rest of the grace.
+func (r *Routed) shutdown(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, r.site.Bounds.Grace-killMargin)
+	defer cancel()
+	r.Log.Info("shutdown begins", zap.Int("inFlight", r.Gate.InFlight()))
+	r.Control.Post(ctx, cwcontrol.SelfLeaving{})
+	r.Control.Settle(ctx)
+	r.Gate.CloseConnections()
+	go r.exchanger.Announce(ctx)
+	select {
+	case <-ctx.Done():
+	case <-time.After(acceptFor):
+	}
+	var g errgroup.Group
+	for _, s := range []*server{r.front, r.relay} {
+		g.Go(func() error { return s.Shutdown(ctx) })
+	}
+	if err := g.Wait(); err != nil {
+		r.Log.Warn("requests cut off by the shutdown", zap.Int("inFlight", r.Gate.InFlight()), zap.Error(err))
+	}
+	for _, s := range r.servers {
+		_ = s.Close()
+	}
+	r.Log.Info("shutdown done")
+}
--- a/internal/cwcommand/serve.go
+++ b/internal/cwcommand/serve.go
@@ -14,6 +14,7 @@
 	"github.com/clementinewell/clementinewell/internal/cwapp"
 	"github.com/clementinewell/clementinewell/internal/cwnet"
 	"github.com/clementinewell/clementinewell/internal/cwsetting"
+	cwwire "github.com/clementinewell/clementinewell/platform"
 )
 
 func newServe() *cobra.Command {
@@ -25,6 +26,9 @@
 	}
 	cwsetting.AddFlags(cmd.Flags())
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		if path, ok := os.LookupEnv(cwwire.SettingsEnv); ok {
+			return serveRouted(cmd, path)
+		}
 		settings, err := cwsetting.Load(cmd.Flags(), os.LookupEnv)
 		if err != nil {
 			return fmt.Errorf("settings are wrong:\n%w", err)
--- /dev/null
+++ b/internal/cwcommand/serve_routed.go
@@ -0,0 +1,66 @@
+package cwcommand
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"strconv"
+	"strings"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"github.com/clementinewell/clementinewell/internal/cwapp"
+	"github.com/clementinewell/clementinewell/internal/cwlog"
+	"github.com/clementinewell/clementinewell/internal/cwnet"
+	"github.com/clementinewell/clementinewell/internal/cwsetting"
+	"github.com/clementinewell/clementinewell/internal/cwsite"
+	cwwire "github.com/clementinewell/clementinewell/platform"
+)
+
+// metricsPort is the port of the operators' interface on the platform; the deploy
+// file names it too.
+const metricsPort = "9464"
+
+// serveRouted runs an instance with the settings file of the users' platform.
+func serveRouted(cmd *cobra.Command, path string) error {
+	site, err := cwwire.ReadSettings(path)
+	if err != nil {
+		return err
+	}
+	settings, err := cwsetting.LoadWith(cmd.Flags(), os.LookupEnv, givenBy(site))
+	if err != nil {
+		return fmt.Errorf("settings are wrong:\n%w", err)
+	}
+	log := cwlog.NewLogger(settings.LogLevel, settings.LogLinesPerSecond, os.Stdout)
+	defer log.Close()
+	ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	app := cwapp.NewRouted(settings, site, log.Logger, cwnet.NewTCP())
+	go app.ReloadOn(ctx, reload, func() (*cwsite.Site, error) { return cwwire.ReadSettings(path) })
+	return app.Run(ctx)
+}
+
+// givenBy returns the settings that follow from the platform's. The platform keeps
+// strangers from the peer interface, so that it needs no key.
+func givenBy(site *cwsite.Site) map[string]string {
+	return map[string]string{
+		"caller-address":    site.Front,
+		"peer-address":      site.Peer,
+		"admin-address":     net.JoinHostPort(site.IP, metricsPort),
+		"region":            site.Region,
+		"domain":            site.Domain,
+		"size":              strconv.FormatFloat(site.Capacity, 'f', -1, 64),
+		"platform":          "http://" + site.Store,
+		"peers":             strings.Join(site.Seeds, ","),
+		"peer-key":          "",
+		"exchange-interval": "300ms",
+		"remote-interval":   "1s",
+		"remote-domains":    "16",
+		"metrics-interval":  "5s",
+	}
+}
--- /dev/null
+++ b/internal/cwconn/answer.go
@@ -0,0 +1,50 @@
+package cwconn
+
+import (
+	"errors"
+	"io"
+	"net/http"
+)
+
+// Answer is an answer whose head has arrived.
+type Answer struct {
+	*http.Response
+	// Reused is set if the connection had served another request before.
+	Reused bool
+
+	conn *conn
+	done bool
+}
+
+// Read reads the body. At its end the connection is free for the next call.
+func (a *Answer) Read(p []byte) (int, error) {
+	n, err := a.Body.Read(p)
+	if errors.Is(err, io.EOF) {
+		a.release()
+	}
+	return n, err
+}
+
+func (a *Answer) release() {
+	if a.done {
+		return
+	}
+	a.done = true
+	a.conn.finish(!a.Response.Close && a.framed(), a.Header)
+}
+
+// framed reports whether the end of the body is marked, so that what follows on
+// the connection can be told from it.
+func (a *Answer) framed() bool {
+	return a.ContentLength >= 0 || len(a.TransferEncoding) > 0
+}
+
+// Close gives the answer up. If its body has not ended, the connection is closed,
+// which cancels the request at the peer.
+func (a *Answer) Close() {
+	if a.done {
+		return
+	}
+	a.done = true
+	a.conn.finish(false, nil)
+}
--- /dev/null
+++ b/internal/cwconn/pool.go
@@ -0,0 +1,112 @@
+// Package cwconn sends requests to endpoints and to other instances over kept
+// connections. Unlike net/http's client it never repeats a request by itself, it
+// knows whether a byte of a request has left, and it tells answers that belong to
+// other requests apart.
+package cwconn
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/clementinewell/clementinewell/internal/cwcommon"
+	"github.com/clementinewell/clementinewell/internal/cwnet"
+)
+
+const (
+	// DialTimeout bounds the opening of a connection. It leaves room for one lost
+	// packet between regions.
+	DialTimeout = 800 * time.Millisecond
+	// sweepInterval is how often connections that lay idle too long are closed.
+	sweepInterval = 2 * time.Second
+	// forgetAfter is when an address without connections is forgotten.
+	forgetAfter = time.Minute
+)
+
+// ErrNoConnection means that all connections that this instance may have to an
+// address are in use.
+var ErrNoConnection = errors.New("all connections are in use")
+
+// Pool keeps connections by address.
+type Pool struct {
+	net     cwnet.Net
+	mu      sync.Mutex
+	targets map[string]*target
+}
+
+// NewPool returns a pool that connects through n.
+func NewPool(n cwnet.Net) *Pool {
+	return &Pool{net: n, targets: make(map[string]*target)}
+}
+
+// Run closes connections that lay idle too long, until ctx ends.
+func (p *Pool) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		cwcommon.Pause(ctx, sweepInterval)
+		p.sweep(time.Now())
+	}
+	p.sweep(time.Time{})
+	return nil
+}
+
+func (p *Pool) sweep(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, t := range p.targets {
+		t.closeIdle(now)
+		if t.empty(now.Add(-forgetAfter)) {
+			delete(p.targets, address)
+		}
+	}
+}
+
+// CloseIdle closes the idle connections to an address: what silenced one of them
+// may have silenced the others.
+func (p *Pool) CloseIdle(address string) {
+	p.target(address).closeIdle(time.Time{})
+}
+
+func (p *Pool) target(address string) *target {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.targets[address]
+	if t == nil {
+		t = &target{}
+		p.targets[address] = t
+	}
+	return t
+}
+
+// Do sends a call and returns once the head of the answer has arrived. The error
+// is a *SendError. The end of ctx closes the connection, also while the body is
+// read.
+func (p *Pool) Do(ctx context.Context, call *Call) (*Answer, error) {
+	t := p.target(call.Address)
+	var c *conn
+	if !call.Fresh {
+		c = t.take(time.Now())
+	}
+	if c == nil {
+		var err error
+		if c, err = p.open(ctx, t, call); err != nil {
+			return nil, &SendError{Step: "connect to", Peer: call.Address, Err: err}
+		}
+	}
+	return c.do(ctx, call)
+}
+
+func (p *Pool) open(ctx context.Context, t *target, call *Call) (*conn, error) {
+	if !t.reserve(call.MaxConns) {
+		return nil, ErrNoConnection
+	}
+	dialCtx, cancel := context.WithTimeout(ctx, DialTimeout)
+	defer cancel()
+	raw, err := p.net.DialContext(dialCtx, "tcp", call.Address)
+	if err != nil {
+		t.drop()
+		return nil, cause(ctx, err)
+	}
+	return &conn{Conn: raw, target: t, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+}
--- /dev/null
+++ b/internal/cwconn/send_error.go
@@ -0,0 +1,25 @@
+package cwconn
+
+import "fmt"
+
+// SendError says how far a call came before it failed.
+type SendError struct {
+	// Step is what failed, and Peer where.
+	Step, Peer string
+	// Sent is set if a byte of the request may have left.
+	Sent bool
+	// Reused is set if the connection had served another request before.
+	Reused bool
+	// Err is the cause.
+	Err error
+}
+
+// Error returns the step, the peer and the cause.
+func (e *SendError) Error() string {
+	return fmt.Sprintf("%s %s: %v", e.Step, e.Peer, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *SendError) Unwrap() error {
+	return e.Err
+}
--- /dev/null
+++ b/internal/cwcontrol/endpoint_work.go
@@ -0,0 +1,22 @@
+package cwcontrol
+
+import "time"
+
+// EndpointWork is what one instance has at an endpoint of its region.
+type EndpointWork struct {
+	// Endpoint identifies the endpoint.
+	Endpoint string
+	// QueuedTokens are the prompt tokens that are not processed yet, and HeldTokens
+	// those that its requests keep in memory.
+	QueuedTokens, HeldTokens float64
+	// InFlight is the number of requests.
+	InFlight int
+}
+
+// PeerWork is the work of one other instance of the region.
+type PeerWork struct {
+	// Works are its endpoints.
+	Works []EndpointWork
+	// At is when it said so.
+	At time.Time
+}
--- a/internal/cwcontrol/peer_events.go
+++ b/internal/cwcontrol/peer_events.go
@@ -20,6 +20,8 @@
 	Demands []cwpolicy.LimitDemand
 	// Moves are handovers of tickets.
 	Moves []cwpolicy.Move
+	// Works is what a peer of the own region has at the endpoints.
+	Works []EndpointWork
 	// RoundTrip is the time that the exchange took; 0 if the peer called.
 	RoundTrip time.Duration
 }
@@ -52,6 +54,10 @@
 		s.membership.OnMoved(move.From, move.To)
 	}
 	s.demands[e.Member.Address] = e.Demands
+	if len(e.Works) > 0 || len(s.works[e.Member.Address].Works) > 0 {
+		s.works[e.Member.Address] = PeerWork{Works: e.Works, At: now}
+		s.worksDirty = true
+	}
 	if e.Member.Domain == s.self.Domain {
 		for _, report := range e.Endpoints {
 			EndpointHeard{report}.apply(s, now)
--- a/internal/cwcontrol/self_events.go
+++ b/internal/cwcontrol/self_events.go
@@ -34,3 +34,11 @@
 func (b barrier) apply(s *state, _ time.Time) {
 	s.barriers = append(s.barriers, b)
 }
+
+// SelfFrozen says that this instance stood still: what it believes needs to be
+// confirmed again before it serves.
+type SelfFrozen struct{}
+
+func (SelfFrozen) apply(s *state, _ time.Time) {
+	s.order.Doubt()
+}
--- a/internal/cwcontrol/snapshot.go
+++ b/internal/cwcontrol/snapshot.go
@@ -27,6 +27,8 @@
 	Endpoints []EndpointRecord
 	// Rooms are the summaries from other domains, by pool.
 	Rooms RoomTable
+	// Works is what other instances of the region have at the endpoints, by peer.
+	Works map[string]PeerWork
 	// Moves are the handovers of tickets.
 	Moves []cwpolicy.Move
 	// Demands are what the other instances see for each limit.
--- a/internal/cwcontrol/state.go
+++ b/internal/cwcontrol/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -19,6 +20,7 @@
 	ordered    []*EndpointRecord
 	rooms      map[string][]cwpolicy.DomainRoom
 	demands    map[string][]cwpolicy.LimitDemand
+	works      map[string]PeerWork
 	generation uint64
 	asked      bool
 	barriers   []barrier
@@ -30,6 +32,7 @@
 	membersAt      time.Time
 	endpointsDirty bool
 	roomsDirty     bool
+	worksDirty     bool
 	last           *Snapshot
 }
 
@@ -40,6 +43,7 @@
 		endpoints:      make(map[string]*EndpointRecord),
 		rooms:          make(map[string][]cwpolicy.DomainRoom),
 		demands:        make(map[string][]cwpolicy.LimitDemand),
+		works:          make(map[string]PeerWork),
 		membersDirty:   true,
 		endpointsDirty: true,
 		roomsDirty:     true,
@@ -119,7 +123,10 @@
 			next.Rooms[pool] = slices.Clone(rooms)
 		}
 	}
-	s.endpointsDirty, s.roomsDirty = false, false
+	if s.worksDirty {
+		next.Works = maps.Clone(s.works)
+	}
+	s.endpointsDirty, s.roomsDirty, s.worksDirty = false, false, false
 	s.last = &next
 	return &next
 }
--- a/internal/cwdispatch/call_endpoint.go
+++ b/internal/cwdispatch/call_endpoint.go
@@ -12,6 +12,7 @@
 
 	"github.com/clementinewell/clementinewell/internal/cwcontrol"
 	"github.com/clementinewell/clementinewell/internal/cwendpoint"
+	"github.com/clementinewell/clementinewell/internal/cwevent"
 	"github.com/clementinewell/clementinewell/internal/cwnet"
 	"github.com/clementinewell/clementinewell/internal/cwpolicy"
 	"github.com/clementinewell/clementinewell/pkg/cwanswer"
@@ -36,7 +37,7 @@
 	attemptID string
 	start     time.Time
 	firstAt   time.Time
-	tracker   *eventTracker
+	tracker   *cwevent.Tracker
 	quiet     *silence
 	cancel    context.CancelCauseFunc
 	resp      *http.Response
--- a/internal/cwdispatch/deliver.go
+++ b/internal/cwdispatch/deliver.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/clementinewell/clementinewell/internal/cwevent"
 	"github.com/clementinewell/clementinewell/pkg/cwanswer"
 	"github.com/clementinewell/clementinewell/pkg/cwservice"
 )
@@ -28,12 +29,12 @@
 	events := strings.HasPrefix(c.resp.Header.Get("Content-Type"), "text/event-stream")
 	engine := c.job.Service.Kind == cwservice.Engine
 	if events && engine {
-		c.tracker = &eventTracker{}
+		c.tracker = &cwevent.Tracker{}
 		c.followed.Store(c.resp)
 	}
 	for resumed := 0; ; resumed++ {
 		err := c.copyBody(events)
-		if err == nil && c.tracker != nil && !c.tracker.done {
+		if err == nil && c.tracker != nil && !c.tracker.Done {
 			err = errNoEndMark
 		}
 		if err == nil {
@@ -56,7 +57,7 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	resp, err := c.endpoints.Resume(ctx, c.choice.Endpoint.Address, c.attemptID, c.tracker.lastID)
+	resp, err := c.endpoints.Resume(ctx, c.choice.Endpoint.Address, c.attemptID, c.tracker.LastID)
 	if err != nil {
 		c.Log.Sugar().Warnw("stream not resumed", "request", c.job.RequestID, "error", err)
 		return false
@@ -65,7 +66,7 @@
 	_ = c.resp.Body.Close()
 	c.resp = resp
 	c.followed.Store(resp)
-	c.tracker.restart()
+	c.tracker.Restart()
 	c.quiet.progress()
 	return true
 }
@@ -98,7 +99,7 @@
 
 func (c *endpointCall) pass(p []byte, flush bool) error {
 	if c.tracker != nil {
-		p = c.tracker.push(p)
+		p = c.tracker.Push(p)
 	}
 	if len(p) == 0 {
 		return nil
@@ -118,7 +119,7 @@
 // passRest ends the body. An answer without a body begins here.
 func (c *endpointCall) passRest() error {
 	if c.tracker != nil {
-		if rest := c.tracker.rest(); len(rest) > 0 && !c.tracker.done {
+		if rest := c.tracker.Rest(); len(rest) > 0 && !c.tracker.Done {
 			return errNoEndMark
 		}
 		return nil
--- a/internal/cwdispatch/dispatcher.go
+++ b/internal/cwdispatch/dispatcher.go
@@ -136,6 +136,11 @@
 	return rooms
 }
 
+// Works returns nothing: endpoints of this interface report their load themselves.
+func (d *Dispatcher) Works() []cwcontrol.EndpointWork {
+	return nil
+}
+
 // Demands returns the demand of each limit in use.
 func (d *Dispatcher) Demands() []cwpolicy.LimitDemand {
 	d.mu.Lock()
--- a/internal/cwdispatch/header.go
+++ b/internal/cwdispatch/header.go
@@ -2,20 +2,14 @@
 
 import (
 	"net/http"
-	"net/textproto"
 	"slices"
 	"strings"
 
 	"github.com/clementinewell/clementinewell/internal/cwendpoint"
+	"github.com/clementinewell/clementinewell/internal/cwheader"
 	"github.com/clementinewell/clementinewell/pkg/cwanswer"
 )
 
-// hopByHop are the fields that concern one connection only (RFC 9110, 7.6.1).
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // ownPrefix begins the fields that only the gateway sets. A caller that sends
 // them is not believed.
 const ownPrefix = "Clementinewell-"
@@ -41,27 +35,7 @@
 }
 
 func filter(h http.Header, drop ...string) http.Header {
-	out := make(http.Header, len(h)+4)
-	named := connectionFields(h)
-	for name, values := range h {
-		if slices.Contains(hopByHop, name) || slices.Contains(drop, name) || slices.Contains(named, name) {
-			continue
-		}
-		if strings.HasPrefix(name, ownPrefix) {
-			continue
-		}
-		out[name] = values
-	}
-	return out
-}
-
-// connectionFields returns the fields that the Connection field names.
-func connectionFields(h http.Header) []string {
-	var named []string
-	for _, value := range h["Connection"] {
-		for name := range strings.SplitSeq(value, ",") {
-			named = append(named, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
-		}
-	}
-	return named
+	return cwheader.EndToEnd(h, func(name string) bool {
+		return slices.Contains(drop, name) || strings.HasPrefix(name, ownPrefix)
+	})
 }
--- a/internal/cwdispatch/event_tracker.go
+++ b/internal/cwevent/tracker.go
@@ -1,4 +1,5 @@
-package cwdispatch
+// Package cwevent cuts streams of server-sent events into whole events.
+package cwevent
 
 import (
 	"bytes"
@@ -12,17 +13,20 @@
 	doneEvent = []byte("data: [DONE]")
 )
 
-// eventTracker passes on a stream of server-sent events in whole events, and
+// Tracker passes on a stream of server-sent events in whole events, and
 // remembers the number of the last one, so that the stream can be resumed.
-type eventTracker struct {
+type Tracker struct {
+	// LastID is the number of the last whole event.
+	LastID string
+	// Done is set once the end mark of an OpenAI-style stream came.
+	Done bool
+
 	pending []byte
-	lastID  string
-	done    bool
 }
 
-// push adds bytes and returns the whole events among them. The result is valid
-// until the next push.
-func (t *eventTracker) push(p []byte) []byte {
+// Push adds bytes and returns the whole events among them. The result is valid
+// until the next Push.
+func (t *Tracker) Push(p []byte) []byte {
 	t.pending = append(t.pending, p...)
 	end := bytes.LastIndex(t.pending, eventEnd)
 	if end < 0 && len(t.pending) < maxEventBytes {
@@ -40,26 +44,26 @@
 	return whole
 }
 
-// rest returns what did not end with an event end.
-func (t *eventTracker) rest() []byte {
+// Rest returns what did not end with an event end.
+func (t *Tracker) Rest() []byte {
 	rest := t.pending
 	t.pending = nil
 	return rest
 }
 
-// restart drops a partial event before the stream is resumed.
-func (t *eventTracker) restart() {
+// Restart drops a partial event before the stream is resumed.
+func (t *Tracker) Restart() {
 	t.pending = nil
 }
 
-func (t *eventTracker) scan(events []byte) {
+func (t *Tracker) scan(events []byte) {
 	for line := range bytes.Lines(events) {
 		line = bytes.TrimRight(line, "\r\n")
 		if id, ok := bytes.CutPrefix(line, idPrefix); ok {
-			t.lastID = string(bytes.TrimSpace(id))
+			t.LastID = string(bytes.TrimSpace(id))
 		}
 		if bytes.Equal(line, doneEvent) {
-			t.done = true
+			t.Done = true
 		}
 	}
 }
--- /dev/null
+++ b/internal/cwgate/exit_failed.go
@@ -0,0 +1,14 @@
+package cwgate
+
+import "github.com/clementinewell/clementinewell/internal/cwcontrol"
+
+// noteExitFailed tells control that the instance of another domain could not be
+// connected to.
+func (a *attempt) noteExitFailed() {
+	for _, m := range a.control.Snapshot().Members {
+		if a.site.RelayOf(m.Address) == a.peer {
+			a.control.Offer(cwcontrol.PeerFailed{Address: m.Address})
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/cwgate/job.go
@@ -0,0 +1,76 @@
+package cwgate
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/clementinewell/clementinewell/internal/cwplacement"
+	"github.com/clementinewell/clementinewell/internal/cwroute"
+	"github.com/clementinewell/clementinewell/pkg/cwanswer"
+)
+
+// job is one request on its way.
+type job struct {
+	*Request
+	route   *cwroute.Route
+	service string
+	body    []byte
+	// deadline is when the answer must be whole.
+	deadline time.Time
+	out      *responder
+
+	// tried are endpoints and domains that turned the request down or failed it.
+	tried []string
+	// outcome is what is known over all attempts.
+	outcome cwanswer.Outcome
+	// runs counts the attempts that may have run, and sends all attempts.
+	runs, sends int
+	// failure is an endpoint's own failure, kept while another try is made.
+	failure *wholeAnswer
+}
+
+// wholeAnswer is an answer that was read to its end.
+type wholeAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// demand returns what the request needs now.
+func (j *job) demand(now time.Time) cwplacement.Demand {
+	d := cwplacement.Demand{
+		Target:  j.route.Target,
+		Left:    j.deadline.Sub(now),
+		Elapsed: j.Elapsed + now.Sub(j.Arrived),
+	}
+	if j.Prompt != nil {
+		d.Tokens, d.Output, d.Parts = j.Prompt.Tokens, j.Prompt.output(), j.Prompt.Parts
+	}
+	return d
+}
+
+func (j *job) triedBefore(name string) bool {
+	return slices.Contains(j.tried, name)
+}
+
+// repeatable reports whether the request may run once more after it may have run.
+// For a relayed request that is for the instance to say which relayed it: only it
+// knows of all runs.
+func (j *job) repeatable() bool {
+	return !j.Relayed && j.route.Idempotent() && j.runs < max(j.route.MaxAttempts, 1)
+}
+
+// note merges what an attempt tells of the outcome.
+func (j *job) note(o cwanswer.Outcome) {
+	if j.outcome == "" {
+		j.outcome = o
+		return
+	}
+	j.outcome = j.outcome.Merge(o)
+}
+
+// notRun reports whether the request certainly has not run.
+func (j *job) notRun() bool {
+	return j.outcome == "" || j.outcome == cwanswer.NotRun
+}
--- /dev/null
+++ b/internal/cwgate/log.go
@@ -0,0 +1,59 @@
+package cwgate
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/clementinewell/clementinewell/internal/cwplacement"
+)
+
+// logAttempt writes where an attempt went, why, and how it ended.
+func (g *Gate) logAttempt(j *job, d cwplacement.Decision, r result) {
+	if d.Verdict == cwplacement.Relay {
+		g.counts.relays.Inc(1)
+	}
+	if j.sends > 1 {
+		g.counts.repeats.Inc(1)
+	}
+	if r.done && j.sends == 1 && d.Verdict == cwplacement.Send {
+		// The line of the request's end says the rest.
+		j.out.endpoint = d.Ticket.Endpoint.ID
+		return
+	}
+	place := d.Domain
+	if d.Ticket != nil {
+		place = d.Ticket.Endpoint.ID
+	}
+	j.out.endpoint = place
+	g.Log.Info("attempt", zap.String("request", j.ID), zap.String("route", j.route.Name), zap.String("place", place),
+		zap.String("why", d.Reason), zap.Int("attempt", j.sends), zap.Duration("predicted", d.Local), zap.Duration("predictedAway", d.Away),
+		zap.Uint64("revision", g.state.Revision()), zap.Bool("notRun", r.notRun), zap.Bool("done", r.done), zap.Error(r.err))
+}
+
+// logRefused writes why a request found no place.
+func (g *Gate) logRefused(j *job, d cwplacement.Decision) {
+	g.Log.Info("request refused", zap.String("request", j.ID), zap.String("route", j.route.Name), zap.String("reason", d.Reason),
+		zap.Duration("predicted", d.Local), zap.Duration("predictedAway", d.Away), zap.Duration("retryAfter", d.RetryAfter),
+		zap.Int("attempts", j.sends), zap.Bool("relayed", j.Relayed), zap.Uint64("revision", g.state.Revision()))
+}
+
+// logEnd writes how a request ended.
+func (g *Gate) logEnd(j *job, outcome string, err error) {
+	first := time.Duration(0)
+	if !j.out.firstAt.IsZero() {
+		first = j.out.firstAt.Sub(j.Arrived)
+	}
+	total := time.Since(j.Arrived)
+	g.counts.end(outcome, first, total)
+	fields := []zap.Field{
+		zap.String("request", j.ID), zap.String("route", j.route.Name), zap.String("outcome", outcome), zap.Int("status", j.out.status),
+		zap.String("place", j.out.endpoint), zap.Int("attempts", j.sends), zap.Duration("first", first), zap.Duration("total", total),
+		zap.String("ran", string(j.outcome)), zap.Bool("relayed", j.Relayed),
+	}
+	if err != nil {
+		g.Log.Warn("request ended", append(fields, zap.Error(err))...)
+		return
+	}
+	g.Log.Info("request ended", fields...)
+}
--- /dev/null
+++ b/internal/cwgate/responder.go
@@ -0,0 +1,70 @@
+package cwgate
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/clementinewell/clementinewell/internal/cwheader"
+)
+
+// responder writes the one answer to a caller.
+type responder struct {
+	http.ResponseWriter
+	// begun is set once the head is out.
+	begun bool
+	// status and firstAt describe the answer.
+	status  int
+	firstAt time.Time
+	// lastEvent is the last whole event of a stream that is out.
+	lastEvent string
+	// endpoint is the place of the last attempt.
+	endpoint string
+	flush    func() error
+}
+
+func newResponder(w http.ResponseWriter) *responder {
+	return &responder{ResponseWriter: w, flush: http.NewResponseController(w).Flush}
+}
+
+// whole writes an answer whose body is in memory.
+func (r *responder) whole(a *wholeAnswer) error {
+	r.head(a.status, a.header)
+	r.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	r.WriteHeader(a.status)
+	_, err := r.Write(a.body)
+	return err
+}
+
+// begin writes the head of a stream. Without a length, a stream that is cut does
+// not look complete.
+func (r *responder) begin(status int, header http.Header) {
+	if r.begun {
+		return
+	}
+	r.head(status, header)
+	r.Header().Del("Content-Length")
+	r.WriteHeader(status)
+}
+
+func (r *responder) head(status int, header http.Header) {
+	r.begun, r.status, r.firstAt = true, status, time.Now()
+	own := r.Header()
+	for name, values := range cwheader.EndToEnd(header, func(string) bool { return false }) {
+		own[name] = values
+	}
+}
+
+// events writes whole events at once.
+func (r *responder) events(p []byte) error {
+	if _, err := r.Write(p); err != nil {
+		return err
+	}
+	return r.flush()
+}
+
+// refuse writes an answer of the gateway's own.
+func (r *responder) refuse(refusal Refusal) {
+	r.begun, r.status = true, refusal.Status
+	refusal.write(r.ResponseWriter)
+}
--- /dev/null
+++ b/internal/cwgate/sync.go
@@ -0,0 +1,194 @@
+package cwgate
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/clementinewell/clementinewell/internal/cwcontrol"
+	"github.com/clementinewell/clementinewell/internal/cwplacement"
+	"github.com/clementinewell/clementinewell/internal/cwpolicy"
+	"github.com/clementinewell/clementinewell/internal/cwpublished"
+	"github.com/clementinewell/clementinewell/internal/cwroute"
+)
+
+const (
+	// ownerMemory is how long a silent instance still counts as the owner of cold
+	// endpoints: it may only be cut off from this one, and still use them.
+	ownerMemory = 30 * time.Second
+	// ownerDelay is the time after the start in which an instance owns no cold
+	// endpoint, since it may not know the other instances yet.
+	ownerDelay = 3 * time.Second
+)
+
+// coldSpan is how long an endpoint is cold, by the entry that said so.
+type coldSpan struct {
+	revision uint64
+	until    time.Time
+}
+
+// sync takes over what changed in the published state and in control. The caller
+// holds mu.
+func (g *Gate) sync(now time.Time) {
+	view, snapshot := g.state.View(), g.control.Snapshot()
+	viewed := g.view == nil || view.Generation != g.view.Generation
+	heard := g.snapshot == nil || snapshot.Generation != g.snapshot.Generation
+	if !viewed && !heard {
+		return
+	}
+	g.view, g.snapshot = view, snapshot
+	if viewed || g.anyCold(now) {
+		g.syncEndpoints(now)
+	}
+	g.syncWorks()
+}
+
+func (g *Gate) anyCold(now time.Time) bool {
+	for _, span := range g.cold {
+		if now.Before(span.until) {
+			return true
+		}
+	}
+	return false
+}
+
+func (g *Gate) syncEndpoints(now time.Time) {
+	for id, r := range g.view.Endpoints {
+		if g.site.RegionOf[r.Domain] != g.site.Region {
+			continue
+		}
+		service, known := g.service(r.Service)
+		if !known {
+			continue
+		}
+		p := g.pools[r.Service]
+		if p == nil {
+			p = cwplacement.NewPool(service, g.site.Domain, g.rng)
+			g.pools[r.Service] = p
+		}
+		p.Service = service
+		e := p.Register(r.Endpoint, g.site.Region, g.ownsCold(id, now), g.coldUntil(id, r))
+		e.Evacuated = g.view.Evacuated[r.Domain]
+	}
+	for name, p := range g.pools {
+		p.Retain(func(id string) bool { return g.view.Endpoints[id].Service == name })
+	}
+	for id := range g.cold {
+		if _, known := g.view.Endpoints[id]; !known {
+			delete(g.cold, id)
+		}
+	}
+}
+
+func (g *Gate) service(name string) (cwroute.Service, bool) {
+	if g.view.Config == nil {
+		return cwroute.Service{}, false
+	}
+	s, ok := g.view.Config.Services[name]
+	return s, ok
+}
+
+// coldUntil returns when the endpoint stops being cold. The entry's figure counts
+// from the moment at which this instance read it.
+func (g *Gate) coldUntil(id string, r cwpublished.Registration) time.Time {
+	span := g.cold[id]
+	if span.revision != r.Revision {
+		span = coldSpan{revision: r.Revision, until: r.ReadAt.Add(r.ColdLeft)}
+		g.cold[id] = span
+	}
+	return span.until
+}
+
+// ownsCold reports whether this instance is the one of the region that may use the
+// endpoint while it is cold.
+func (g *Gate) ownsCold(id string, now time.Time) bool {
+	if now.Sub(g.startedAt) < ownerDelay {
+		return false
+	}
+	own := ownerScore(id, g.snapshot.Self.Address)
+	for i := range g.snapshot.Members {
+		m := &g.snapshot.Members[i]
+		if m.Region != g.site.Region || m.Leaving || now.Sub(m.HeardAt) > ownerMemory {
+			continue
+		}
+		if ownerScore(id, m.Address) > own {
+			return false
+		}
+	}
+	return true
+}
+
+func ownerScore(id, address string) uint64 {
+	return xxhash.Sum64String(id + " " + address)
+}
+
+// syncWorks adds up what the other instances of the region have at each endpoint.
+func (g *Gate) syncWorks() {
+	type sum struct {
+		work cwplacement.Work
+		at   time.Time
+	}
+	sums := make(map[string]sum)
+	for _, peer := range g.snapshot.Works {
+		if time.Since(peer.At) > peerWorkAge {
+			continue
+		}
+		for i := range peer.Works {
+			w := &peer.Works[i]
+			s := sums[w.Endpoint]
+			s.work = s.work.Add(cwplacement.Work{Queued: w.QueuedTokens, Held: w.HeldTokens, InFlight: w.InFlight})
+			if peer.At.After(s.at) {
+				s.at = peer.At
+			}
+			sums[w.Endpoint] = s
+		}
+	}
+	for _, p := range g.pools {
+		for id, e := range p.Endpoints() {
+			s := sums[id]
+			e.SetOthers(s.work, s.at)
+		}
+	}
+}
+
+// peerWorkAge is the age at which what a peer said of its work is dropped; it is a
+// few exchanges long.
+const peerWorkAge = 2 * time.Second
+
+// Rooms returns what the endpoints of each service in the own domain can take.
+func (g *Gate) Rooms() []cwcontrol.PeerRoom {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.sync(now)
+	rooms := make([]cwcontrol.PeerRoom, 0, len(g.pools))
+	for name, p := range g.pools {
+		rooms = append(rooms, cwcontrol.PeerRoom{Pool: name, Room: p.Room(g.site.Domain, now)})
+	}
+	return rooms
+}
+
+// Demands returns nothing: routes have no limits for accounts.
+func (g *Gate) Demands() []cwpolicy.LimitDemand {
+	return nil
+}
+
+// Adopt refuses tickets: routed requests have none.
+func (g *Gate) Adopt([]cwpolicy.TicketHandover) bool {
+	return false
+}
+
+// Works returns what this instance has at each endpoint of its region.
+func (g *Gate) Works() []cwcontrol.EndpointWork {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var works []cwcontrol.EndpointWork
+	for _, p := range g.pools {
+		for id, e := range p.Endpoints() {
+			if w := e.Own(); w.InFlight > 0 {
+				works = append(works, cwcontrol.EndpointWork{Endpoint: id, QueuedTokens: w.Queued, HeldTokens: w.Held, InFlight: w.InFlight})
+			}
+		}
+	}
+	return works
+}
--- a/internal/cwnet/net.go
+++ b/internal/cwnet/net.go
@@ -39,8 +39,8 @@
 		Count:    keepAliveCount,
 	}
 	return &TCP{
-		dialer: net.Dialer{Timeout: dialTimeout, KeepAliveConfig: probes},
-		config: net.ListenConfig{KeepAliveConfig: probes},
+		dialer: net.Dialer{Timeout: dialTimeout, KeepAliveConfig: probes, Control: setUserTimeout},
+		config: net.ListenConfig{KeepAliveConfig: probes, Control: setUserTimeout},
 	}
 }
 
--- a/internal/cwpeer/auth.go
+++ b/internal/cwpeer/auth.go
@@ -25,13 +25,17 @@
 	key []byte
 }
 
-// NewAuth returns an authenticator with the shared key.
+// NewAuth returns an authenticator with the shared key. Without a key nothing is
+// signed or checked; the network must then keep strangers from the peer interface.
 func NewAuth(key string) *Auth {
 	return &Auth{key: []byte(key)}
 }
 
 // Sign returns the header value for a message sent to the path.
 func (a *Auth) Sign(path string, message []byte, now time.Time) string {
+	if len(a.key) == 0 {
+		return ""
+	}
 	stamp := strconv.FormatInt(now.UnixMilli(), 10)
 	return authScheme + " " + stamp + " " + hex.EncodeToString(a.mac(path, stamp, message))
 }
@@ -43,6 +47,9 @@
 
 // Verify checks the header value of a message that came to the path.
 func (a *Auth) Verify(header, path string, message []byte, now time.Time) error {
+	if len(a.key) == 0 {
+		return nil
+	}
 	parts := strings.Split(header, " ")
 	if len(parts) != 3 || parts[0] != authScheme {
 		return fmt.Errorf("authenticate peer: no signature of a known form")
--- a/internal/cwpeer/client.go
+++ b/internal/cwpeer/client.go
@@ -9,6 +9,7 @@
 	"github.com/clementinewell/clementinewell/internal/cwnet"
 	"github.com/clementinewell/clementinewell/internal/cwpolicy"
 	"github.com/clementinewell/clementinewell/internal/cwproto"
+	"github.com/clementinewell/clementinewell/internal/cwpublished"
 )
 
 const (
@@ -61,6 +62,22 @@
 	return answer.GetValues(), nil
 }
 
+// FetchPublished asks the peer for what was published after a revision.
+func (c *Client) FetchPublished(ctx context.Context, address string, after uint64) (items []cwpublished.Item, current uint64, whole bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	answer, err := c.to(address).FetchPublished(ctx, &cwproto.FetchPublishedRequest{After: after})
+	if err != nil {
+		return nil, 0, false, fmt.Errorf("fetch published state from %s: %w", address, err)
+	}
+	for _, item := range answer.GetItems() {
+		items = append(items, cwpublished.Item{
+			Key: item.GetKey(), Value: item.GetValue(), Revision: item.GetRevision(), Removed: item.GetRemoved(),
+		})
+	}
+	return items, answer.GetCurrent(), answer.GetWhole(), nil
+}
+
 // TakeOver hands tickets to the peer. It returns the peer's incarnation.
 func (c *Client) TakeOver(ctx context.Context, address string, handovers []cwpolicy.TicketHandover) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
--- a/internal/cwpeer/exchanger.go
+++ b/internal/cwpeer/exchanger.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,11 +29,24 @@
 	client  *Client
 	traffic Traffic
 	puller  Puller
+
+	mu sync.Mutex
+	// busy are the peers with an exchange in progress.
+	busy map[string]bool
+	// seeds are asked while they are no usable members.
+	seeds []string
 }
 
 // NewExchanger returns an exchanger that has not started.
 func NewExchanger(common *cwcommon.Common, control *cwcontrol.Control, client *Client, traffic Traffic, puller Puller) *Exchanger {
-	return &Exchanger{Common: common, control: control, client: client, traffic: traffic, puller: puller}
+	return &Exchanger{Common: common, control: control, client: client, traffic: traffic, puller: puller, busy: make(map[string]bool), seeds: cwsetting.PeerList(common.Settings.Peers)}
+}
+
+// SetSeeds changes the peers that are asked first.
+func (x *Exchanger) SetSeeds(seeds []string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.seeds = seeds
 }
 
 // Run exchanges until ctx ends: with the own domain each interval, with one
@@ -51,29 +65,65 @@
 		if remote {
 			lastRemote = time.Now()
 		}
-		x.Round(ctx, remote)
+		x.begin(ctx, x.peers(remote))
 	}
 }
 
-// Round exchanges once with every chosen peer at the same time.
+// Round exchanges once with every chosen peer and waits for all of them.
 func (x *Exchanger) Round(ctx context.Context, remote bool) {
-	var wg sync.WaitGroup
-	for _, address := range x.peers(remote) {
-		wg.Go(func() { x.exchange(ctx, address) })
+	x.begin(ctx, x.peers(remote)).Wait()
+}
+
+// Announce tells every usable instance at once, such as that this one leaves.
+func (x *Exchanger) Announce(ctx context.Context) {
+	now := time.Now()
+	var all []string
+	for _, m := range x.control.Snapshot().Members {
+		if m.Usable(now, cwpolicy.MemberSilence) {
+			all = append(all, m.Address)
+		}
 	}
-	wg.Wait()
+	x.begin(ctx, all).Wait()
 }
 
+// begin starts an exchange with each peer that has none in progress: a peer that
+// does not answer must not hold up the others.
+func (x *Exchanger) begin(ctx context.Context, peers []string) *sync.WaitGroup {
+	wg := &sync.WaitGroup{}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, address := range peers {
+		if x.busy[address] {
+			continue
+		}
+		x.busy[address] = true
+		wg.Go(func() {
+			x.exchange(ctx, address)
+			x.mu.Lock()
+			defer x.mu.Unlock()
+			delete(x.busy, address)
+		})
+	}
+	return wg
+}
+
+// peers returns those to exchange with in a round. An exchange goes both ways, so
+// one of the two need begin it. A silent member and a seed that is no usable member
+// are only tried in remote rounds.
 func (x *Exchanger) peers(remote bool) []string {
 	s := x.control.Snapshot()
 	now := time.Now()
 	var chosen []string
+	usable := make(map[string]bool, len(s.Members)+1)
+	usable[s.Self.Address] = true
 	byDomain := make(map[string][]cwpolicy.Member)
 	for _, m := range s.Members {
+		lives := m.Usable(now, cwpolicy.MemberSilence)
+		usable[m.Address] = lives
 		switch {
 		case m.Domain == s.Self.Domain || m.Domain == "":
-			// An exchange goes both ways: one of the two need begin it.
-			if now.Sub(m.HeardAt) >= x.Settings.ExchangeInterval/2 || m.Incarnation == 0 {
+			quiet := now.Sub(m.HeardAt) >= x.Settings.ExchangeInterval/2 || m.Incarnation == 0
+			if quiet && (lives || remote) {
 				chosen = append(chosen, m.Address)
 			}
 		case remote:
@@ -83,8 +133,16 @@
 	for _, domain := range followedDomains(s, byDomain, x.Settings.RemoteDomains) {
 		chosen = append(chosen, pickExit(byDomain[domain], now).Address)
 	}
-	if len(s.Members) == 0 {
-		chosen = append(chosen, cwsetting.PeerList(x.Settings.Peers)...)
+	if !remote && len(s.Members) > 0 {
+		return chosen
+	}
+	x.mu.Lock()
+	seeds := x.seeds
+	x.mu.Unlock()
+	for _, seed := range seeds {
+		if !usable[seed] && !slices.Contains(chosen, seed) {
+			chosen = append(chosen, seed)
+		}
 	}
 	return chosen
 }
@@ -106,7 +164,8 @@
 func (x *Exchanger) exchange(ctx context.Context, address string) {
 	s := x.control.Snapshot()
 	now := time.Now()
-	news := newsOf(s, x.traffic, x.sameDomain(s, address), now)
+	region, domain := placeOf(s, address)
+	news := newsOf(s, x.traffic, region, domain, now)
 	answer, roundTrip, err := x.client.Exchange(ctx, address, news)
 	if err != nil {
 		x.Log.Debug("exchange failed", zap.String("peer", address), zap.Error(err))
@@ -122,13 +181,14 @@
 	}
 }
 
-func (x *Exchanger) sameDomain(s *cwcontrol.Snapshot, address string) bool {
+// placeOf returns the region and domain of a peer, empty if they aren't known yet.
+func placeOf(s *cwcontrol.Snapshot, address string) (region, domain string) {
 	for i := range s.Members {
 		if s.Members[i].Address == address {
-			return s.Members[i].Domain == s.Self.Domain
+			return s.Members[i].Region, s.Members[i].Domain
 		}
 	}
-	return false
+	return "", ""
 }
 
 // jitter spreads an interval by a fifth, so that instances don't fall in step.
--- a/internal/cwpeer/news.go
+++ b/internal/cwpeer/news.go
@@ -15,9 +15,10 @@
 // maxDemands bounds the limits in one message; the largest demands are kept.
 const maxDemands = 64
 
-// newsOf returns what an instance tells a peer: the reports of single endpoints
-// within the failure domain, their sums outside it.
-func newsOf(s *cwcontrol.Snapshot, traffic Traffic, sameDomain bool, now time.Time) *cwproto.News {
+// newsOf returns what an instance tells a peer in the region and domain: its own
+// work within the region, the reports of single endpoints within the failure
+// domain, and their sums outside it.
+func newsOf(s *cwcontrol.Snapshot, traffic Traffic, region, domain string, now time.Time) *cwproto.News {
 	v := s.Order.Accepted()
 	news := &cwproto.News{
 		Protocol:        ProtocolVersion,
@@ -25,7 +26,10 @@
 		Config:          &cwproto.ConfigVersion{Number: v.Number, Hash: v.Hash},
 		ConfigConfirmed: s.Order.Ready(),
 	}
-	if sameDomain {
+	if region == s.Self.Region {
+		news.Works = protoWorks(traffic.Works())
+	}
+	if domain == s.Self.Domain {
 		news.Endpoints = protoEndpoints(s.Endpoints, now)
 	} else {
 		for _, r := range traffic.Rooms() {
@@ -86,6 +90,7 @@
 		Free:            uint32(r.Room.Free),
 		WaitSeconds:     float32(r.Room.WaitSeconds),
 		SecondsPerToken: float32(r.Room.SecondsPerToken),
+		Failures:        float32(r.Room.Failures),
 	}
 }
 
@@ -122,6 +127,33 @@
 	return list
 }
 
+func protoWorks(works []cwcontrol.EndpointWork) []*cwproto.EndpointWork {
+	list := make([]*cwproto.EndpointWork, 0, len(works))
+	for i := range works {
+		w := &works[i]
+		list = append(list, &cwproto.EndpointWork{
+			Endpoint:     w.Endpoint,
+			QueuedTokens: float32(w.QueuedTokens),
+			HeldTokens:   float32(w.HeldTokens),
+			InFlight:     uint32(max(w.InFlight, 0)),
+		})
+	}
+	return list
+}
+
+func worksOf(list []*cwproto.EndpointWork) []cwcontrol.EndpointWork {
+	works := make([]cwcontrol.EndpointWork, 0, len(list))
+	for _, w := range list {
+		works = append(works, cwcontrol.EndpointWork{
+			Endpoint:     w.GetEndpoint(),
+			QueuedTokens: float64(w.GetQueuedTokens()),
+			HeldTokens:   float64(w.GetHeldTokens()),
+			InFlight:     int(w.GetInFlight()),
+		})
+	}
+	return works
+}
+
 // eventOf returns the control event for news that came from a peer.
 func eventOf(news *cwproto.News, roundTrip time.Duration, now time.Time) cwcontrol.PeerHeard {
 	e := cwcontrol.PeerHeard{Member: memberOf(news.GetSelf()), RoundTrip: roundTrip}
@@ -135,6 +167,7 @@
 			Free:            int(r.GetFree()),
 			WaitSeconds:     float64(r.GetWaitSeconds()),
 			SecondsPerToken: float64(r.GetSecondsPerToken()),
+			Failures:        float64(r.GetFailures()),
 		}})
 	}
 	for _, ep := range news.GetEndpoints() {
@@ -144,6 +177,7 @@
 		key := cwpolicy.LimitKey{Service: d.GetService(), Account: d.GetAccount()}
 		e.Demands = append(e.Demands, cwpolicy.LimitDemand{Key: key, PerSecond: float64(d.GetPerSecond())})
 	}
+	e.Works = worksOf(news.GetWorks())
 	for _, m := range news.GetMoves() {
 		e.Moves = append(e.Moves, cwpolicy.Move{From: m.GetFrom(), To: m.GetTo()})
 	}
--- a/internal/cwpeer/server.go
+++ b/internal/cwpeer/server.go
@@ -9,6 +9,7 @@
 	"github.com/clementinewell/clementinewell/internal/cwcontrol"
 	"github.com/clementinewell/clementinewell/internal/cwpolicy"
 	"github.com/clementinewell/clementinewell/internal/cwproto"
+	"github.com/clementinewell/clementinewell/internal/cwpublished"
 	"github.com/clementinewell/clementinewell/pkg/cwanswer"
 	"github.com/clementinewell/clementinewell/pkg/cwconfig"
 )
@@ -16,11 +17,27 @@
 // Server answers the calls of other instances.
 type Server struct {
 	*cwcommon.Common
-	control   *cwcontrol.Control
-	traffic   Traffic
-	auth      *Auth
-	manifests ManifestSource
-	puller    Puller
+	control *cwcontrol.Control
+	traffic Traffic
+	auth    *Auth
+	sources Sources
+	puller  Puller
+}
+
+// Sources are where the server finds what it gives to peers. An instance has one
+// of the two.
+type Sources struct {
+	// Manifests holds the configuration of service files.
+	Manifests ManifestSource
+	// Published holds the state that a store publishes.
+	Published PublishedSource
+}
+
+// PublishedSource gives published items.
+type PublishedSource interface {
+	// Since returns what changed after the revision, the revision up to which that
+	// is complete, and whether it is all that there is.
+	Since(after uint64) (items []cwpublished.Item, current uint64, whole bool)
 }
 
 // ManifestSource gives the published bytes of the configuration in force.
@@ -30,8 +47,8 @@
 }
 
 // NewServer returns the server side of exchanges.
-func NewServer(common *cwcommon.Common, control *cwcontrol.Control, traffic Traffic, manifests ManifestSource, puller Puller, auth *Auth) *Server {
-	return &Server{Common: common, control: control, traffic: traffic, manifests: manifests, puller: puller, auth: auth}
+func NewServer(common *cwcommon.Common, control *cwcontrol.Control, traffic Traffic, sources Sources, puller Puller, auth *Auth) *Server {
+	return &Server{Common: common, control: control, traffic: traffic, sources: sources, puller: puller, auth: auth}
 }
 
 // Handler serves the calls, each checked for its signature.
@@ -56,7 +73,7 @@
 	if news.GetConfigConfirmed() {
 		s.control.Post(ctx, cwcontrol.ConfigSeen{Version: versionOf(news.GetConfig())})
 	}
-	return newsOf(snapshot, s.traffic, event.Member.Domain == snapshot.Self.Domain, now), nil
+	return newsOf(snapshot, s.traffic, event.Member.Region, event.Member.Domain, now), nil
 }
 
 // pullFrom fetches a newer configuration from the peer that called, after the
@@ -83,8 +100,11 @@
 func (s *Server) FetchConfig(_ context.Context, req *cwproto.FetchConfigRequest) (*cwproto.FetchConfigResponse, error) {
 	state := s.control.Snapshot().Config
 	resp := &cwproto.FetchConfigResponse{}
+	if s.sources.Manifests == nil {
+		return resp, nil
+	}
 	if len(req.GetKeys()) == 0 {
-		if manifest := s.manifests.ManifestBytes(state); manifest != nil {
+		if manifest := s.sources.Manifests.ManifestBytes(state); manifest != nil {
 			resp.Values = append(resp.Values, &cwproto.KeyValue{Key: cwconfig.ManifestKey, Value: manifest})
 		}
 		return resp, nil
@@ -97,6 +117,21 @@
 	return resp, nil
 }
 
+// FetchPublished returns what was published after a revision.
+func (s *Server) FetchPublished(_ context.Context, req *cwproto.FetchPublishedRequest) (*cwproto.FetchPublishedResponse, error) {
+	if s.sources.Published == nil {
+		return &cwproto.FetchPublishedResponse{}, nil
+	}
+	items, current, whole := s.sources.Published.Since(req.GetAfter())
+	resp := &cwproto.FetchPublishedResponse{Current: current, Whole: whole}
+	for _, item := range items {
+		resp.Items = append(resp.Items, &cwproto.PublishedItem{
+			Key: item.Key, Value: item.Value, Revision: item.Revision, Removed: item.Removed,
+		})
+	}
+	return resp, nil
+}
+
 // TakeOver makes this instance the owner of another's tickets.
 func (s *Server) TakeOver(ctx context.Context, req *cwproto.TakeOverRequest) (*cwproto.TakeOverResponse, error) {
 	handovers := make([]cwpolicy.TicketHandover, 0, len(req.GetHandovers()))
--- a/internal/cwpeer/traffic.go
+++ b/internal/cwpeer/traffic.go
@@ -15,6 +15,8 @@
 	Rooms() []cwcontrol.PeerRoom
 	// Demands returns the demand of each limit in use.
 	Demands() []cwpolicy.LimitDemand
+	// Works returns what this instance has at each endpoint of its region.
+	Works() []cwcontrol.EndpointWork
 	// Adopt takes over tickets; it returns false if this instance leaves too.
 	Adopt(handovers []cwpolicy.TicketHandover) bool
 }
--- /dev/null
+++ b/internal/cwplacement/endpoint.go
@@ -0,0 +1,143 @@
+package cwplacement
+
+import (
+	"time"
+
+	"github.com/clementinewell/clementinewell/internal/cwroute"
+)
+
+const (
+	// startSpeed is the prompt tokens per second of an engine of which nothing is
+	// known yet; it is about that of one accelerator with a mid-sized model.
+	startSpeed = 40_000
+	// minSpeed and maxSpeed bound what is learnt from one answer.
+	minSpeed, maxSpeed = 4_000, 400_000
+	// speedGain and paceGain weigh the latest answer.
+	speedGain, paceGain = 0.2, 0.2
+	// answerOverhead is the time to a first token beside the prompt: a step of the
+	// batch and the way there and back.
+	answerOverhead = 25 * time.Millisecond
+	// minSpeedSample is the least prompt from which a speed is learnt; the overhead
+	// hides the speed in shorter ones.
+	minSpeedSample = 500
+	// startHold is how long a plain request keeps its slot until that is learnt.
+	startHold = 80 * time.Millisecond
+	holdGain  = 0.1
+	// cacheShare is the part of an engine's memory that is taken to be cache.
+	cacheShare = 0.6
+	// othersMaxAge is the age at which the work of other instances is no longer
+	// believed: most of it is done by then.
+	othersMaxAge = 1500 * time.Millisecond
+)
+
+// Endpoint is one endpoint as this instance sees it.
+type Endpoint struct {
+	cwroute.Endpoint
+	// Region is the region of its domain.
+	Region string
+	// ColdUntil is when it stops being cold.
+	ColdUntil time.Time
+	// Drains is set once it gets nothing new; Evacuated while its domain is emptied.
+	Drains, Evacuated bool
+
+	health
+	engine   *cwroute.Engine
+	cold     coldGate
+	coldRate float64
+	owned    bool
+	cache    *promptCache
+	own      Work
+	others   Work
+	othersAt time.Time
+	// speed is in prompt tokens per second, pace in seconds per event, hold in
+	// seconds per plain request.
+	speed, pace, hold float64
+}
+
+// newEndpoint returns an endpoint of which nothing is known but its entry.
+func newEndpoint(entry cwroute.Endpoint, service cwroute.Service, speed float64) *Endpoint {
+	e := &Endpoint{Endpoint: entry, engine: service.Engine, coldRate: service.ColdRate, speed: speed, hold: startHold.Seconds()}
+	if service.Engine != nil {
+		e.cache = newPromptCache(int(cacheShare * float64(service.Engine.MemoryTokens)))
+	}
+	return e
+}
+
+// Own returns the work that this instance has there.
+func (e *Endpoint) Own() Work {
+	return e.own
+}
+
+// SetOthers takes in the work of the other instances.
+func (e *Endpoint) SetOthers(w Work, at time.Time) {
+	e.others, e.othersAt = w, at
+}
+
+// work returns the work of all instances.
+func (e *Endpoint) work(now time.Time) Work {
+	if now.Sub(e.othersAt) > othersMaxAge {
+		return e.own
+	}
+	return e.own.Add(e.others)
+}
+
+// isCold reports whether the endpoint bears a limited rate only.
+func (e *Endpoint) isCold(now time.Time) bool {
+	return e.coldRate > 0 && now.Before(e.ColdUntil)
+}
+
+// usable reports whether new work may go there.
+func (e *Endpoint) usable(now time.Time) bool {
+	if e.Drains || e.Evacuated || e.out(now) {
+		return false
+	}
+	return !e.isCold(now) || e.owned && e.cold.ready(e.coldRate, now)
+}
+
+// slots returns the number of requests that run at once, at least 1.
+func (e *Endpoint) slots() int {
+	if e.engine != nil && e.engine.Slots > 0 {
+		return e.engine.Slots
+	}
+	return max(e.Slots, 1)
+}
+
+// prediction is what is expected of a request at an endpoint.
+type prediction struct {
+	// first is the time to the first byte, in seconds, and wait the part of it
+	// before the request's own prompt.
+	first, wait float64
+	// uncached and reread are the tokens to process, and those of them that other
+	// requests share.
+	uncached, reread int
+	// rest is the time from the first byte to the last, in seconds.
+	rest float64
+	// full is set if neither slots nor memory have room.
+	full bool
+}
+
+// predict estimates how a request would fare.
+func (e *Endpoint) predict(d *Demand, now time.Time) prediction {
+	w := e.work(now)
+	over := w.InFlight + 1 - e.slots()
+	p := prediction{full: over > 0}
+	if over > 0 {
+		p.wait = float64(over) / float64(e.slots()) * e.hold
+	}
+	if e.engine == nil {
+		p.first = p.wait + e.hold
+		return p
+	}
+	cached := e.cache.cached(d.Parts)
+	p.uncached = max(d.Tokens-cached, 0)
+	p.reread = max(d.sharedTokens()-cached, 0)
+	p.wait += w.Queued / e.speed
+	if held := w.Held + float64(d.Tokens+d.Output); held > float64(e.engine.MemoryTokens) {
+		// Requests over the memory are processed a second time later on.
+		p.wait += (held - float64(e.engine.MemoryTokens)) / e.speed
+		p.full = true
+	}
+	p.first = p.wait + float64(p.uncached)/e.speed + answerOverhead.Seconds()
+	p.rest = float64(d.Output) / float64(max(e.engine.EventTokens, 1)) * e.pace
+	return p
+}
--- /dev/null
+++ b/internal/cwplacement/retry_budget.go
@@ -0,0 +1,72 @@
+package cwplacement
+
+import "time"
+
+// retryBuckets divide the window of a budget.
+const retryBuckets = 10
+
+// RetryBudget bounds the repeats of one service in any window: a ratio of this
+// instance's own requests plus its share of the slack that all instances have
+// together. Since nobody's share depends on what others do, the sum holds also
+// while instances can't talk.
+type RetryBudget struct {
+	ratio, slack float64
+	bucket       time.Duration
+	requests     [retryBuckets]int
+	repeats      [retryBuckets]int
+	at           int64
+	start        time.Time
+}
+
+// budgetUse is the part of the allowance that is used: windows of different
+// instances don't begin at the same time.
+const budgetUse = 0.8
+
+// NewRetryBudget returns a budget for one instance.
+func NewRetryBudget(ratio, slack float64, window time.Duration, now time.Time) *RetryBudget {
+	return &RetryBudget{ratio: ratio, slack: slack, bucket: window / retryBuckets, start: now}
+}
+
+// SetBounds changes the allowance; the window stays.
+func (b *RetryBudget) SetBounds(ratio, slack float64) {
+	b.ratio, b.slack = ratio, slack
+}
+
+// Request counts a request that reached this instance first.
+func (b *RetryBudget) Request(now time.Time) {
+	b.requests[b.roll(now)]++
+}
+
+// Take counts a repeat, or returns false if none is left. Instances is the number
+// that share the slack.
+func (b *RetryBudget) Take(instances int, now time.Time) bool {
+	i := b.roll(now)
+	if float64(sum(b.repeats)+1) > b.allowance(instances) {
+		return false
+	}
+	b.repeats[i]++
+	return true
+}
+
+func (b *RetryBudget) allowance(instances int) float64 {
+	return budgetUse * (b.ratio*float64(sum(b.requests)) + b.slack/float64(max(instances, 1)))
+}
+
+// roll clears the buckets that have left the window and returns the current one.
+func (b *RetryBudget) roll(now time.Time) int {
+	at := int64(now.Sub(b.start) / b.bucket)
+	for n := range min(at-b.at, retryBuckets) {
+		i := int((at - n) % retryBuckets)
+		b.requests[i], b.repeats[i] = 0, 0
+	}
+	b.at = max(b.at, at)
+	return int(b.at % retryBuckets)
+}
+
+func sum(counts [retryBuckets]int) int {
+	total := 0
+	for _, n := range counts {
+		total += n
+	}
+	return total
+}
--- /dev/null
+++ b/internal/cwplacement/ticket.go
@@ -0,0 +1,104 @@
+package cwplacement
+
+import "time"
+
+// Ticket is one request at an endpoint, from its placement to its end.
+type Ticket struct {
+	// Endpoint is where the request is.
+	Endpoint *Endpoint
+	// First is the predicted time to the first byte.
+	First time.Duration
+
+	start time.Time
+	first time.Time
+	last  time.Time
+	work  Work
+	ahead float64
+	ended bool
+}
+
+// place notes that the request goes to the endpoint.
+func (e *Endpoint) place(d *Demand, p prediction, now time.Time) *Ticket {
+	t := &Ticket{Endpoint: e, First: seconds(p.first), start: now, ahead: e.work(now).Queued}
+	t.work = Work{InFlight: 1}
+	if e.engine != nil {
+		t.work.Queued = float64(p.uncached)
+		t.work.Held = float64(d.Tokens + d.Output)
+		e.cache.use(d.Parts)
+	}
+	e.own = e.own.Add(t.work)
+	if e.isCold(now) {
+		e.cold.open(e.coldRate, now)
+	}
+	return t
+}
+
+// Answered notes the first byte of the answer.
+func (t *Ticket) Answered(now time.Time) {
+	if !t.first.IsZero() || t.ended {
+		return
+	}
+	t.first, t.last = now, now
+	e := t.Endpoint
+	e.own.Queued -= t.work.Queued
+	took := (now.Sub(t.start) - answerOverhead).Seconds()
+	tokens := t.work.Queued + t.ahead
+	t.work.Queued = 0
+	if e.engine == nil || tokens < minSpeedSample || took <= 0 {
+		return
+	}
+	sample := min(max(tokens/took, minSpeed), maxSpeed)
+	e.speed += speedGain * (sample - e.speed)
+}
+
+// Event notes an event of a stream; the first one begins the answer.
+func (t *Ticket) Event(now time.Time) {
+	if t.first.IsZero() {
+		t.Answered(now)
+		return
+	}
+	gap := now.Sub(t.last).Seconds()
+	t.last = now
+	t.Endpoint.pace += paceGain * (gap - t.Endpoint.pace)
+}
+
+// End is how a request left its endpoint.
+type End int
+
+const (
+	// Served is a whole answer.
+	Served End = iota
+	// Rejected was not run, since the endpoint had no room.
+	Rejected
+	// Failed is a failure of the endpoint.
+	Failed
+	// Unreachable is a connection that could not be opened or fell silent.
+	Unreachable
+	// Abandoned was given up from this side.
+	Abandoned
+)
+
+// Ended notes the end of the request.
+func (t *Ticket) Ended(end End, now time.Time) {
+	if t.ended {
+		return
+	}
+	t.ended = true
+	e := t.Endpoint
+	e.own.Queued -= t.work.Queued
+	e.own.Held -= t.work.Held
+	e.own.InFlight--
+	switch end {
+	case Served:
+		e.hold += holdGain * (now.Sub(t.start).Seconds() - e.hold)
+		e.succeeded(now)
+	case Failed:
+		e.failed(now)
+	case Unreachable:
+		e.unreachable(now)
+	}
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second))
+}
--- a/internal/cwpolicy/config_order.go
+++ b/internal/cwpolicy/config_order.go
@@ -42,6 +42,11 @@
 	}
 }
 
+// Doubt takes the confirmation back; the accepted version stays.
+func (c *ConfigOrder) Doubt() {
+	c.confirmed = false
+}
+
 // Accepted returns the version in force.
 func (c *ConfigOrder) Accepted() cwconfig.Version {
 	return c.accepted
--- a/internal/cwpolicy/presence.go
+++ b/internal/cwpolicy/presence.go
@@ -19,12 +19,14 @@
 }
 
 // Heard records an answer by an incarnation. An answer of an older incarnation
-// that arrives late is ignored, and Heard then returns false.
+// that arrives late is ignored, and Heard then returns false. After a silence a
+// lower number is a new life too: the clock that numbers lives may be set back.
 func (p *Presence) Heard(incarnation uint64, leaving bool, now time.Time) bool {
-	if incarnation < p.Incarnation {
+	older := incarnation < p.Incarnation
+	if older && (p.FailedAt.IsZero() || now.Sub(p.HeardAt) < MemberSilence) {
 		return false
 	}
-	if incarnation > p.Incarnation {
+	if incarnation != p.Incarnation {
 		p.Leaving = false
 	}
 	p.Incarnation = incarnation
--- a/internal/cwpolicy/room.go
+++ b/internal/cwpolicy/room.go
@@ -12,6 +12,8 @@
 	WaitSeconds float64
 	// SecondsPerToken is the mean time per prompt token.
 	SecondsPerToken float64
+	// Failures is the lowest share of failed requests of any of the endpoints.
+	Failures float64
 }
 
 // Busy returns the fraction of the slots in use, 1 if there are none.
--- /dev/null
+++ b/internal/cwroute/service.go
@@ -0,0 +1,27 @@
+package cwroute
+
+import "time"
+
+// Service is a group of endpoints that serve the same requests.
+type Service struct {
+	// Name identifies the service.
+	Name string
+	// MaxConns bounds the connections to one endpoint, over all instances.
+	MaxConns int
+	// ColdFor is how long an endpoint is cold after its start, and ColdRate the
+	// requests per second that it takes meanwhile; 0 sets no bound.
+	ColdFor  time.Duration
+	ColdRate float64
+	// Engine is set if the endpoints are model engines.
+	Engine *Engine
+}
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	// Slots is the number of requests in one batch.
+	Slots int
+	// MemoryTokens is the memory for prompts and outputs, in tokens.
+	MemoryTokens int
+	// EventTokens is the number of output tokens in one event of a stream.
+	EventTokens int
+}
--- a/internal/cwsetting/load.go
+++ b/internal/cwsetting/load.go
@@ -29,11 +29,20 @@
 // Load reads every setting from its flag, else from the environment, else from
 // its default. The error lists every fault at once.
 func Load(flags *pflag.FlagSet, lookupEnv func(string) (string, bool)) (*Settings, error) {
+	return LoadWith(flags, lookupEnv, nil)
+}
+
+// LoadWith is Load with values that go before the defaults. They come from a source
+// that has checked them, such as the settings of the platform.
+func LoadWith(flags *pflag.FlagSet, lookupEnv func(string) (string, bool), given map[string]string) (*Settings, error) {
 	s := &Settings{}
 	v := reflect.ValueOf(s).Elem()
 	var faults []error
 	for _, f := range Fields() {
-		value := f.value(flags, lookupEnv)
+		value, set := f.value(flags, lookupEnv)
+		if checked, ok := given[f.Name]; ok && !set {
+			value, f.check = checked, ""
+		}
 		if err := f.set(v.Field(f.index), value); err != nil {
 			faults = append(faults, fmt.Errorf("--%s or %s: %w", f.Name, f.Env, err))
 		}
@@ -41,14 +50,15 @@
 	return s, errors.Join(faults...)
 }
 
-func (f Field) value(flags *pflag.FlagSet, lookupEnv func(string) (string, bool)) string {
+// value returns the value and whether the operator set it.
+func (f Field) value(flags *pflag.FlagSet, lookupEnv func(string) (string, bool)) (string, bool) {
 	if flag := flags.Lookup(f.Name); flag != nil && flag.Changed {
-		return flag.Value.String()
+		return flag.Value.String(), true
 	}
 	if value, ok := lookupEnv(f.Env); ok {
-		return value
+		return value, true
 	}
-	return f.Default
+	return f.Default, false
 }
 
 func (f Field) set(v reflect.Value, value string) error {
--- a/internal/cwstandin/peers.go
+++ b/internal/cwstandin/peers.go
@@ -38,6 +38,11 @@
 	return &cwproto.FetchConfigResponse{}, nil
 }
 
+// FetchPublished has nothing to give.
+func (p *peer) FetchPublished(context.Context, *cwproto.FetchPublishedRequest) (*cwproto.FetchPublishedResponse, error) {
+	return &cwproto.FetchPublishedResponse{}, nil
+}
+
 // TakeOver refuses tickets.
 func (p *peer) TakeOver(context.Context, *cwproto.TakeOverRequest) (*cwproto.TakeOverResponse, error) {
 	return &cwproto.TakeOverResponse{}, nil
