Late work goes in a band of its own behind work in time

Change: work is ranked at the engine by band (urgent routes, others, late). A request counts only the work of its own and lower bands ahead of it; one that can't be in time here or elsewhere is sent with the last rank and gets what the others leave, or is refused if even that is of no use.

Ruled out: a tighter bound on the queue alone (trial: refused callers return once and are refused again, which costs more than a late answer).

--- a/internal/cwcontrol/endpoint_work.go
+++ b/internal/cwcontrol/endpoint_work.go
@@ -6,9 +6,10 @@
 type EndpointWork struct {
 	// Endpoint identifies the endpoint.
 	Endpoint string
-	// QueuedTokens are the prompt tokens that are not processed yet, and HeldTokens
-	// those that its requests keep in memory.
-	QueuedTokens, HeldTokens float64
+	// QueuedTokens are the prompt tokens that are not processed yet, by band.
+	QueuedTokens []float32
+	// HeldTokens are those that its requests keep in memory.
+	HeldTokens float64
 	// InFlight is the number of requests.
 	InFlight int
 }
--- a/internal/cwgate/attempt.go
+++ b/internal/cwgate/attempt.go
@@ -163,17 +163,15 @@
 	return max(service.MaxConns/sharers, 1)
 }
 
-const (
-	// rankStep leaves room between the ranks of two routes' priorities.
-	rankStep = 2
-	// baseRank is that of the most urgent route.
-	baseRank = 3
-	maxRank  = 9
-)
+// engineRanks are the ranks at an engine by band, with room for others between.
+var engineRanks = map[cwplacement.Band]int{cwplacement.Urgent: 3, cwplacement.Normal: 5, cwplacement.Late: 8}
 
-// rank orders requests at an engine by the priority of their route.
+// rank orders requests at an engine.
 func (a *attempt) rank() int {
-	return min(baseRank+rankStep*a.job.route.Priority, maxRank)
+	if a.ticket == nil {
+		return engineRanks[cwplacement.Normal]
+	}
+	return engineRanks[a.ticket.Band]
 }
 
 // end tells the policy how the attempt went.
--- a/internal/cwgate/decide.go
+++ b/internal/cwgate/decide.go
@@ -20,11 +20,12 @@
 		g.pools[j.service] = p
 	}
 	ask := &cwplacement.Ask{
-		Demand:  j.demand(now),
-		Tried:   j.triedBefore,
-		Here:    j.route.Allows(g.site.Region),
-		Relayed: j.Relayed,
-		Avoid:   j.triedBefore,
+		Demand:   j.demand(now),
+		Priority: j.route.Priority,
+		Tried:    j.triedBefore,
+		Here:     j.route.Allows(g.site.Region),
+		Relayed:  j.Relayed,
+		Avoid:    j.triedBefore,
 	}
 	if !j.Relayed {
 		ask.Rooms = g.rooms(j, now)
--- a/internal/cwgate/job.go
+++ b/internal/cwgate/job.go
@@ -41,7 +41,7 @@
 func (j *job) demand(now time.Time) cwplacement.Demand {
 	d := cwplacement.Demand{
 		Target:  j.route.Target,
-		Left:    j.deadline.Sub(now),
+		Left:    j.usefulUntil().Sub(now),
 		Elapsed: j.Elapsed + now.Sub(j.Arrived),
 	}
 	if j.Prompt != nil {
@@ -50,6 +50,27 @@
 	return d
 }
 
+const (
+	// minAbandon, abandonTargets and abandonPauses tell when callers leave a stream
+	// that brings nothing: after the longest of a time, a number of targets and a
+	// number of pauses. The platform's callers do so.
+	minAbandon     = 2 * time.Second
+	abandonTargets = 4
+	abandonPauses  = 8
+)
+
+// usefulUntil returns when a first byte is of no more use.
+func (j *job) usefulUntil() time.Time {
+	if j.route.Kind != cwroute.Stream {
+		return j.deadline
+	}
+	leaves := j.Arrived.Add(max(minAbandon, abandonTargets*j.route.Target, abandonPauses*j.route.MaxPause) - j.Elapsed)
+	if leaves.Before(j.deadline) {
+		return leaves
+	}
+	return j.deadline
+}
+
 func (j *job) triedBefore(name string) bool {
 	return slices.Contains(j.tried, name)
 }
--- a/internal/cwgate/sync.go
+++ b/internal/cwgate/sync.go
@@ -136,7 +136,7 @@
 		for i := range peer.Works {
 			w := &peer.Works[i]
 			s := sums[w.Endpoint]
-			s.work = s.work.Add(cwplacement.Work{Queued: w.QueuedTokens, Held: w.HeldTokens, InFlight: w.InFlight})
+			s.work = s.work.Add(workOf(w))
 			if peer.At.After(s.at) {
 				s.at = peer.At
 			}
@@ -151,6 +151,22 @@
 	}
 }
 
+func workOf(w *cwcontrol.EndpointWork) cwplacement.Work {
+	work := cwplacement.Work{Held: w.HeldTokens, InFlight: w.InFlight}
+	for band := range min(len(w.QueuedTokens), len(work.Queued)) {
+		work.Queued[band] = float64(w.QueuedTokens[band])
+	}
+	return work
+}
+
+func queuedTokens(w cwplacement.Work) []float32 {
+	tokens := make([]float32, len(w.Queued))
+	for band, n := range w.Queued {
+		tokens[band] = float32(n)
+	}
+	return tokens
+}
+
 // peerWorkAge is the age at which what a peer said of its work is dropped; it is a
 // few exchanges long.
 const peerWorkAge = 2 * time.Second
@@ -186,7 +202,7 @@
 	for _, p := range g.pools {
 		for id, e := range p.Endpoints() {
 			if w := e.Own(); w.InFlight > 0 {
-				works = append(works, cwcontrol.EndpointWork{Endpoint: id, QueuedTokens: w.Queued, HeldTokens: w.Held, InFlight: w.InFlight})
+				works = append(works, cwcontrol.EndpointWork{Endpoint: id, QueuedTokens: queuedTokens(w), HeldTokens: w.Held, InFlight: w.InFlight})
 			}
 		}
 	}
--- a/internal/cwpeer/news.go
+++ b/internal/cwpeer/news.go
@@ -133,7 +133,7 @@
 		w := &works[i]
 		list = append(list, &cwproto.EndpointWork{
 			Endpoint:     w.Endpoint,
-			QueuedTokens: float32(w.QueuedTokens),
+			QueuedTokens: w.QueuedTokens,
 			HeldTokens:   float32(w.HeldTokens),
 			InFlight:     uint32(max(w.InFlight, 0)),
 		})
@@ -146,7 +146,7 @@
 	for _, w := range list {
 		works = append(works, cwcontrol.EndpointWork{
 			Endpoint:     w.GetEndpoint(),
-			QueuedTokens: float64(w.GetQueuedTokens()),
+			QueuedTokens: w.GetQueuedTokens(),
 			HeldTokens:   float64(w.GetHeldTokens()),
 			InFlight:     int(w.GetInFlight()),
 		})
--- a/internal/cwplacement/decide.go
+++ b/internal/cwplacement/decide.go
@@ -8,16 +8,13 @@
 
 const (
 	// relayGain is how much better another region must be before a request that
-	// would be in time here leaves.
-	relayGain = 0.6
+	// would be late here leaves.
+	relayGain = 0.8
 	// inTime is the share of the target that a prediction may use up and still
 	// count as in time; predictions are rough.
 	inTime = 0.85
-	// lateBound is the multiple of the target up to which a late answer is still
-	// worth its work. Beyond it a request would take capacity from others.
-	lateBound = 2.0
-	// leftShare is the part of the time left within which the first byte must
-	// come, so that the rest of the answer fits too.
+	// leftShare is the part of the time left within which the first byte of a late
+	// answer must come, so that the rest of it fits too.
 	leftShare = 0.7
 	// minRetryAfter and maxRetryAfter bound when a refused caller is asked back.
 	minRetryAfter = 100 * time.Millisecond
@@ -31,6 +28,8 @@
 // Ask is a request that needs a place.
 type Ask struct {
 	Demand
+	// Priority is that of the route; 0 is the most urgent.
+	Priority int
 	// Tried reports whether an endpoint had the request before.
 	Tried func(id string) bool
 	// Here is set if the request may be served in this region.
@@ -43,73 +42,104 @@
 	Avoid func(domain string) bool
 }
 
-// Decide finds a place for a request, and counts it there.
+// option is a place for a request with what is expected there.
+type option struct {
+	endpoint *Endpoint
+	room     *cwpolicy.DomainRoom
+	band     Band
+	forecast prediction
+}
+
+// Decide finds a place for a request, and counts it there: in this region in time,
+// else in another region in time, else late with what the requests in time leave.
 func (p *Pool) Decide(a *Ask, now time.Time) Decision {
-	var local *Endpoint
-	var f prediction
-	if a.Here {
-		local, f = p.best(&a.Demand, a.Tried, now)
-	}
-	away, awayFirst := p.bestRoom(a, now)
 	d := Decision{Local: -1, Away: -1}
-	if local != nil {
-		d.Local = seconds(f.first)
-	}
-	if away != nil {
-		d.Away = seconds(awayFirst)
+	band := bandOf(a.Priority)
+	var local, away option
+	if a.Here {
+		local = p.bestLocal(a, band, now)
 	}
-	if local == nil && away == nil {
-		return p.refuse(d, noPlaceRetry, "noPlace")
+	if local.endpoint != nil {
+		d.Local = seconds(local.forecast.first)
+		if a.inTime(local.forecast.first) && !local.endpoint.grey(now) {
+			return p.send(d, a, local, "local", now)
+		}
 	}
-	if local == nil || away != nil && p.leave(a, local, f, away, awayFirst, now) {
-		if awayFirst > p.bound(a) {
-			return p.refuse(d, seconds(awayFirst)-a.Target/2, "overload")
+	away = p.bestRoom(a, now)
+	if away.room != nil {
+		d.Away = seconds(away.forecast.first)
+		if p.leaves(a, &local, &away, now) {
+			return p.relay(d, a, away)
 		}
-		return p.relay(d, a, away)
 	}
-	if f.first > p.bound(a) {
-		return p.refuse(d, seconds(f.first)-a.Target/2, "overload")
+	if local.endpoint != nil {
+		return p.sendLate(d, a, local, now)
 	}
-	d.Verdict, d.Reason = Send, "local"
-	d.Ticket = local.place(&a.Demand, f, now)
-	return d
+	return p.refuse(d, noPlaceRetry, "noPlace")
+}
+
+// inTime reports whether a request that takes so many more seconds to its first
+// byte meets its target.
+func (a *Ask) inTime(first float64) bool {
+	return a.Elapsed.Seconds()+first <= inTime*a.Target.Seconds()
 }
 
-// leave decides whether a request that could be served here goes to another
-// region.
-func (p *Pool) leave(a *Ask, local *Endpoint, f prediction, away *cwpolicy.DomainRoom, awayFirst float64, now time.Time) bool {
-	if local.grey(now) && away.Failures < greyShare {
+// bearable reports whether a late answer is still of use.
+func (a *Ask) bearable(first float64) bool {
+	return first <= leftShare*a.Left.Seconds()
+}
+
+// leaves decides whether a request that would be late here goes to another region.
+func (p *Pool) leaves(a *Ask, local, away *option, now time.Time) bool {
+	if local.endpoint == nil {
+		return a.bearable(away.forecast.first)
+	}
+	if local.endpoint.grey(now) && away.room.Failures < greyShare {
 		return true
 	}
-	if f.first+a.Elapsed.Seconds() <= inTime*a.Target.Seconds() {
-		return false
+	return a.inTime(away.forecast.first) && away.forecast.first < relayGain*local.forecast.first
+}
+
+// sendLate sends a request that can't be in time, unless even that is of no use.
+func (p *Pool) sendLate(d Decision, a *Ask, local option, now time.Time) Decision {
+	if a.inTime(local.forecast.first) {
+		return p.send(d, a, local, "grey", now)
 	}
-	return awayFirst < relayGain*f.first
+	late := p.bestLocal(a, Late, now)
+	if !a.bearable(late.forecast.first) {
+		return p.refuse(d, seconds(local.forecast.first)-a.Target/2, "overload")
+	}
+	d.Local = seconds(late.forecast.first)
+	return p.send(d, a, late, "late", now)
+}
+
+func (p *Pool) bestLocal(a *Ask, band Band, now time.Time) option {
+	e, f := p.best(&a.Demand, band, a.Tried, now)
+	return option{endpoint: e, band: band, forecast: f}
 }
 
-// bound is the longest predicted time to the first byte with which a request is
-// still sent, in seconds.
-func (p *Pool) bound(a *Ask) float64 {
-	return min(lateBound*a.Target.Seconds(), leftShare*a.Left.Seconds())
+func (p *Pool) send(d Decision, a *Ask, o option, reason string, now time.Time) Decision {
+	d.Verdict, d.Reason = Send, reason
+	d.Ticket = o.endpoint.place(&a.Demand, o.band, o.forecast, now)
+	return d
 }
 
-func (p *Pool) bestRoom(a *Ask, now time.Time) (*cwpolicy.DomainRoom, float64) {
+func (p *Pool) bestRoom(a *Ask, now time.Time) option {
+	var best option
 	if a.Relayed {
-		return nil, 0
+		return best
 	}
-	var best *cwpolicy.DomainRoom
-	lowest := 0.0
 	for i := range a.Rooms {
 		r := &a.Rooms[i]
 		if !believable(r, now) || a.Avoid(r.Domain) {
 			continue
 		}
 		first := roomFirst(r, &a.Demand, p.sentSince(r), now)
-		if best == nil || first < lowest {
-			best, lowest = r, first
+		if best.room == nil || first < best.forecast.first {
+			best.room, best.forecast.first = r, first
 		}
 	}
-	return best, lowest
+	return best
 }
 
 func (p *Pool) sentSince(r *cwpolicy.DomainRoom) Work {
@@ -119,8 +149,11 @@
 	return Work{}
 }
 
-func (p *Pool) relay(d Decision, a *Ask, r *cwpolicy.DomainRoom) Decision {
-	work := p.sentSince(r).Add(Work{Queued: float64(a.Tokens), InFlight: 1})
+func (p *Pool) relay(d Decision, a *Ask, o option) Decision {
+	r := o.room
+	work := Work{InFlight: 1}
+	work.Queued[Normal] = float64(a.Tokens)
+	work = p.sentSince(r).Add(work)
 	p.sent[r.Domain] = sentWork{work: work, at: r.At}
 	d.Verdict, d.Domain, d.Reason = Relay, r.Domain, "away"
 	return d
--- a/internal/cwplacement/endpoint.go
+++ b/internal/cwplacement/endpoint.go
@@ -116,8 +116,8 @@
 	full bool
 }
 
-// predict estimates how a request would fare.
-func (e *Endpoint) predict(d *Demand, now time.Time) prediction {
+// predict estimates how a request of the band would fare.
+func (e *Endpoint) predict(d *Demand, band Band, now time.Time) prediction {
 	w := e.work(now)
 	over := w.InFlight + 1 - e.slots()
 	p := prediction{full: over > 0}
@@ -131,7 +131,7 @@
 	cached := e.cache.cached(d.Parts)
 	p.uncached = max(d.Tokens-cached, 0)
 	p.reread = max(d.sharedTokens()-cached, 0)
-	p.wait += w.Queued / e.speed
+	p.wait += w.ahead(band) / e.speed
 	if held := w.Held + float64(d.Tokens+d.Output); held > float64(e.engine.MemoryTokens) {
 		// Requests over the memory are processed a second time later on.
 		p.wait += (held - float64(e.engine.MemoryTokens)) / e.speed
--- a/internal/cwplacement/pool.go
+++ b/internal/cwplacement/pool.go
@@ -96,7 +96,7 @@
 }
 
 // best returns the endpoint with the lowest cost that was not tried before, or nil.
-func (p *Pool) best(d *Demand, tried func(id string) bool, now time.Time) (*Endpoint, prediction) {
+func (p *Pool) best(d *Demand, band Band, tried func(id string) bool, now time.Time) (*Endpoint, prediction) {
 	var best *Endpoint
 	var bestPrediction prediction
 	lowest := 0.0
@@ -105,7 +105,7 @@
 		if !e.usable(now) || tried(e.ID) {
 			continue
 		}
-		f := e.predict(d, now)
+		f := e.predict(d, band, now)
 		cost := p.cost(e, f, e == agreed, now)
 		if best == nil || cost < lowest {
 			best, bestPrediction, lowest = e, f, cost
@@ -163,7 +163,7 @@
 		if e.Domain != domain || !e.usable(now) || e.isCold(now) {
 			continue
 		}
-		wait, share := e.predict(&Demand{}, now).wait, e.share(now)
+		wait, share := e.predict(&Demand{}, Normal, now).wait, e.share(now)
 		if r.Endpoints == 0 || wait < r.WaitSeconds {
 			r.WaitSeconds = wait
 		}
--- a/internal/cwplacement/room.go
+++ b/internal/cwplacement/room.go
@@ -21,7 +21,7 @@
 	if d.Tokens == 0 {
 		return s + startHold.Seconds()
 	}
-	tokens := float64(d.Tokens) + sent.Queued/float64(max(r.Endpoints, 1))
+	tokens := float64(d.Tokens) + sent.Queued[Normal]/float64(max(r.Endpoints, 1))
 	return s + answerOverhead.Seconds() + tokens*r.SecondsPerToken
 }
 
--- a/internal/cwplacement/ticket.go
+++ b/internal/cwplacement/ticket.go
@@ -9,6 +9,9 @@
 	// First is the predicted time to the first byte.
 	First time.Duration
 
+	// Band is that of its work.
+	Band Band
+
 	start time.Time
 	first time.Time
 	last  time.Time
@@ -18,11 +21,11 @@
 }
 
 // place notes that the request goes to the endpoint.
-func (e *Endpoint) place(d *Demand, p prediction, now time.Time) *Ticket {
-	t := &Ticket{Endpoint: e, First: seconds(p.first), start: now, ahead: e.work(now).Queued}
+func (e *Endpoint) place(d *Demand, band Band, p prediction, now time.Time) *Ticket {
+	t := &Ticket{Endpoint: e, First: seconds(p.first), Band: band, start: now, ahead: e.work(now).ahead(band)}
 	t.work = Work{InFlight: 1}
 	if e.engine != nil {
-		t.work.Queued = float64(p.uncached)
+		t.work.Queued[band] = float64(p.uncached)
 		t.work.Held = float64(d.Tokens + d.Output)
 		e.cache.use(d.Parts)
 	}
@@ -40,17 +43,23 @@
 	}
 	t.first, t.last = now, now
 	e := t.Endpoint
-	e.own.Queued -= t.work.Queued
 	took := (now.Sub(t.start) - answerOverhead).Seconds()
-	tokens := t.work.Queued + t.ahead
-	t.work.Queued = 0
-	if e.engine == nil || tokens < minSpeedSample || took <= 0 {
+	tokens := t.work.Queued[t.Band] + t.ahead
+	t.processed()
+	// Others overtake late work, so its time tells nothing of the speed.
+	if e.engine == nil || t.Band == Late || tokens < minSpeedSample || took <= 0 {
 		return
 	}
 	sample := min(max(tokens/took, minSpeed), maxSpeed)
 	e.speed += speedGain * (sample - e.speed)
 }
 
+// processed takes the prompt off the work that waits.
+func (t *Ticket) processed() {
+	t.Endpoint.own.Queued[t.Band] -= t.work.Queued[t.Band]
+	t.work.Queued[t.Band] = 0
+}
+
 // Event notes an event of a stream; the first one begins the answer.
 func (t *Ticket) Event(now time.Time) {
 	if t.first.IsZero() {
@@ -85,7 +94,7 @@
 	}
 	t.ended = true
 	e := t.Endpoint
-	e.own.Queued -= t.work.Queued
+	t.processed()
 	e.own.Held -= t.work.Held
 	e.own.InFlight--
 	switch end {
