The directory names home regions when the caller's own has no instance

Change: without an instance in the region, those in the homes common to the host's routes go first. TestFronts has the case.

--- a/internal/cwapp/routed.go
+++ b/internal/cwapp/routed.go
@@ -77,15 +77,20 @@
 	return r.Control.Snapshot().Ready && r.State.View().Config != nil
 }
 
-// Fronts returns the addresses that callers in a place should use.
-func (r *Routed) Fronts(region, domain string) (addresses []string, keepSeconds float64) {
+// Fronts returns the addresses that callers in a place should use for requests to
+// the host.
+func (r *Routed) Fronts(host, region, domain string) (addresses []string, keepSeconds float64) {
 	s := r.Control.Snapshot()
 	members := s.MembersWithSelf()
 	if !r.Ready() && !s.Self.Leaving {
 		members = s.Members
 	}
 	hold := min(cwpolicy.FrontHold, r.site.Bounds.MaxAnswerAge)
-	return cwpolicy.Fronts(members, region, domain, time.Now()), hold.Seconds()
+	ask := cwpolicy.FrontAsk{Region: region, Domain: domain}
+	if config := r.State.View().Config; config != nil {
+		ask.Homes = config.HomesOf(host)
+	}
+	return cwpolicy.Fronts(members, ask, time.Now()), hold.Seconds()
 }
 
 // onFrozen makes an instance that stood still ask before it serves again.
--- a/internal/cwpolicy/fronts.go
+++ b/internal/cwpolicy/fronts.go
@@ -18,28 +18,42 @@
 	smallShare = 0.5
 )
 
-// Fronts returns the addresses that callers in a region and domain should use: those
-// of their domain, else of their region, else all. Members that leave or are silent
-// are left out.
-func Fronts(members []Member, region, domain string, now time.Time) []string {
-	var inDomain, inRegion, all []Member
+// FrontAsk is a caller's question for instances.
+type FrontAsk struct {
+	// Region and Domain say where the caller is.
+	Region, Domain string
+	// Homes are the regions in which all of the requests may be served that the
+	// caller may mean; empty if all regions may.
+	Homes []string
+}
+
+// Fronts returns the addresses that a caller should use: those of its domain, else
+// of its region, else of the regions in which its requests are at home, else all.
+// Members that leave or are silent are left out.
+func Fronts(members []Member, ask FrontAsk, now time.Time) []string {
+	var inDomain, inRegion, atHome, all []Member
 	for _, m := range members {
 		if !m.Usable(now, MemberSilence) || m.CallerAddress == "" || m.Incarnation == 0 {
 			continue
 		}
 		all = append(all, m)
-		if m.Region == region {
+		if m.Region == ask.Region {
 			inRegion = append(inRegion, m)
 		}
-		if m.Domain == domain {
+		if m.Domain == ask.Domain {
 			inDomain = append(inDomain, m)
 		}
+		if slices.Contains(ask.Homes, m.Region) {
+			atHome = append(atHome, m)
+		}
 	}
 	switch {
 	case len(inDomain) >= minDomainFronts || len(inDomain) > 0 && len(inRegion) == len(inDomain):
 		return addresses(inDomain)
 	case len(inRegion) > 0:
 		return addresses(inRegion)
+	case len(atHome) > 0:
+		return addresses(atHome)
 	}
 	return addresses(all)
 }
--- a/internal/cwroute/config.go
+++ b/internal/cwroute/config.go
@@ -1,6 +1,9 @@
 package cwroute
 
-import "strings"
+import (
+	"slices"
+	"strings"
+)
 
 // Config is one published configuration.
 type Config struct {
@@ -39,3 +42,21 @@
 	}
 	return best
 }
+
+// HomesOf returns the regions in which every request to the host may be served;
+// empty if no route bounds them, or if no region serves all.
+func (c *Config) HomesOf(host string) []string {
+	var homes []string
+	bound := false
+	for _, r := range c.byHost[host] {
+		if len(r.Homes) == 0 {
+			continue
+		}
+		if !bound {
+			homes, bound = slices.Clone(r.Homes), true
+			continue
+		}
+		homes = slices.DeleteFunc(homes, func(region string) bool { return !r.Allows(region) })
+	}
+	return homes
+}
