Instances of a region tell each other what they sent where, and what failed

Cause: an instance knew only of its own prompts.

Change: the works in the exchange carry the shared parts sent lately and the share of failures; placement uses both.

--- a/internal/cwcontrol/endpoint_work.go
+++ b/internal/cwcontrol/endpoint_work.go
@@ -12,6 +12,17 @@
 	HeldTokens float64
 	// InFlight is the number of requests.
 	InFlight int
+	// Parts are pieces of prompts that were sent there lately.
+	Parts []PromptPart
+	// Failures is the share of requests that failed.
+	Failures float64
+}
+
+// PromptPart is a piece of a prompt.
+type PromptPart struct {
+	// ID identifies the content, and Tokens is its length.
+	ID     uint64
+	Tokens int
 }
 
 // PeerWork is the work of one other instance of the region.
--- a/internal/cwgate/gate.go
+++ b/internal/cwgate/gate.go
@@ -27,11 +27,13 @@
 	counts  *counts
 
 	// mu guards what follows.
-	mu         sync.Mutex
-	rng        *rand.Rand
-	pools      map[string]*cwplacement.Pool
-	budgets    map[string]*cwplacement.RetryBudget
-	cold       map[string]coldSpan
+	mu      sync.Mutex
+	rng     *rand.Rand
+	pools   map[string]*cwplacement.Pool
+	budgets map[string]*cwplacement.RetryBudget
+	cold    map[string]coldSpan
+	// learntAt is when each peer said what was taken over last.
+	learntAt   map[string]time.Time
 	bounds     cwsite.Bounds
 	view       *cwpublished.View
 	snapshot   *cwcontrol.Snapshot
@@ -56,6 +58,7 @@
 		pools:     make(map[string]*cwplacement.Pool),
 		budgets:   make(map[string]*cwplacement.RetryBudget),
 		cold:      make(map[string]coldSpan),
+		learntAt:  make(map[string]time.Time),
 		startedAt: time.Now(),
 	}
 }
--- a/internal/cwgate/sync.go
+++ b/internal/cwgate/sync.go
@@ -124,33 +124,69 @@
 
 // syncWorks adds up what the other instances of the region have at each endpoint.
 func (g *Gate) syncWorks() {
-	type sum struct {
-		work cwplacement.Work
-		at   time.Time
-	}
-	sums := make(map[string]sum)
-	for _, peer := range g.snapshot.Works {
+	sums := make(map[string]*othersAt)
+	for address, peer := range g.snapshot.Works {
 		if time.Since(peer.At) > peerWorkAge {
 			continue
 		}
+		news := peer.At.After(g.learntAt[address])
+		g.learntAt[address] = peer.At
 		for i := range peer.Works {
 			w := &peer.Works[i]
-			s := sums[w.Endpoint]
-			s.work = s.work.Add(workOf(w))
-			if peer.At.After(s.at) {
-				s.at = peer.At
+			if sums[w.Endpoint] == nil {
+				sums[w.Endpoint] = &othersAt{}
+			}
+			sums[w.Endpoint].add(w, peer.At)
+			if news {
+				sums[w.Endpoint].parts = append(sums[w.Endpoint].parts, w.Parts...)
 			}
-			sums[w.Endpoint] = s
 		}
 	}
 	for _, p := range g.pools {
 		for id, e := range p.Endpoints() {
 			s := sums[id]
-			e.SetOthers(s.work, s.at)
+			if s == nil {
+				e.SetOthers(cwplacement.Work{}, 0, time.Time{})
+				continue
+			}
+			e.SetOthers(s.work, s.failures, s.at)
+			e.Learn(placementParts(s.parts))
 		}
 	}
 }
 
+// othersAt is what the other instances together have at an endpoint.
+type othersAt struct {
+	work     cwplacement.Work
+	failures float64
+	parts    []cwcontrol.PromptPart
+	at       time.Time
+}
+
+func (o *othersAt) add(w *cwcontrol.EndpointWork, at time.Time) {
+	o.work = o.work.Add(workOf(w))
+	o.failures = max(o.failures, w.Failures)
+	if at.After(o.at) {
+		o.at = at
+	}
+}
+
+func placementParts(parts []cwcontrol.PromptPart) []cwplacement.Part {
+	list := make([]cwplacement.Part, len(parts))
+	for i, p := range parts {
+		list[i] = cwplacement.Part{ID: p.ID, Tokens: p.Tokens}
+	}
+	return list
+}
+
+func controlParts(parts []cwplacement.Part) []cwcontrol.PromptPart {
+	list := make([]cwcontrol.PromptPart, len(parts))
+	for i, p := range parts {
+		list[i] = cwcontrol.PromptPart{ID: p.ID, Tokens: p.Tokens}
+	}
+	return list
+}
+
 func workOf(w *cwcontrol.EndpointWork) cwplacement.Work {
 	work := cwplacement.Work{Held: w.HeldTokens, InFlight: w.InFlight}
 	for band := range min(len(w.QueuedTokens), len(work.Queued)) {
@@ -196,15 +232,25 @@
 
 // Works returns what this instance has at each endpoint of its region.
 func (g *Gate) Works() []cwcontrol.EndpointWork {
+	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var works []cwcontrol.EndpointWork
 	for _, p := range g.pools {
 		for id, e := range p.Endpoints() {
-			if w := e.Own(); w.InFlight > 0 {
-				works = append(works, cwcontrol.EndpointWork{Endpoint: id, QueuedTokens: queuedTokens(w), HeldTokens: w.Held, InFlight: w.InFlight})
+			w, parts, failures := e.Own(), e.Recent(now), e.Failures(now)
+			if w.InFlight == 0 && len(parts) == 0 && failures < toldFailures {
+				continue
 			}
+			works = append(works, cwcontrol.EndpointWork{
+				Endpoint: id, QueuedTokens: queuedTokens(w), HeldTokens: w.Held, InFlight: w.InFlight,
+				Parts: controlParts(parts), Failures: failures,
+			})
 		}
 	}
 	return works
 }
+
+// toldFailures is the share of failures from which an idle endpoint is worth a
+// message.
+const toldFailures = 0.1
--- a/internal/cwpeer/news.go
+++ b/internal/cwpeer/news.go
@@ -136,6 +136,8 @@
 			QueuedTokens: w.QueuedTokens,
 			HeldTokens:   float32(w.HeldTokens),
 			InFlight:     uint32(max(w.InFlight, 0)),
+			Parts:        protoParts(w.Parts),
+			Failures:     float32(w.Failures),
 		})
 	}
 	return list
@@ -149,11 +151,29 @@
 			QueuedTokens: w.GetQueuedTokens(),
 			HeldTokens:   float64(w.GetHeldTokens()),
 			InFlight:     int(w.GetInFlight()),
+			Parts:        partsOf(w.GetParts()),
+			Failures:     float64(w.GetFailures()),
 		})
 	}
 	return works
 }
 
+func protoParts(parts []cwcontrol.PromptPart) []*cwproto.PromptPart {
+	list := make([]*cwproto.PromptPart, len(parts))
+	for i, p := range parts {
+		list[i] = &cwproto.PromptPart{Id: p.ID, Tokens: uint32(p.Tokens)}
+	}
+	return list
+}
+
+func partsOf(list []*cwproto.PromptPart) []cwcontrol.PromptPart {
+	parts := make([]cwcontrol.PromptPart, len(list))
+	for i, p := range list {
+		parts[i] = cwcontrol.PromptPart{ID: p.GetId(), Tokens: int(p.GetTokens())}
+	}
+	return parts
+}
+
 // eventOf returns the control event for news that came from a peer.
 func eventOf(news *cwproto.News, roundTrip time.Duration, now time.Time) cwcontrol.PeerHeard {
 	e := cwcontrol.PeerHeard{Member: memberOf(news.GetSelf()), RoundTrip: roundTrip}
--- a/internal/cwplacement/decide.go
+++ b/internal/cwplacement/decide.go
@@ -61,7 +61,7 @@
 	}
 	if local.endpoint != nil {
 		d.Local = seconds(local.forecast.first)
-		if a.inTime(local.forecast.first) && !local.endpoint.grey(now) {
+		if a.inTime(local.forecast.first) && !local.endpoint.isGrey(now) {
 			return p.send(d, a, local, "local", now)
 		}
 	}
@@ -94,7 +94,7 @@
 	if local.endpoint == nil {
 		return a.bearable(away.forecast.first)
 	}
-	if local.endpoint.grey(now) && away.room.Failures < greyShare {
+	if local.endpoint.isGrey(now) && away.room.Failures < greyShare {
 		return true
 	}
 	return a.inTime(away.forecast.first) && away.forecast.first < relayGain*local.forecast.first
--- a/internal/cwplacement/endpoint.go
+++ b/internal/cwplacement/endpoint.go
@@ -46,9 +46,12 @@
 	coldRate float64
 	owned    bool
 	cache    *promptCache
-	own      Work
-	others   Work
-	othersAt time.Time
+	recent   recentParts
+	// othersFailures is the highest share of failures that another instance saw.
+	othersFailures float64
+	own            Work
+	others         Work
+	othersAt       time.Time
 	// speed is in prompt tokens per second, pace in seconds per event, hold in
 	// seconds per plain request.
 	speed, pace, hold float64
@@ -68,9 +71,41 @@
 	return e.own
 }
 
-// SetOthers takes in the work of the other instances.
-func (e *Endpoint) SetOthers(w Work, at time.Time) {
-	e.others, e.othersAt = w, at
+// Recent returns the shared parts of prompts that were sent there lately.
+func (e *Endpoint) Recent(now time.Time) []Part {
+	return e.recent.list(now)
+}
+
+// SetOthers takes in the work of the other instances, and the highest share of
+// failures that one of them saw.
+func (e *Endpoint) SetOthers(w Work, failures float64, at time.Time) {
+	e.others, e.othersFailures, e.othersAt = w, failures, at
+}
+
+// Learn takes in the parts of prompts that another instance sent there.
+func (e *Endpoint) Learn(parts []Part) {
+	if e.cache != nil {
+		e.cache.use(parts)
+	}
+}
+
+// failing returns the share of failures that this or another instance sees.
+func (e *Endpoint) failing(now time.Time) float64 {
+	own := e.share(now)
+	if now.Sub(e.othersAt) > othersMaxAge {
+		return own
+	}
+	return max(own, e.othersFailures)
+}
+
+// isGrey reports whether the endpoint fails too much to be preferred.
+func (e *Endpoint) isGrey(now time.Time) bool {
+	return e.failing(now) > greyShare
+}
+
+// Failures returns the share of failures that this instance sees.
+func (e *Endpoint) Failures(now time.Time) float64 {
+	return e.share(now)
 }
 
 // work returns the work of all instances.
--- a/internal/cwplacement/health.go
+++ b/internal/cwplacement/health.go
@@ -59,8 +59,3 @@
 func (h *health) out(now time.Time) bool {
 	return now.Before(h.outUntil)
 }
-
-// grey reports whether the endpoint fails too much to be preferred.
-func (h *health) grey(now time.Time) bool {
-	return h.share(now) > greyShare
-}
--- a/internal/cwplacement/pool.go
+++ b/internal/cwplacement/pool.go
@@ -119,8 +119,8 @@
 	if agreed {
 		reread *= 1 - affinity
 	}
-	cost := f.first + reread + restCost*f.rest + failureCost*e.share(now)
-	if e.grey(now) {
+	cost := f.first + reread + restCost*f.rest + failureCost*e.failing(now)
+	if e.isGrey(now) {
 		cost += greyCost
 	}
 	if e.Domain != p.Domain {
@@ -163,7 +163,7 @@
 		if e.Domain != domain || !e.usable(now) || e.isCold(now) {
 			continue
 		}
-		wait, share := e.predict(&Demand{}, Normal, now).wait, e.share(now)
+		wait, share := e.predict(&Demand{}, Normal, now).wait, e.failing(now)
 		if r.Endpoints == 0 || wait < r.WaitSeconds {
 			r.WaitSeconds = wait
 		}
--- a/internal/cwplacement/ticket.go
+++ b/internal/cwplacement/ticket.go
@@ -28,6 +28,7 @@
 		t.work.Queued[band] = float64(p.uncached)
 		t.work.Held = float64(d.Tokens + d.Output)
 		e.cache.use(d.Parts)
+		e.recent.add(d.Parts, now)
 	}
 	e.own = e.own.Add(t.work)
 	if e.isCold(now) {
