--- a/internal/cwplacement/decide.go
+++ b/internal/cwplacement/decide.go
@@ -17,12 +17,12 @@
 	// answer must come, so that the rest of it fits too.
 	leftShare = 0.7
 	// minRetryAfter and maxRetryAfter bound when a refused caller is asked back.
-	minRetryAfter = 100 * time.Millisecond
+	minRetryAfter = 400 * time.Millisecond
 	maxRetryAfter = 3 * time.Second
 	// returnSpread spreads the callers that come back.
 	returnSpread = 0.5
 	// noPlaceRetry is when to come back if no endpoint is in reach at all.
-	noPlaceRetry = 500 * time.Millisecond
+	noPlaceRetry = 2000 * time.Millisecond
 )
 
 // Ask is a request that needs a place.
--- a/internal/cwplacement/endpoint.go
+++ b/internal/cwplacement/endpoint.go
@@ -24,7 +24,7 @@
 	startHold = 80 * time.Millisecond
 	holdGain  = 0.1
 	// cacheShare is the part of an engine's memory that is taken to be cache.
-	cacheShare = 0.6
+	cacheShare = 0.85
 	// othersMaxAge is the age at which the work of other instances is no longer
 	// believed: most of it is done by then.
 	othersMaxAge = 1500 * time.Millisecond
