Requests wait for the first configuration; callers without a place come back later

Cause: after a restart of all instances those far from the store had no configuration for 350 ms and refused what came; requests that found no endpoint at all were asked back while the outage lasted, and refused again.

Change: a request waits up to 500 ms for the first configuration; without any place the caller is asked back after 4 s (it caps that at a third of its time); cold endpoints get their rate times the overage; failures weigh 0.8 s.

--- a/internal/cwgate/log.go
+++ b/internal/cwgate/log.go
@@ -48,7 +48,7 @@
 	g.counts.end(outcome, first, total)
 	fields := []zap.Field{
 		zap.String("request", j.ID), zap.String("route", j.route.Name), zap.String("outcome", outcome), zap.Int("status", j.out.status),
-		zap.String("place", j.out.endpoint), zap.Int("attempts", j.sends), zap.Duration("first", first), zap.Duration("total", total),
+		zap.String("place", j.out.endpoint), zap.Int("attempts", j.sends), zap.Duration("predicted", j.predicted), zap.Duration("first", first), zap.Duration("total", total),
 		zap.String("ran", string(j.outcome)), zap.Bool("relayed", j.Relayed),
 	}
 	if err != nil {
--- a/internal/cwgate/serve.go
+++ b/internal/cwgate/serve.go
@@ -15,6 +15,9 @@
 )
 
 const (
+	// startingWait is how long a request waits for the first configuration: two
+	// round trips between regions and a margin.
+	startingWait = 500 * time.Millisecond
 	// startingRetry is when to come back to an instance that has no configuration.
 	startingRetry = 300 * time.Millisecond
 	// stoppingRetry is when to come back after a refusal by an instance that shuts
@@ -39,7 +42,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	out := newResponder(w)
-	config := g.state.View().Config
+	config := g.configAtStart(ctx)
 	switch {
 	case config == nil:
 		g.turnAway(r, out, refuseNotRun("starting", startingRetry))
@@ -63,6 +66,23 @@
 	g.run(ctx, j)
 }
 
+// configAtStart returns the configuration in force. An instance that has just started
+// has one within some round trips to the store, and callers wait that long rather
+// than come back.
+func (g *Gate) configAtStart(ctx context.Context) *cwroute.Config {
+	if config := g.state.View().Config; config != nil {
+		return config
+	}
+	timer := time.NewTimer(startingWait)
+	defer timer.Stop()
+	select {
+	case <-g.state.Configured():
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return g.state.View().Config
+}
+
 // deadlineOf returns when the final answer is due: what the caller waits, bounded by
 // the route.
 func deadlineOf(r *Request, route *cwroute.Route) time.Time {
@@ -131,6 +151,10 @@
 			return
 		}
 		j.sends++
+		j.predicted = max(d.Local, 0)
+		if d.Verdict == cwplacement.Relay {
+			j.predicted = d.Away
+		}
 		result := g.attempt(ctx, j, d)
 		g.logAttempt(j, d, result)
 		if result.done {
--- a/internal/cwgate/sync.go
+++ b/internal/cwgate/sync.go
@@ -66,6 +66,8 @@
 			p = cwplacement.NewPool(service, g.site.Domain, g.rng)
 			g.pools[r.Service] = p
 		}
+		// A cold endpoint takes the overage too; the slack stays for what others send.
+		service.ColdRate *= max(g.bounds.ColdOverage, 1)
 		p.Service = service
 		e := p.Register(r.Endpoint, g.site.Region, g.ownsCold(id, now), g.coldUntil(id, r))
 		e.Evacuated = g.view.Evacuated[r.Domain]
--- a/internal/cwplacement/decide.go
+++ b/internal/cwplacement/decide.go
@@ -18,11 +18,11 @@
 	leftShare = 0.7
 	// minRetryAfter and maxRetryAfter bound when a refused caller is asked back.
 	minRetryAfter = 400 * time.Millisecond
-	maxRetryAfter = 3 * time.Second
+	maxRetryAfter = 6 * time.Second
 	// returnSpread spreads the callers that come back.
 	returnSpread = 0.5
 	// noPlaceRetry is when to come back if no endpoint is in reach at all.
-	noPlaceRetry = 2000 * time.Millisecond
+	noPlaceRetry = 4000 * time.Millisecond
 )
 
 // Ask is a request that needs a place.
--- a/internal/cwplacement/pool.go
+++ b/internal/cwplacement/pool.go
@@ -24,7 +24,7 @@
 	// where nothing else is in reach.
 	greyCost = 5.0
 	// failureCost is added for the share of failures, in seconds.
-	failureCost = 0.3
+	failureCost = 0.8
 	// farCost is added for an endpoint in another domain of the region, in seconds.
 	farCost = 0.02
 	// jitter spreads the choice between endpoints that are alike.
--- a/internal/cwpublished/state.go
+++ b/internal/cwpublished/state.go
@@ -21,12 +21,14 @@
 	interpreter *interpreter
 	generation  uint64
 	recheck     *time.Timer
-	view        atomic.Pointer[View]
+	// configured is closed once there is a configuration.
+	configured chan struct{}
+	view       atomic.Pointer[View]
 }
 
 // NewState returns a state without items.
 func NewState(common *cwcommon.Common, decode Decoder) *State {
-	s := &State{Common: common, book: NewBook(), interpreter: newInterpreter(decode)}
+	s := &State{Common: common, book: NewBook(), interpreter: newInterpreter(decode), configured: make(chan struct{})}
 	s.view.Store(&View{})
 	return s
 }
@@ -36,6 +38,11 @@
 	return s.view.Load()
 }
 
+// Configured is closed once there is a configuration.
+func (s *State) Configured() <-chan struct{} {
+	return s.configured
+}
+
 // Revision returns the revision up to which the state is complete.
 func (s *State) Revision() uint64 {
 	return s.View().Revision
@@ -102,6 +109,9 @@
 	old := s.View()
 	next := s.interpreter.view(s.generation, s.book.Current())
 	s.view.Store(next)
+	if old.Config == nil && next.Config != nil {
+		close(s.configured)
+	}
 	if next.Config != old.Config && next.Config != nil {
 		s.Log.Info("configuration in force", zap.Uint64("version", next.Config.Version), zap.Int("routes", len(next.Config.Routes)))
 	}
