Two readers of a domain watch the store and speak to other domains

Change: the readers of a domain watch; the others pull changes from peers when an exchange offers a newer revision, and take over as soon as a reader fails one exchange. Readers exchange with other domains each second, the others each fifth, and rooms of other domains are passed on within the domain. A round exchanges with at most four peers of a large domain, those heard longest ago. A change that is passed on says when its source last had trouble with the store.

--- a/internal/cwcommand/serve_routed.go
+++ b/internal/cwcommand/serve_routed.go
@@ -59,6 +59,7 @@
 		"peers":             strings.Join(site.Seeds, ","),
 		"peer-key":          "",
 		"exchange-interval": "300ms",
+		"exchange-peers":    "4",
 		"remote-interval":   "1s",
 		"remote-domains":    "16",
 		"metrics-interval":  "5s",
--- a/internal/cwcontrol/peer_events.go
+++ b/internal/cwcontrol/peer_events.go
@@ -14,6 +14,8 @@
 	Others []cwpolicy.Member
 	// Rooms are the peer's pools, by name, in Pools.
 	Rooms []PeerRoom
+	// HeardRooms are rooms of other domains that a peer of the own domain passes on.
+	HeardRooms []HeardRoom
 	// Endpoints are reports from a peer of the own domain.
 	Endpoints []EndpointReport
 	// Demands are the peer's limits in use.
@@ -26,6 +28,13 @@
 	RoundTrip time.Duration
 }
 
+// HeardRoom is the room of one pool in another domain.
+type HeardRoom struct {
+	// Pool is the pool's name.
+	Pool string
+	cwpolicy.DomainRoom
+}
+
 // PeerRoom is the room of one pool at a peer.
 type PeerRoom struct {
 	// Pool is the pool's name.
@@ -62,6 +71,9 @@
 		for _, report := range e.Endpoints {
 			EndpointHeard{report}.apply(s, now)
 		}
+		for i := range e.HeardRooms {
+			s.setHeardRoom(&e.HeardRooms[i])
+		}
 		return
 	}
 	s.setRooms(e, now)
--- a/internal/cwcontrol/state.go
+++ b/internal/cwcontrol/state.go
@@ -103,6 +103,32 @@
 	s.roomsDirty = true
 }
 
+// setHeardRoom takes in what a peer of the own domain heard of another domain, if it
+// is newer than what is known.
+func (s *state) setHeardRoom(h *HeardRoom) {
+	if h.Domain == s.self.Domain {
+		return
+	}
+	rooms := s.rooms[h.Pool]
+	for i := range rooms {
+		if rooms[i].Domain != h.Domain {
+			continue
+		}
+		if h.At.After(rooms[i].At.Add(heardRoomGain)) {
+			rooms = slices.Clone(rooms)
+			rooms[i] = h.DomainRoom
+			s.rooms[h.Pool], s.roomsDirty = rooms, true
+		}
+		return
+	}
+	s.rooms[h.Pool] = append(slices.Clone(rooms), h.DomainRoom)
+	s.roomsDirty = true
+}
+
+// heardRoomGain is how much newer a room must be to replace the one that is known:
+// ages lose precision on their way.
+const heardRoomGain = 50 * time.Millisecond
+
 // publish builds the next snapshot and shares the parts that did not change.
 func (s *state) publish(now time.Time) *Snapshot {
 	s.generation++
--- a/internal/cwpeer/client.go
+++ b/internal/cwpeer/client.go
@@ -63,19 +63,23 @@
 }
 
 // FetchPublished asks the peer for what was published after a revision.
-func (c *Client) FetchPublished(ctx context.Context, address string, after uint64) (items []cwpublished.Item, current uint64, whole bool, err error) {
+func (c *Client) FetchPublished(ctx context.Context, address string, after uint64) (cwpublished.Delta, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	answer, err := c.to(address).FetchPublished(ctx, &cwproto.FetchPublishedRequest{After: after})
 	if err != nil {
-		return nil, 0, false, fmt.Errorf("fetch published state from %s: %w", address, err)
+		return cwpublished.Delta{}, fmt.Errorf("fetch published state from %s: %w", address, err)
+	}
+	d := cwpublished.Delta{Current: answer.GetCurrent(), Whole: answer.GetWhole()}
+	if answer.GetTroubled() {
+		d.TroubledAt = time.Now().Add(-time.Duration(answer.GetTroubleAgeMillis()) * time.Millisecond)
 	}
 	for _, item := range answer.GetItems() {
-		items = append(items, cwpublished.Item{
+		d.Items = append(d.Items, cwpublished.Item{
 			Key: item.GetKey(), Value: item.GetValue(), Revision: item.GetRevision(), Removed: item.GetRemoved(),
 		})
 	}
-	return items, answer.GetCurrent(), answer.GetWhole(), nil
+	return d, nil
 }
 
 // TakeOver hands tickets to the peer. It returns the peer's incarnation.
--- a/internal/cwpeer/exchanger.go
+++ b/internal/cwpeer/exchanger.go
@@ -61,7 +61,7 @@
 			return nil
 		case <-time.After(jitter(x.Settings.ExchangeInterval)):
 		}
-		remote := time.Since(lastRemote) >= x.Settings.RemoteInterval
+		remote := time.Since(lastRemote) >= x.remoteInterval()
 		if remote {
 			lastRemote = time.Now()
 		}
@@ -69,6 +69,18 @@
 	}
 }
 
+// silentShare is how much rarer an instance asks other domains that is no reader of
+// its own domain: the readers pass on what they hear.
+const silentShare = 5
+
+func (x *Exchanger) remoteInterval() time.Duration {
+	s := x.control.Snapshot()
+	if cwpolicy.IsReader(s.Self.Address, s.Self.Domain, s.Members, time.Now()) {
+		return x.Settings.RemoteInterval
+	}
+	return silentShare * x.Settings.RemoteInterval
+}
+
 // Round exchanges once with every chosen peer and waits for all of them.
 func (x *Exchanger) Round(ctx context.Context, remote bool) {
 	x.begin(ctx, x.peers(remote)).Wait()
@@ -113,7 +125,7 @@
 func (x *Exchanger) peers(remote bool) []string {
 	s := x.control.Snapshot()
 	now := time.Now()
-	var chosen []string
+	var near []cwpolicy.Member
 	usable := make(map[string]bool, len(s.Members)+1)
 	usable[s.Self.Address] = true
 	byDomain := make(map[string][]cwpolicy.Member)
@@ -124,12 +136,13 @@
 		case m.Domain == s.Self.Domain || m.Domain == "":
 			quiet := now.Sub(m.HeardAt) >= x.Settings.ExchangeInterval/2 || m.Incarnation == 0
 			if quiet && (lives || remote) {
-				chosen = append(chosen, m.Address)
+				near = append(near, m)
 			}
 		case remote:
 			byDomain[m.Domain] = append(byDomain[m.Domain], m)
 		}
 	}
+	chosen := longestSilent(near, x.Settings.ExchangePeers)
 	for _, domain := range followedDomains(s, byDomain, x.Settings.RemoteDomains) {
 		chosen = append(chosen, pickExit(byDomain[domain], now).Address)
 	}
@@ -147,6 +160,17 @@
 	return chosen
 }
 
+// longestSilent returns the addresses of the members that were heard longest ago. In
+// a large domain the exchanges of one round are bounded.
+func longestSilent(members []cwpolicy.Member, most int) []string {
+	slices.SortFunc(members, func(a, b cwpolicy.Member) int { return a.HeardAt.Compare(b.HeardAt) })
+	var list []string
+	for _, m := range members[:min(len(members), most)] {
+		list = append(list, m.Address)
+	}
+	return list
+}
+
 // pickExit draws a member at random, a usable one if there is any.
 func pickExit(members []cwpolicy.Member, now time.Time) cwpolicy.Member {
 	var usable []cwpolicy.Member
--- a/internal/cwpeer/news.go
+++ b/internal/cwpeer/news.go
@@ -31,6 +31,7 @@
 	}
 	if domain == s.Self.Domain {
 		news.Endpoints = protoEndpoints(s.Endpoints, now)
+		news.HeardRooms = protoHeardRooms(s.Rooms, now)
 	} else {
 		for _, r := range traffic.Rooms() {
 			news.Rooms = append(news.Rooms, protoRoom(r))
@@ -127,6 +128,51 @@
 	return list
 }
 
+// heardRoomAge is the age above which the room of another domain is not passed on.
+const heardRoomAge = 3 * time.Second
+
+func protoHeardRooms(table cwcontrol.RoomTable, now time.Time) []*cwproto.DomainRoom {
+	var list []*cwproto.DomainRoom
+	for pool, rooms := range table {
+		for i := range rooms {
+			r := &rooms[i]
+			age := now.Sub(r.At)
+			if age > heardRoomAge {
+				continue
+			}
+			list = append(list, &cwproto.DomainRoom{
+				Domain: r.Domain, Region: r.Region, AgeMillis: uint32(max(age, 0).Milliseconds()),
+				RoundTripMillis: uint32(r.RoundTrip.Milliseconds()),
+				Room:            protoRoom(cwcontrol.PeerRoom{Pool: pool, Room: r.Room}),
+			})
+		}
+	}
+	return list
+}
+
+func heardRoomsOf(list []*cwproto.DomainRoom, now time.Time) []cwcontrol.HeardRoom {
+	rooms := make([]cwcontrol.HeardRoom, 0, len(list))
+	for _, p := range list {
+		rooms = append(rooms, cwcontrol.HeardRoom{Pool: p.GetRoom().GetPool(), DomainRoom: cwpolicy.DomainRoom{
+			Room: roomOf(p.GetRoom()), Domain: p.GetDomain(), Region: p.GetRegion(),
+			At:        now.Add(-time.Duration(p.GetAgeMillis()) * time.Millisecond),
+			RoundTrip: time.Duration(p.GetRoundTripMillis()) * time.Millisecond,
+		}})
+	}
+	return rooms
+}
+
+func roomOf(r *cwproto.PoolRoom) cwpolicy.Room {
+	return cwpolicy.Room{
+		Endpoints:       int(r.GetEndpoints()),
+		Slots:           int(r.GetSlots()),
+		Free:            int(r.GetFree()),
+		WaitSeconds:     float64(r.GetWaitSeconds()),
+		SecondsPerToken: float64(r.GetSecondsPerToken()),
+		Failures:        float64(r.GetFailures()),
+	}
+}
+
 func protoWorks(works []cwcontrol.EndpointWork) []*cwproto.EndpointWork {
 	list := make([]*cwproto.EndpointWork, 0, len(works))
 	for i := range works {
@@ -181,15 +227,9 @@
 		e.Others = append(e.Others, memberOf(m))
 	}
 	for _, r := range news.GetRooms() {
-		e.Rooms = append(e.Rooms, cwcontrol.PeerRoom{Pool: r.GetPool(), Room: cwpolicy.Room{
-			Endpoints:       int(r.GetEndpoints()),
-			Slots:           int(r.GetSlots()),
-			Free:            int(r.GetFree()),
-			WaitSeconds:     float64(r.GetWaitSeconds()),
-			SecondsPerToken: float64(r.GetSecondsPerToken()),
-			Failures:        float64(r.GetFailures()),
-		}})
+		e.Rooms = append(e.Rooms, cwcontrol.PeerRoom{Pool: r.GetPool(), Room: roomOf(r)})
 	}
+	e.HeardRooms = heardRoomsOf(news.GetHeardRooms(), now)
 	for _, ep := range news.GetEndpoints() {
 		e.Endpoints = append(e.Endpoints, reportOf(ep, now))
 	}
--- a/internal/cwpeer/server.go
+++ b/internal/cwpeer/server.go
@@ -35,9 +35,8 @@
 
 // PublishedSource gives published items.
 type PublishedSource interface {
-	// Since returns what changed after the revision, the revision up to which that
-	// is complete, and whether it is all that there is.
-	Since(after uint64) (items []cwpublished.Item, current uint64, whole bool)
+	// Since returns what changed after the revision.
+	Since(after uint64) cwpublished.Delta
 }
 
 // ManifestSource gives the published bytes of the configuration in force.
@@ -122,9 +121,12 @@
 	if s.sources.Published == nil {
 		return &cwproto.FetchPublishedResponse{}, nil
 	}
-	items, current, whole := s.sources.Published.Since(req.GetAfter())
-	resp := &cwproto.FetchPublishedResponse{Current: current, Whole: whole}
-	for _, item := range items {
+	d := s.sources.Published.Since(req.GetAfter())
+	resp := &cwproto.FetchPublishedResponse{Current: d.Current, Whole: d.Whole}
+	if !d.TroubledAt.IsZero() {
+		resp.Troubled, resp.TroubleAgeMillis = true, uint32(max(time.Since(d.TroubledAt), 0).Milliseconds())
+	}
+	for _, item := range d.Items {
 		resp.Items = append(resp.Items, &cwproto.PublishedItem{
 			Key: item.Key, Value: item.Value, Revision: item.Revision, Removed: item.Removed,
 		})
--- a/internal/cwpolicy/reader_rank.go
+++ b/internal/cwpolicy/reader_rank.go
@@ -18,7 +18,9 @@
 	before := 0
 	for i := range members {
 		m := &members[i]
-		if m.Domain != domain || !m.Usable(now, MemberSilence) {
+		// A member that failed once may be gone. Another reader costs little, and a
+		// domain without one misses changes.
+		if m.Domain != domain || !m.Usable(now, MemberSilence) || !m.FailedAt.IsZero() {
 			continue
 		}
 		if readerScore(m.Address) < own {
--- a/internal/cwpublished/follower.go
+++ b/internal/cwpublished/follower.go
@@ -24,6 +24,8 @@
 	// follows from the seconds within which a configuration must be in force.
 	minPause = 100 * time.Millisecond
 	maxPause = 1500 * time.Millisecond
+	// roleCheck is how often an instance that is no reader looks whether it is one.
+	roleCheck = 500 * time.Millisecond
 	// maxPages bounds one reading of all items.
 	maxPages = 1000
 )
@@ -37,11 +39,15 @@
 	// restart ends a watch that has missed a change.
 	restart chan struct{}
 	whole   bool
+	// isReader reports whether this instance watches for its domain. The others
+	// learn of changes from their peers.
+	isReader func() bool
+	watched  time.Time
 }
 
 // NewFollower returns a follower that has not started.
-func NewFollower(common *cwcommon.Common, state *State, store Store) *Follower {
-	return &Follower{Common: common, state: state, store: store, pause: minPause, restart: make(chan struct{}, 1)}
+func NewFollower(common *cwcommon.Common, state *State, store Store, isReader func() bool) *Follower {
+	return &Follower{Common: common, state: state, store: store, isReader: isReader, pause: minPause, restart: make(chan struct{}, 1)}
 }
 
 // Run follows the store until ctx ends.
@@ -69,6 +75,11 @@
 	return nil
 }
 
+// IsReader reports whether this instance watches the store for its domain.
+func (f *Follower) IsReader() bool {
+	return f.isReader()
+}
+
 // Restart ends the watch in progress and reads all items again: a peer knows of a
 // change that the watch has not brought, or this instance stood still.
 func (f *Follower) Restart() {
@@ -82,6 +93,11 @@
 	if !f.whole {
 		return f.readAll(ctx)
 	}
+	if !f.isReader() && time.Since(f.watched) < f.Settings.FallbackInterval {
+		f.rest(ctx)
+		return nil
+	}
+	f.watched = time.Now()
 	ctx, cancel := context.WithTimeout(ctx, watchWait+callMargin)
 	defer cancel()
 	watched := make(chan struct{})
@@ -105,10 +121,22 @@
 		return err
 	}
 	f.state.StoreAway(false)
-	f.state.Apply("store", changes.Items, changes.Current, false)
+	f.state.Apply("store", Delta{Items: changes.Items, Current: changes.Current})
 	return nil
 }
 
+// rest waits until it is time to look again whether this instance is a reader.
+func (f *Follower) rest(ctx context.Context) {
+	timer := time.NewTimer(roleCheck)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-f.restart:
+		f.whole = false
+	case <-timer.C:
+	}
+}
+
 // readAll reads every item. The pages are no snapshot: the watch that follows
 // starts from the revision of the first page, and newer items win.
 func (f *Follower) readAll(ctx context.Context) error {
@@ -128,8 +156,8 @@
 		items = append(items, page.Items...)
 		if !page.More || len(page.Items) == 0 {
 			f.state.StoreAway(false)
-			f.state.Apply("store", items, first, true)
-			f.whole = true
+			f.state.Apply("store", Delta{Items: items, Current: first, Whole: true})
+			f.whole, f.watched = true, time.Now()
 			return nil
 		}
 		after = page.Items[len(page.Items)-1].Key
--- a/internal/cwpublished/interpreter.go
+++ b/internal/cwpublished/interpreter.go
@@ -107,6 +107,13 @@
 	in.away = away
 }
 
+// troubled notes when the source of a change last had trouble with the store.
+func (in *interpreter) troubled(at time.Time) {
+	if at.After(in.awayUntil) {
+		in.awayUntil = at
+	}
+}
+
 // settle drops the endpoints whose entries vanished for good. It returns when to
 // look again, zero if nothing waits.
 func (in *interpreter) settle(now time.Time) time.Time {
--- a/internal/cwpublished/state.go
+++ b/internal/cwpublished/state.go
@@ -48,26 +48,26 @@
 	return s.View().Revision
 }
 
-// Apply takes in changes from the source. Whole means that the items are all that
-// there are.
-func (s *State) Apply(source string, items []Item, current uint64, whole bool) {
-	s.apply(source, items, current, whole)
+// Apply takes in changes from the source.
+func (s *State) Apply(source string, d Delta) {
+	s.apply(source, d)
 	if s.OnApply != nil {
 		s.OnApply(s.Revision())
 	}
 }
 
-func (s *State) apply(source string, items []Item, current uint64, whole bool) {
+func (s *State) apply(source string, d Delta) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	before := s.book.Current()
 	var news []Item
-	if whole {
-		news = s.book.Replace(items, current)
+	if d.Whole {
+		news = s.book.Replace(d.Items, d.Current)
 	} else {
-		news = s.book.Apply(items, current)
+		news = s.book.Apply(d.Items, d.Current)
 	}
+	s.interpreter.troubled(d.TroubledAt)
 	for _, item := range news {
 		if err := s.interpreter.take(item, now); err != nil {
 			s.Log.Warn("published item not understood", zap.String("key", item.Key), zap.Uint64("revision", item.Revision), zap.Error(err))
@@ -95,11 +95,15 @@
 }
 
 // Since returns what changed after the revision, for a peer.
-func (s *State) Since(after uint64) (items []Item, current uint64, whole bool) {
+func (s *State) Since(after uint64) Delta {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	items, whole = s.book.Since(after)
-	return items, s.book.Current(), whole
+	items, whole := s.book.Since(after)
+	d := Delta{Items: items, Current: s.book.Current(), Whole: whole, TroubledAt: s.interpreter.awayUntil}
+	if s.interpreter.away {
+		d.TroubledAt = time.Now()
+	}
+	return d
 }
 
 // publish makes the next view. The caller holds mu.
--- a/internal/cwsetting/settings.go
+++ b/internal/cwsetting/settings.go
@@ -22,6 +22,7 @@
 	LogLinesPerSecond int           `name:"log-lines-per-second" default:"200" check:"positive" help:"Bound on log lines; what is above it is counted and dropped, lines of success first."`
 	DrainTimeout      time.Duration `name:"drain-timeout" default:"60s" check:"positive" help:"How long a shutdown waits for requests in flight."`
 	ExchangeInterval  time.Duration `name:"exchange-interval" default:"1s" check:"positive" help:"Time between exchanges with each instance of the own failure domain."`
+	ExchangePeers     int           `name:"exchange-peers" default:"8" check:"positive" help:"Largest number of instances of the own failure domain that one round exchanges with."`
 	RemoteInterval    time.Duration `name:"remote-interval" default:"5s" check:"positive" help:"Time between exchanges with one instance of each other failure domain that is followed."`
 	RemoteDomains     int           `name:"remote-domains" default:"6" check:"positive" help:"Number of other failure domains that are followed as destinations."`
 	PollInterval      time.Duration `name:"poll-interval" default:"2s" check:"positive" help:"Age at which an endpoint's load report is asked for anew."`
--- a/internal/cwsync/published_puller.go
+++ b/internal/cwsync/published_puller.go
@@ -25,7 +25,8 @@
 	client   *cwpeer.Client
 	follower *cwpublished.Follower
 
-	mu sync.Mutex
+	mu      sync.Mutex
+	pulling bool
 	// behindSince and behindRevision are when a peer first offered more than there
 	// was, and how much.
 	behindSince    time.Time
@@ -40,30 +41,51 @@
 // Pull fetches what the peer has, if this instance has been behind for a while or
 // has nothing yet.
 func (p *PublishedPuller) Pull(ctx context.Context, address string, offered cwconfig.Version) {
-	if !p.due(offered.Number, time.Now()) {
+	if !p.begin(offered.Number, time.Now()) {
 		return
 	}
+	defer p.end()
 	before := p.state.Revision()
-	items, current, whole, err := p.client.FetchPublished(ctx, address, before)
+	d, err := p.client.FetchPublished(ctx, address, before)
 	if err != nil {
 		p.Log.Warn("published state not pulled", zap.String("peer", address), zap.Uint64("revision", before), zap.Error(err))
 		return
 	}
-	if current <= before {
+	if d.Current <= before {
 		return
 	}
-	p.state.Apply(address, items, current, whole)
-	p.follower.Restart()
+	p.state.Apply(address, d)
+	if p.follower.IsReader() {
+		// Its own watch should have brought this.
+		p.follower.Restart()
+	}
 }
 
-func (p *PublishedPuller) due(offered uint64, now time.Time) bool {
+// begin reports whether it is time to pull. One pull is in progress at a time.
+func (p *PublishedPuller) begin(offered uint64, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.pulling || !p.due(offered, now) {
+		return false
+	}
+	p.pulling = true
+	return true
+}
+
+func (p *PublishedPuller) end() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pulling = false
+}
+
+// due reports whether this instance is behind, and has been for a while if it
+// watches the store itself. The caller holds mu.
+func (p *PublishedPuller) due(offered uint64, now time.Time) bool {
 	held := p.state.Revision()
 	if offered <= held {
 		return false
 	}
-	if held == 0 {
+	if held == 0 || !p.follower.IsReader() {
 		return true
 	}
 	if p.behindRevision <= held {
