--- a/internal/cwpublished/follower.go
+++ b/internal/cwpublished/follower.go
@@ -24,6 +24,10 @@
 	// follows from the seconds within which a configuration must be in force.
 	minPause = 100 * time.Millisecond
 	maxPause = 1500 * time.Millisecond
+	// watchGap is the time from the answer of a watch to the next one: changes that
+	// come in between arrive in one call. It takes little of the seconds within
+	// which changes must be in force.
+	watchGap = 700 * time.Millisecond
 	// roleCheck is how often an instance that is no reader looks whether it is one.
 	roleCheck = 500 * time.Millisecond
 	// maxPages bounds one reading of all items.
@@ -94,7 +98,7 @@
 		return f.readAll(ctx)
 	}
 	if !f.isReader() && time.Since(f.watched) < f.Settings.FallbackInterval {
-		f.rest(ctx)
+		f.rest(ctx, roleCheck)
 		return nil
 	}
 	f.watched = time.Now()
@@ -122,12 +126,13 @@
 	}
 	f.state.StoreAway(false)
 	f.state.Apply("store", Delta{Items: changes.Items, Current: changes.Current})
+	f.rest(ctx, watchGap)
 	return nil
 }
 
-// rest waits until it is time to look again whether this instance is a reader.
-func (f *Follower) rest(ctx context.Context) {
-	timer := time.NewTimer(roleCheck)
+// rest waits for the time, or until a restart is asked for.
+func (f *Follower) rest(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
