--- a/internal/cwconn/pool.go
+++ b/internal/cwconn/pool.go
@@ -97,6 +97,19 @@
 	return c.do(ctx, call)
 }
 
+// Warm opens a connection and keeps it for the next call. It tells whether the
+// address takes connections.
+func (p *Pool) Warm(ctx context.Context, address string, maxConns int) error {
+	t := p.target(address)
+	c, err := p.open(ctx, t, &Call{Address: address, MaxConns: maxConns})
+	if err != nil {
+		return &SendError{Step: "connect to", Peer: address, Err: err}
+	}
+	c.idleUntil = time.Now().Add(defaultIdle)
+	t.put(c)
+	return nil
+}
+
 func (p *Pool) open(ctx context.Context, t *target, call *Call) (*conn, error) {
 	if !t.reserve(call.MaxConns) {
 		return nil, ErrNoConnection
--- a/internal/cwcontrol/endpoint_work.go
+++ b/internal/cwcontrol/endpoint_work.go
@@ -16,6 +16,8 @@
 	Parts []PromptPart
 	// Failures is the share of requests that failed.
 	Failures float64
+	// UnreachableAt is when it could last not be reached; zero if not lately.
+	UnreachableAt time.Time
 }
 
 // PromptPart is a piece of a prompt.
--- a/internal/cwgate/attempt.go
+++ b/internal/cwgate/attempt.go
@@ -9,6 +9,8 @@
 	"strings"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/clementinewell/clementinewell/internal/cwconn"
 	"github.com/clementinewell/clementinewell/internal/cwevent"
 	"github.com/clementinewell/clementinewell/internal/cwplacement"
@@ -214,11 +216,32 @@
 	}
 	a.job.runs++
 	a.job.note(cwanswer.Unknown)
-	a.conns.CloseIdle(a.peer)
-	a.end(ctx, cwplacement.Unreachable)
+	a.verify(ctx)
+	a.end(ctx, cwplacement.Failed)
 	return result{err: err}
 }
 
+// verify finds out whether an endpoint that broke off an answer is still there. Its
+// other connections are dropped: what cut one of them may have cut them all.
+func (a *attempt) verify(ctx context.Context) {
+	cause := context.Cause(ctx)
+	if a.ticket == nil || cause != nil && !errors.Is(cause, errStalled) {
+		return
+	}
+	a.conns.CloseIdle(a.peer)
+	endpoint, address, most := a.ticket.Endpoint, a.peer, a.maxConns()
+	go func() {
+		err := a.conns.Warm(context.WithoutCancel(ctx), address, most)
+		if err == nil || errors.Is(err, cwconn.ErrNoConnection) {
+			return
+		}
+		a.Log.Warn("endpoint lost", zap.String("endpoint", endpoint.ID), zap.Error(err))
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		endpoint.Lost(time.Now())
+	}()
+}
+
 // rejected handles an answer which says that the request has not run.
 func (a *attempt) rejected(ctx context.Context, answer *cwconn.Answer) result {
 	_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxSkipBytes))
@@ -315,6 +338,7 @@
 			if cause := context.Cause(ctx); cause != nil {
 				err = fmt.Errorf("%w: %w", cause, err)
 			}
+			a.verify(ctx)
 			return a.broken(ctx, fmt.Errorf("read stream of %s: %w", a.peer, err))
 		}
 	}
--- a/internal/cwgate/sync.go
+++ b/internal/cwgate/sync.go
@@ -66,10 +66,9 @@
 			p = cwplacement.NewPool(service, g.site.Domain, g.rng)
 			g.pools[r.Service] = p
 		}
-		// A cold endpoint takes the overage too; the slack stays for what others send.
-		service.ColdRate *= max(g.bounds.ColdOverage, 1)
+		service.ColdRate = g.coldRate(service.ColdRate)
 		p.Service = service
-		e := p.Register(r.Endpoint, g.site.Region, g.ownsCold(id, now), g.coldUntil(id, r))
+		e := p.Register(r.Endpoint, g.site.Region, g.ownsCold(id, r.Domain, now), r.ReadAt, g.coldUntil(id, r))
 		e.Evacuated = g.view.Evacuated[r.Domain]
 	}
 	for name, p := range g.pools {
@@ -101,16 +100,31 @@
 	return span.until
 }
 
-// ownsCold reports whether this instance is the one of the region that may use the
-// endpoint while it is cold.
-func (g *Gate) ownsCold(id string, now time.Time) bool {
-	if now.Sub(g.startedAt) < ownerDelay {
+// coldOwners is the number of instances that may think at the same time that a cold
+// endpoint is theirs, while their views of each other differ.
+const coldOwners = 2
+
+// coldRate returns the rate at which an owner may use a cold endpoint, so that even
+// two of them keep the bound of any one second: each sends one request at once and
+// the others at the rate.
+func (g *Gate) coldRate(rate float64) float64 {
+	if rate <= 0 {
+		return 0
+	}
+	most := rate * max(g.bounds.ColdOverage, 1)
+	return min(max((most+g.bounds.ColdSlack)/coldOwners-1, 0), most)
+}
+
+// ownsCold reports whether this instance is the one that may use the endpoint while
+// it is cold. Only those of its failure domain may: they know each other best.
+func (g *Gate) ownsCold(id, domain string, now time.Time) bool {
+	if domain != g.site.Domain || now.Sub(g.startedAt) < ownerDelay {
 		return false
 	}
 	own := ownerScore(id, g.snapshot.Self.Address)
 	for i := range g.snapshot.Members {
 		m := &g.snapshot.Members[i]
-		if m.Region != g.site.Region || m.Leaving || now.Sub(m.HeardAt) > ownerMemory {
+		if m.Domain != domain || m.Leaving || now.Sub(m.HeardAt) > ownerMemory {
 			continue
 		}
 		if ownerScore(id, m.Address) > own {
@@ -153,6 +167,7 @@
 			}
 			e.SetOthers(s.work, s.failures, s.at)
 			e.Learn(placementParts(s.parts))
+			e.Suspect(s.unreachableAt)
 		}
 	}
 }
@@ -162,12 +177,17 @@
 	work     cwplacement.Work
 	failures float64
 	parts    []cwcontrol.PromptPart
-	at       time.Time
+	// unreachableAt is when one of them could last not reach it.
+	unreachableAt time.Time
+	at            time.Time
 }
 
 func (o *othersAt) add(w *cwcontrol.EndpointWork, at time.Time) {
 	o.work = o.work.Add(workOf(w))
 	o.failures = max(o.failures, w.Failures)
+	if w.UnreachableAt.After(o.unreachableAt) {
+		o.unreachableAt = w.UnreachableAt
+	}
 	if at.After(o.at) {
 		o.at = at
 	}
@@ -241,18 +261,25 @@
 	for _, p := range g.pools {
 		for id, e := range p.Endpoints() {
 			w, parts, failures := e.Own(), e.Recent(now), e.Failures(now)
-			if w.InFlight == 0 && len(parts) == 0 && failures < toldFailures {
+			lost := e.UnreachableAt()
+			if now.Sub(lost) > toldLoss {
+				lost = time.Time{}
+			}
+			if w.InFlight == 0 && len(parts) == 0 && failures < toldFailures && lost.IsZero() {
 				continue
 			}
 			works = append(works, cwcontrol.EndpointWork{
 				Endpoint: id, QueuedTokens: queuedTokens(w), HeldTokens: w.Held, InFlight: w.InFlight,
-				Parts: controlParts(parts), Failures: failures,
+				Parts: controlParts(parts), Failures: failures, UnreachableAt: lost,
 			})
 		}
 	}
 	return works
 }
 
+// toldLoss is how long it is told that an endpoint could not be reached.
+const toldLoss = 3 * time.Second
+
 // toldFailures is the share of failures from which an idle endpoint is worth a
 // message.
 const toldFailures = 0.1
--- a/internal/cwpeer/news.go
+++ b/internal/cwpeer/news.go
@@ -27,7 +27,7 @@
 		ConfigConfirmed: s.Order.Ready(),
 	}
 	if region == s.Self.Region {
-		news.Works = protoWorks(traffic.Works())
+		news.Works = protoWorks(traffic.Works(), now)
 	}
 	if domain == s.Self.Domain {
 		news.Endpoints = protoEndpoints(s.Endpoints, now)
@@ -173,7 +173,7 @@
 	}
 }
 
-func protoWorks(works []cwcontrol.EndpointWork) []*cwproto.EndpointWork {
+func protoWorks(works []cwcontrol.EndpointWork, now time.Time) []*cwproto.EndpointWork {
 	list := make([]*cwproto.EndpointWork, 0, len(works))
 	for i := range works {
 		w := &works[i]
@@ -185,13 +185,16 @@
 			Parts:        protoParts(w.Parts),
 			Failures:     float32(w.Failures),
 		})
+		if !w.UnreachableAt.IsZero() {
+			list[i].UnreachableAgeMillis = uint32(max(now.Sub(w.UnreachableAt), 0).Milliseconds()) + 1
+		}
 	}
 	return list
 }
 
-func worksOf(list []*cwproto.EndpointWork) []cwcontrol.EndpointWork {
+func worksOf(list []*cwproto.EndpointWork, now time.Time) []cwcontrol.EndpointWork {
 	works := make([]cwcontrol.EndpointWork, 0, len(list))
-	for _, w := range list {
+	for i, w := range list {
 		works = append(works, cwcontrol.EndpointWork{
 			Endpoint:     w.GetEndpoint(),
 			QueuedTokens: w.GetQueuedTokens(),
@@ -200,6 +203,9 @@
 			Parts:        partsOf(w.GetParts()),
 			Failures:     float64(w.GetFailures()),
 		})
+		if age := w.GetUnreachableAgeMillis(); age > 0 {
+			works[i].UnreachableAt = now.Add(-time.Duration(age-1) * time.Millisecond)
+		}
 	}
 	return works
 }
@@ -237,7 +243,7 @@
 		key := cwpolicy.LimitKey{Service: d.GetService(), Account: d.GetAccount()}
 		e.Demands = append(e.Demands, cwpolicy.LimitDemand{Key: key, PerSecond: float64(d.GetPerSecond())})
 	}
-	e.Works = worksOf(news.GetWorks())
+	e.Works = worksOf(news.GetWorks(), now)
 	for _, m := range news.GetMoves() {
 		e.Moves = append(e.Moves, cwpolicy.Move{From: m.GetFrom(), To: m.GetTo()})
 	}
--- a/internal/cwplacement/endpoint.go
+++ b/internal/cwplacement/endpoint.go
@@ -41,6 +41,9 @@
 	Drains, Evacuated bool
 
 	health
+	suspicion
+	// readAt is when the entry was read.
+	readAt   time.Time
 	engine   *cwroute.Engine
 	cold     coldGate
 	coldRate float64
@@ -82,6 +85,23 @@
 	e.others, e.othersFailures, e.othersAt = w, failures, at
 }
 
+// UnreachableAt returns when the endpoint could last not be reached, zero if it
+// always could.
+func (e *Endpoint) UnreachableAt() time.Time {
+	return e.unreachableAt
+}
+
+// Suspect takes in that another instance could not reach the endpoint.
+func (e *Endpoint) Suspect(at time.Time) {
+	e.suspect(at)
+}
+
+// Lost notes that no new connection to the endpoint could be opened.
+func (e *Endpoint) Lost(now time.Time) {
+	e.unreachable(now)
+	e.suspect(now)
+}
+
 // Learn takes in the parts of prompts that another instance sent there.
 func (e *Endpoint) Learn(parts []Part) {
 	if e.cache != nil {
@@ -118,7 +138,7 @@
 
 // isCold reports whether the endpoint bears a limited rate only.
 func (e *Endpoint) isCold(now time.Time) bool {
-	return e.coldRate > 0 && now.Before(e.ColdUntil)
+	return e.coldRate > 0 && (now.Before(e.ColdUntil) || e.suspected(e.readAt, now))
 }
 
 // usable reports whether new work may go there.
--- a/internal/cwplacement/pool.go
+++ b/internal/cwplacement/pool.go
@@ -26,7 +26,7 @@
 	// failureCost is added for the share of failures, in seconds.
 	failureCost = 0.8
 	// farCost is added for an endpoint in another domain of the region, in seconds.
-	farCost = 0.02
+	farCost = 0.2
 	// jitter spreads the choice between endpoints that are alike.
 	jitter = 0.05
 )
@@ -61,7 +61,7 @@
 
 // Register takes in an endpoint's entry. Another life under the same identifier
 // begins with nothing known.
-func (p *Pool) Register(entry cwroute.Endpoint, region string, owned bool, coldUntil time.Time) *Endpoint {
+func (p *Pool) Register(entry cwroute.Endpoint, region string, owned bool, readAt, coldUntil time.Time) *Endpoint {
 	e := p.endpoints[entry.ID]
 	if e == nil || e.Born != entry.Born || e.Address != entry.Address {
 		e = newEndpoint(entry, p.Service, p.meanSpeed())
@@ -69,7 +69,7 @@
 	}
 	e.Endpoint, e.Region, e.owned = entry, region, owned
 	e.coldRate, e.engine = p.Service.ColdRate, p.Service.Engine
-	e.ColdUntil = coldUntil
+	e.readAt, e.ColdUntil = readAt, coldUntil
 	e.Drains = e.Drains || entry.Draining
 	return e
 }
--- a/internal/cwplacement/ticket.go
+++ b/internal/cwplacement/ticket.go
@@ -44,6 +44,7 @@
 	}
 	t.first, t.last = now, now
 	e := t.Endpoint
+	e.answered(now)
 	took := (now.Sub(t.start) - answerOverhead).Seconds()
 	tokens := t.work.Queued[t.Band] + t.ahead
 	t.processed()
@@ -82,7 +83,7 @@
 	Rejected
 	// Failed is a failure of the endpoint.
 	Failed
-	// Unreachable is a connection that could not be opened or fell silent.
+	// Unreachable is a connection that could not be opened.
 	Unreachable
 	// Abandoned was given up from this side.
 	Abandoned
@@ -100,12 +101,13 @@
 	e.own.InFlight--
 	switch end {
 	case Served:
+		e.answered(now)
 		e.hold += holdGain * (now.Sub(t.start).Seconds() - e.hold)
 		e.succeeded(now)
 	case Failed:
 		e.failed(now)
 	case Unreachable:
-		e.unreachable(now)
+		e.Lost(now)
 	}
 }
 
