--- a/internal/cwapp/routed.go
+++ b/internal/cwapp/routed.go
@@ -41,7 +41,7 @@
 	r := &Routed{instance: newInstance(settings, log, n), site: site, seeds: site.Seeds}
 	r.State = cwpublished.NewState(r.Common, cwwire.Decode)
 	r.State.OnApply = func(revision uint64) { r.Control.Offer(cwcontrol.PublishedTaken{Revision: revision}) }
-	r.follower = cwpublished.NewFollower(r.Common, r.State, cwwire.NewStoreClient(site.Store, n), r.isReader)
+	r.follower = cwpublished.NewFollower(r.Common, r.State, cwwire.NewStoreClient(site.Store, n), r.IsReader)
 	r.Gate = cwgate.NewGate(r.Common, site, r.Control, r.State, cwwire.Codec{}, newSeed())
 	puller := cwsync.NewPublishedPuller(r.Common, r.State, r.client, r.follower)
 	r.exchanger = cwpeer.NewExchanger(r.Common, r.Control, r.client, r.Gate, puller)
@@ -93,8 +93,8 @@
 	return cwpolicy.Fronts(members, ask, time.Now()), hold.Seconds()
 }
 
-// isReader reports whether this instance watches the store for its domain.
-func (r *Routed) isReader() bool {
+// IsReader reports whether this instance watches the store for its domain.
+func (r *Routed) IsReader() bool {
 	s := r.Control.Snapshot()
 	return cwpolicy.IsReader(s.Self.Address, s.Self.Domain, s.Members, time.Now())
 }
--- /dev/null
+++ b/internal/cwapp/routed_fleet_test.go
@@ -0,0 +1,212 @@
+package cwapp_test
+
+import (
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/clementinewell/clementinewell/internal/cwscene"
+	"github.com/clementinewell/clementinewell/internal/cwstandin"
+)
+
+// TestRequestGoesHome: a request that may not be served in the caller's region is
+// served at home, and nowhere if home can't be reached.
+func TestRequestGoesHome(t *testing.T) {
+	inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+		s.Publish(nil, cwscene.Route("r", "unsafe", cwscene.RoutedRoute{"home-regions": []string{"south"}}))
+		here, home := s.AddWorker("north-a", "10.1.1.1"), s.AddWorker("south-a", "10.2.1.1")
+		north, south := s.AddInstance("10.1.0.1", "north-a"), s.AddInstance("10.2.0.1", "south-a")
+		s.AwaitReady()
+		time.Sleep(2 * time.Second) // the rooms of other domains arrive
+		is.Equal(s.Do(t.Context(), north, cwscene.RoutedRequest{Path: "/r/x"}).Status, http.StatusOK)
+		is.Equal(len(home.Runs()), 1)
+		s.Net.SetCut(north.IP, south.IP, true)
+		time.Sleep(6 * time.Second)
+		a := s.Do(t.Context(), north, cwscene.RoutedRequest{Path: "/r/x"})
+		is.Equal(a.Status, http.StatusServiceUnavailable)
+		is.Equal(len(here.Runs()), 0)
+	})
+}
+
+// TestRepeatsAreCountedWhereTheRequestCame: the exit does not run a failed request
+// again by itself, so that no more endpoints run it than its route allows.
+func TestRepeatsAreCountedWhereTheRequestCame(t *testing.T) {
+	inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+		s.Publish(nil, cwscene.Route("r", "safe", cwscene.RoutedRoute{"home-regions": []string{"south"}, "max-attempts": 2}))
+		workers := []*cwstandin.Worker{s.AddWorker("south-a", "10.2.1.1"), s.AddWorker("south-a", "10.2.1.2"), s.AddWorker("south-a", "10.2.1.3")}
+		for _, w := range workers {
+			w.Always(cwstandin.Fails)
+		}
+		north := s.AddInstance("10.1.0.1", "north-a")
+		s.AddInstance("10.2.0.1", "south-a")
+		s.AwaitReady()
+		time.Sleep(2 * time.Second)
+		is.Equal(s.Do(t.Context(), north, cwscene.RoutedRequest{Path: "/r/x"}).Status, http.StatusInternalServerError)
+		is.True(len(runsOf(workers)) <= 2)
+	})
+}
+
+// TestDomainWithoutSeed: the instances of a domain in which no seed runs learn of
+// each other.
+func TestDomainWithoutSeed(t *testing.T) {
+	inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+		s.Publish(nil, cwscene.Route("r", "unsafe", nil))
+		s.AddInstance("10.1.0.1", "north-a") // the seed
+		a, b := s.AddInstance("10.2.0.1", "south-a"), s.AddInstance("10.2.0.2", "south-a")
+		s.AwaitReady()
+		is.Equal(s.Fronts(a, "south", "south-a"), s.Fronts(b, "south", "south-a"))
+		is.Equal(len(s.Fronts(a, "south", "south-a")), 2)
+	})
+}
+
+// TestSeedComesBack: instances that started while the seed was down join it later.
+func TestSeedComesBack(t *testing.T) {
+	inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+		s.Publish(nil, cwscene.Route("r", "unsafe", nil))
+		a := s.AddInstance("10.2.0.1", "south-a")
+		s.Await(a.Ready)
+		time.Sleep(20 * time.Second)
+		s.AddInstance("10.1.0.1", "north-a")
+		s.AwaitReady()
+		is.Equal(len(s.Fronts(a, "north", "north-a")), 1)
+	})
+}
+
+func TestDirectoryForgetsKilledAndLeavingInstances(t *testing.T) {
+	inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+		s.Publish(nil, cwscene.Route("r", "unsafe", nil))
+		a, b, c := s.AddInstance("10.1.0.1", "north-a"), s.AddInstance("10.1.0.2", "north-a"), s.AddInstance("10.1.0.3", "north-a")
+		s.AwaitReady()
+		is.Equal(len(s.Fronts(a, "north", "north-a")), 3)
+		b.Stop()
+		start := time.Now()
+		s.Await(func() bool { return len(s.Fronts(a, "north", "north-a")) == 2 })
+		is.True(time.Since(start) < time.Second)
+		is.True(!b.Ready())
+		s.Kill(c)
+		start = time.Now()
+		s.Await(func() bool { return len(s.Fronts(a, "north", "north-a")) == 1 })
+		is.True(time.Since(start) < 9*time.Second)
+	})
+}
+
+// TestShutdownCutsNoRequest: requests that arrive before and after the signal, on new
+// connections, are all answered, and the instance ends within its grace.
+func TestShutdownCutsNoRequest(t *testing.T) {
+	inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+		s.Publish(cwscene.EngineService(0), cwscene.Route("r", "streaming", nil))
+		s.AddWorker("north-a", "10.1.1.1")
+		i := s.AddInstance("10.1.0.1", "north-a")
+		s.AwaitReady()
+		s.Net.SetDelay(cwscene.CallerIP, i.IP, 200*time.Millisecond)
+		var wg sync.WaitGroup
+		answers := make([]cwscene.RoutedAnswer, 20)
+		for n := range answers {
+			if n == 5 {
+				i.Stop()
+			}
+			wg.Go(func() { answers[n] = s.Do(t.Context(), i, cwscene.RoutedRequest{Path: "/r/x", Header: prompt()}) })
+			time.Sleep(100 * time.Millisecond)
+		}
+		wg.Wait()
+		for _, a := range answers {
+			is.NoErr(a.Err)
+			is.Equal(a.Status, http.StatusOK)
+		}
+		is.True(answers[19].Closes)
+		start := time.Now()
+		<-i.Done()
+		is.True(time.Since(start) < cwscene.Bounds().Grace)
+	})
+}
+
+// TestColdEndpointHasOneOwner: however many instances there are, a cold endpoint gets
+// no more requests in any second than its rate and slack allow.
+func TestColdEndpointHasOneOwner(t *testing.T) {
+	inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+		const rate = 1.5
+		s.Publish(cwscene.EngineService(rate), cwscene.Route("r", "streaming", nil))
+		s.AddInstance("10.1.0.1", "north-a") // the seed
+		var instances []*cwscene.RoutedInstance
+		for _, ip := range []string{"10.2.0.1", "10.2.0.2", "10.2.0.3", "10.2.0.4", "10.2.0.5"} {
+			instances = append(instances, s.AddInstance(ip, "south-a"))
+		}
+		s.AwaitReady()
+		time.Sleep(4 * time.Second) // until instances may own cold endpoints
+		w := cwstandin.NewWorker("cold")
+		s.Serve("10.2.1.1:8010", w)
+		s.Register("cold", "south-a", "10.2.1.1", map[string]any{"cold-remaining-ms": 3000})
+		for range 40 {
+			for _, i := range instances {
+				s.Do(t.Context(), i, cwscene.RoutedRequest{Path: "/r/x", Header: prompt()})
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		var first time.Time
+		var at []time.Time
+		for _, run := range w.Runs() {
+			if first.IsZero() {
+				first = run.At
+			}
+			if run.At.Sub(first) < 2*time.Second {
+				at = append(at, run.At)
+			}
+		}
+		bounds := cwscene.Bounds()
+		is.True(len(at) > 0)
+		is.True(busiestSecond(at) <= int(rate*bounds.ColdOverage+bounds.ColdSlack))
+	})
+}
+
+// busiestSecond returns the largest number of times in any one second.
+func busiestSecond(at []time.Time) int {
+	slices.SortFunc(at, time.Time.Compare)
+	most := 0
+	for i := range at {
+		n := 0
+		for _, other := range at[i:] {
+			if other.Sub(at[i]) < time.Second {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+// TestReadersWatchForTheirDomain: the calls to the store do not grow with the
+// instances of a domain, and a change still reaches all of them in time, also when
+// the readers are killed at that moment.
+func TestReadersWatchForTheirDomain(t *testing.T) {
+	inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+		s.Publish(nil, cwscene.Route("old", "unsafe", nil))
+		s.AddWorker("north-a", "10.1.1.1")
+		var all []*cwscene.RoutedInstance
+		for _, ip := range []string{"10.1.0.1", "10.1.0.2", "10.1.0.3", "10.1.0.4", "10.1.0.5", "10.1.0.6"} {
+			all = append(all, s.AddInstance(ip, "north-a"))
+		}
+		s.AwaitReady()
+		time.Sleep(2 * time.Second)
+		before := s.Store.Calls()
+		time.Sleep(30 * time.Second)
+		is.True(s.Store.Calls()-before <= 2*(30/8+1)) // two readers, watches of 8 s
+		var rest []*cwscene.RoutedInstance
+		for _, i := range all {
+			if i.IsReader() {
+				s.Kill(i)
+				continue
+			}
+			rest = append(rest, i)
+		}
+		is.Equal(len(rest), 4)
+		s.Publish(nil, cwscene.Route("new", "unsafe", nil))
+		time.Sleep(4 * time.Second)
+		for _, i := range rest {
+			is.Equal(s.Do(t.Context(), i, cwscene.RoutedRequest{Path: "/new/x"}).Status, http.StatusOK)
+		}
+	})
+}
--- /dev/null
+++ b/internal/cwapp/routed_path_test.go
@@ -0,0 +1,181 @@
+package cwapp_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/clementinewell/clementinewell/internal/cwscene"
+	"github.com/clementinewell/clementinewell/internal/cwstandin"
+)
+
+// oneRegion is an instance before two workers.
+func oneRegion(s *cwscene.RoutedScene, routes ...cwscene.RoutedRoute) (*cwscene.RoutedInstance, []*cwstandin.Worker) {
+	s.Publish(nil, routes...)
+	workers := []*cwstandin.Worker{s.AddWorker("north-a", "10.1.1.1"), s.AddWorker("north-a", "10.1.1.2")}
+	i := s.AddInstance("10.1.0.1", "north-a")
+	s.AwaitReady()
+	return i, workers
+}
+
+func runsOf(workers []*cwstandin.Worker) []cwstandin.WorkerRun {
+	var runs []cwstandin.WorkerRun
+	for _, w := range workers {
+		runs = append(runs, w.Runs()...)
+	}
+	return runs
+}
+
+// TestRoutedFaults has each fault of an endpoint, for requests that may be repeated
+// and for those that may not.
+func TestRoutedFaults(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		kind  string
+		fault cwstandin.WorkerFault
+		// status is the answer's, and runs the number of workers that ran the request.
+		status, runs int
+	}{
+		{"well", "unsafe", cwstandin.Well, 200, 1},
+		{"rejected, so another may run it", "unsafe", cwstandin.Rejects, 200, 1},
+		{"failed, passed on", "unsafe", cwstandin.Fails, 500, 1},
+		{"failed, run again", "safe", cwstandin.Fails, 200, 2},
+		{"answer lost, not run again", "unsafe", cwstandin.LosesAnswer, 502, 1},
+		{"answer lost, run again", "safe", cwstandin.LosesAnswer, 200, 2},
+		{"answer cut, not passed on", "unsafe", cwstandin.CutsAnswer, 502, 1},
+		{"answer cut, run again", "safe", cwstandin.CutsAnswer, 200, 2},
+		{"second answer", "unsafe", cwstandin.AnswersTwice, 200, 1},
+		{"answer of another first", "unsafe", cwstandin.AnswersForeign, 200, 1},
+		{"no signature", "unsafe", cwstandin.Unsigned, 502, 1},
+		{"no signature, run again", "safe", cwstandin.Unsigned, 200, 2},
+		{"hangs, run again", "safe", cwstandin.Hangs, 200, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+				i, workers := oneRegion(s, cwscene.Route("r", c.kind, nil))
+				cwstandin.FirstOf(workers, c.fault)
+				answer := s.Do(t.Context(), i, cwscene.RoutedRequest{Path: "/r/x", Body: "question"})
+				is.Equal(answer.Status, c.status)
+				is.Equal(len(runsOf(workers)), c.runs)
+				for _, run := range runsOf(workers) {
+					is.Equal(run.Request, answer.ID)
+					is.Equal(run.Body, "question")
+				}
+				if c.status == 200 {
+					is.NoErr(answer.Err)
+					is.True(strings.HasSuffix(answer.Body, " to "+answer.ID)) // its own answer
+				}
+				if c.status == 502 {
+					is.Equal(answer.Header.Get("Clementinewell-Response-Signature"), "")
+				}
+				// What was left on connections harms no later request.
+				again := s.Do(t.Context(), i, cwscene.RoutedRequest{Path: "/r/x", Body: "question"})
+				is.True(strings.HasSuffix(again.Body, " to "+again.ID))
+			})
+		})
+	}
+}
+
+func TestHeadersOfTheSystemAreNotTheCallers(t *testing.T) {
+	inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+		i, workers := oneRegion(s, cwscene.Route("r", "unsafe", cwscene.RoutedRoute{"timeout-ms": 2000}))
+		a := s.Do(t.Context(), i, cwscene.RoutedRequest{Path: "/r/x?q=%2F", Header: []string{
+			"Clementinewell-Hold", "h", "Clementinewell-Pin-Ms", "9", "Clementinewell-Kv-Backup", "b", "Kv-From", "k",
+			"Clementinewell-Expected-Instance", "other", "Clementinewell-Relayed-Ms", "1", "X-Own", "kept",
+		}})
+		is.Equal(a.Status, 200)
+		run := runsOf(workers)[0]
+		is.Equal(run.Path, "/r/x?q=%2F")
+		for _, name := range []string{"Clementinewell-Hold", "Clementinewell-Pin-Ms", "Clementinewell-Kv-Backup", "Kv-From", "Clementinewell-Relayed-Ms"} {
+			is.Equal(run.Header.Get(name), "")
+		}
+		is.Equal(run.Header.Get("X-Own"), "kept")
+		is.True(strings.HasPrefix(run.Header.Get("Clementinewell-Expected-Instance"), "worker-"))
+		left := run.Header.Get("Clementinewell-Deadline-Ms")
+		is.True(len(left) == 4 && left < "2001") // the route's time, not the caller's 5 s
+	})
+}
+
+func TestBadRoutedInput(t *testing.T) {
+	inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+		i, workers := oneRegion(s, cwscene.Route("r", "unsafe", nil))
+		for _, c := range []struct {
+			name    string
+			request cwscene.RoutedRequest
+			status  int
+		}{
+			{"no route", cwscene.RoutedRequest{Path: "/other/x"}, http.StatusNotFound},
+			{"prefix without its slash", cwscene.RoutedRequest{Path: "/r"}, http.StatusNotFound},
+			{"bad deadline", cwscene.RoutedRequest{Path: "/r/x", Header: []string{"Clementinewell-Deadline-Ms", "soon"}}, http.StatusBadRequest},
+			{"bad tokens", cwscene.RoutedRequest{Path: "/r/x", Header: []string{"Clementinewell-Token-Count", "many"}}, http.StatusBadRequest},
+			{"bad parts", cwscene.RoutedRequest{Path: "/r/x", Header: []string{"Clementinewell-Token-Count", "1,1", "Clementinewell-Prompt-Prefix", "zz"}}, http.StatusBadRequest},
+			{"no identifier", cwscene.RoutedRequest{Path: "/r/x", Header: []string{"Clementinewell-Request-Id", ""}}, http.StatusBadRequest},
+			{"body too large", cwscene.RoutedRequest{Path: "/r/x", Body: strings.Repeat("x", 1<<20+1)}, http.StatusRequestEntityTooLarge},
+		} {
+			is.Equal(s.Do(t.Context(), i, c.request).Status, c.status) // status of the named case
+		}
+		is.Equal(len(runsOf(workers)), 0)
+	})
+}
+
+func TestStreamGoesOnBehindTheLastWholeEvent(t *testing.T) {
+	inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+		s.Publish(cwscene.EngineService(0), cwscene.Route("r", "streaming", cwscene.RoutedRoute{"resumable": true}),
+			cwscene.Route("once", "streaming", nil))
+		workers := []*cwstandin.Worker{s.AddWorker("north-a", "10.1.1.1"), s.AddWorker("north-a", "10.1.1.2")}
+		i := s.AddInstance("10.1.0.1", "north-a")
+		s.AwaitReady()
+		cwstandin.FirstOf(workers, cwstandin.CutsStream)
+		a := s.Do(t.Context(), i, cwscene.RoutedRequest{Path: "/r/x", Header: prompt()})
+		is.NoErr(a.Err)
+		want := ""
+		for _, n := range []string{"1", "2", "3", "4", "5", "6"} {
+			want += "id: " + n + "\ndata: piece " + n + "\n\n"
+		}
+		is.Equal(a.Body, want)
+		is.Equal(len(runsOf(workers)), 2)
+
+		// One that can't be resumed must not look complete, and runs once.
+		cwstandin.FirstOf(workers, cwstandin.CutsStream)
+		a = s.Do(t.Context(), i, cwscene.RoutedRequest{Path: "/once/x", Header: prompt()})
+		is.True(a.Err != nil)
+		is.Equal(len(runsOf(workers)), 3)
+	})
+}
+
+func TestCallerWhoLeavesStopsTheWork(t *testing.T) {
+	inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+		i, workers := oneRegion(s, cwscene.Route("r", "unsafe", nil))
+		cwstandin.FirstOf(workers, cwstandin.Hangs)
+		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		defer cancel()
+		is.True(s.Do(ctx, i, cwscene.RoutedRequest{Path: "/r/x"}).Err != nil)
+		s.Await(func() bool { return workers[0].Gone()+workers[1].Gone() == 1 })
+	})
+}
+
+func TestFinalAnswerComesByTheTimeoutOfTheRoute(t *testing.T) {
+	inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+		i, workers := oneRegion(s, cwscene.Route("r", "unsafe", cwscene.RoutedRoute{"timeout-ms": 1000}))
+		cwstandin.FirstOf(workers, cwstandin.Hangs)
+		a := s.Do(t.Context(), i, cwscene.RoutedRequest{Path: "/r/x"})
+		is.Equal(a.Status, http.StatusGatewayTimeout)
+		is.True(a.Took <= time.Second)
+	})
+}
+
+func TestRefusalIsImmediateAndSaysWhenToComeBack(t *testing.T) {
+	inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+		s.Publish(nil, cwscene.Route("r", "unsafe", nil))
+		i := s.AddInstance("10.1.0.1", "north-a")
+		s.AwaitReady()
+		a := s.Do(t.Context(), i, cwscene.RoutedRequest{Path: "/r/x"})
+		is.Equal(a.Status, http.StatusServiceUnavailable)
+		is.True(a.Header.Get("Retry-After") != "")
+		is.True(a.Took < 50*time.Millisecond)
+	})
+}
