--- a/internal/cwroute/config.go
+++ b/internal/cwroute/config.go
@@ -43,20 +43,23 @@
 	return best
 }
 
-// HomesOf returns the regions in which every request to the host may be served;
-// empty if no route bounds them, or if no region serves all.
+// HomesOf returns the regions in which the most home-bound routes of the host may be
+// served; empty if no route bounds them.
 func (c *Config) HomesOf(host string) []string {
-	var homes []string
-	bound := false
+	allowed := make(map[string]int)
+	most := 0
 	for _, r := range c.byHost[host] {
-		if len(r.Homes) == 0 {
-			continue
+		for _, region := range r.Homes {
+			allowed[region]++
+			most = max(most, allowed[region])
 		}
-		if !bound {
-			homes, bound = slices.Clone(r.Homes), true
-			continue
+	}
+	var homes []string
+	for region, n := range allowed {
+		if n == most {
+			homes = append(homes, region)
 		}
-		homes = slices.DeleteFunc(homes, func(region string) bool { return !r.Allows(region) })
 	}
+	slices.Sort(homes)
 	return homes
 }
