Decisions under load on an emulator of engines; a pass over a list, grey endpoints remembered longer

Patterns in virtual time: burst of reviews, shared prompts, grey endpoint, speeds that differ tenfold, peak in a small region, refusal, lost endpoint; the retry budget of several instances by random schedules.

The grey test failed at first: failures were forgotten within 3 s.

--- a/internal/cwplacement/decide.go
+++ b/internal/cwplacement/decide.go
@@ -152,7 +152,7 @@
 func (p *Pool) relay(d Decision, a *Ask, o option) Decision {
 	r := o.room
 	work := Work{InFlight: 1}
-	work.Queued[Normal] = float64(a.Tokens)
+	work.Queued[Normal] = awayTokens(&a.Demand)
 	work = p.sentSince(r).Add(work)
 	p.sent[r.Domain] = sentWork{work: work, at: r.At}
 	d.Verdict, d.Domain, d.Reason = Relay, r.Domain, "away"
--- /dev/null
+++ b/internal/cwplacement/emulator_test.go
@@ -0,0 +1,193 @@
+package cwplacement_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/clementinewell/clementinewell/internal/cwplacement"
+	"github.com/clementinewell/clementinewell/internal/cwroute"
+)
+
+// emulator plays a load on engines in virtual time: prompts are processed one after
+// the other by rank, shared parts are cached, and instances tell each other what
+// they have at the engines.
+type emulator struct {
+	now       time.Time
+	rng       *rand.Rand
+	engines   map[string]*engine
+	instances []*cwplacement.Pool
+	running   []*emulated
+	nextTold  time.Time
+	// flat sends everything with one rank, as a baseline.
+	flat bool
+	// stats.
+	inTime, late, refused, failed int
+	reread, processed             int
+}
+
+type engine struct {
+	speed   float64
+	failing float64
+	queue   []*emulated
+	busy    time.Time
+	cache   map[uint64]bool
+	served  int
+}
+
+type emulated struct {
+	ticket  *cwplacement.Ticket
+	demand  cwplacement.Demand
+	arrived time.Time
+	done    time.Time
+	engine  *engine
+}
+
+const (
+	emulatorStep = 5 * time.Millisecond
+	tellEvery    = 300 * time.Millisecond
+)
+
+func newEmulator(instances int, speeds ...float64) *emulator {
+	m := &emulator{now: time.Unix(1000, 0), rng: rand.New(rand.NewPCG(1, 2)), engines: make(map[string]*engine)}
+	service := cwroute.Service{Name: "m", Engine: &cwroute.Engine{Slots: 64, MemoryTokens: 300_000, EventTokens: 6}}
+	for range instances {
+		m.instances = append(m.instances, cwplacement.NewPool(service, "a", rand.New(rand.NewPCG(3, uint64(len(m.instances))))))
+	}
+	for i, speed := range speeds {
+		id := fmt.Sprintf("engine-%d", i)
+		m.engines[id] = &engine{speed: speed, cache: make(map[uint64]bool)}
+		for _, p := range m.instances {
+			p.Register(cwroute.Endpoint{ID: id, Service: "m", Domain: "a", Slots: 64}, "north", true, m.now, m.now)
+		}
+	}
+	return m
+}
+
+// arrive places a request at one of the instances.
+func (m *emulator) arrive(d cwplacement.Demand, rooms ...cwplacement.Ask) cwplacement.Decision {
+	p := m.instances[m.rng.IntN(len(m.instances))]
+	ask := &cwplacement.Ask{Demand: d, Priority: 1, Here: true, Tried: never, Avoid: never}
+	if len(rooms) > 0 {
+		ask.Rooms = rooms[0].Rooms
+	}
+	decision := p.Decide(ask, m.now)
+	switch decision.Verdict {
+	case cwplacement.Refuse:
+		m.refused++
+	case cwplacement.Send:
+		e := m.engines[decision.Ticket.Endpoint.ID]
+		m.enqueue(e, &emulated{ticket: decision.Ticket, demand: d, arrived: m.now, engine: e})
+	}
+	return decision
+}
+
+func never(string) bool { return false }
+
+func (m *emulator) enqueue(e *engine, r *emulated) {
+	e.served++
+	if m.rng.Float64() < e.failing {
+		m.failed++
+		r.ticket.Ended(cwplacement.Failed, m.now)
+		return
+	}
+	e.queue = append(e.queue, r)
+	if !m.flat {
+		slices.SortStableFunc(e.queue, func(a, b *emulated) int { return int(a.ticket.Band - b.ticket.Band) })
+	}
+}
+
+// step lets time pass.
+func (m *emulator) step() {
+	m.now = m.now.Add(emulatorStep)
+	for _, e := range m.engines {
+		for len(e.queue) > 0 && !e.busy.After(m.now) {
+			m.begin(e)
+		}
+	}
+	m.running = slices.DeleteFunc(m.running, func(r *emulated) bool { return m.finish(r) })
+	if m.now.After(m.nextTold) {
+		m.nextTold = m.now.Add(tellEvery)
+		m.tell()
+	}
+}
+
+func (m *emulator) begin(e *engine) {
+	r := e.queue[0]
+	e.queue = e.queue[1:]
+	uncached, missed := 0, false
+	for i, part := range r.demand.Parts {
+		if missed = missed || !e.cache[part.ID]; missed {
+			uncached += part.Tokens
+			if i < len(r.demand.Parts)-1 {
+				m.reread += part.Tokens
+			}
+		}
+		e.cache[part.ID] = true
+	}
+	m.processed += uncached
+	start := e.busy
+	if start.Before(m.now) {
+		start = m.now
+	}
+	e.busy = start.Add(time.Duration(float64(uncached) / e.speed * float64(time.Second)))
+	r.done = e.busy
+	m.running = append(m.running, r)
+}
+
+func (m *emulator) finish(r *emulated) bool {
+	if r.done.After(m.now) {
+		return false
+	}
+	r.ticket.Answered(m.now)
+	r.ticket.Ended(cwplacement.Served, m.now)
+	if m.now.Sub(r.arrived) <= r.demand.Target {
+		m.inTime++
+	} else {
+		m.late++
+	}
+	return true
+}
+
+// tell gives each instance what the others have at the engines.
+func (m *emulator) tell() {
+	for i, p := range m.instances {
+		for id, e := range p.Endpoints() {
+			var work cwplacement.Work
+			failures := 0.0
+			for j, other := range m.instances {
+				if i == j {
+					continue
+				}
+				o := other.Endpoints()[id]
+				work = work.Add(o.Own())
+				failures = max(failures, o.Failures(m.now))
+				e.Learn(o.Recent(m.now))
+			}
+			e.SetOthers(work, failures, m.now)
+		}
+	}
+}
+
+// play sends requests at a rate for a time.
+func (m *emulator) play(perSecond float64, lasts time.Duration, demand func() cwplacement.Demand) {
+	due := 0.0
+	for end := m.now.Add(lasts); m.now.Before(end); m.step() {
+		for due += perSecond * emulatorStep.Seconds(); due >= 1; due-- {
+			m.arrive(demand())
+		}
+	}
+}
+
+// reviews returns requests that share one of a number of prompts, in front of 3,000
+// tokens of their own.
+func (m *emulator) reviews(prompts int) func() cwplacement.Demand {
+	own := uint64(1 << 40)
+	return func() cwplacement.Demand {
+		own++
+		n := uint64(m.rng.IntN(prompts))
+		parts := []cwplacement.Part{{ID: 1 + n%4, Tokens: 2500}, {ID: 100 + n, Tokens: 3500}, {ID: own, Tokens: 3000}}
+		return cwplacement.Demand{Tokens: 9000, Output: 50, Parts: parts, Target: 800 * time.Millisecond, Left: 3200 * time.Millisecond}
+	}
+}
--- a/internal/cwplacement/endpoint.go
+++ b/internal/cwplacement/endpoint.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/clementinewell/clementinewell/internal/cwroute"
 )
 
@@ -42,6 +44,8 @@
 
 	health
 	suspicion
+	// hash is that of the identifier.
+	hash uint64
 	// readAt is when the entry was read.
 	readAt   time.Time
 	engine   *cwroute.Engine
@@ -62,7 +66,7 @@
 
 // newEndpoint returns an endpoint of which nothing is known but its entry.
 func newEndpoint(entry cwroute.Endpoint, service cwroute.Service, speed float64) *Endpoint {
-	e := &Endpoint{Endpoint: entry, engine: service.Engine, coldRate: service.ColdRate, speed: speed, hold: startHold.Seconds()}
+	e := &Endpoint{Endpoint: entry, hash: xxhash.Sum64String(entry.ID), engine: service.Engine, coldRate: service.ColdRate, speed: speed, hold: startHold.Seconds()}
 	if service.Engine != nil {
 		e.cache = newPromptCache(int(cacheShare * float64(service.Engine.MemoryTokens)))
 	}
--- a/internal/cwplacement/health.go
+++ b/internal/cwplacement/health.go
@@ -4,7 +4,7 @@
 
 const (
 	// failureGain weighs the latest outcome in the share of failures.
-	failureGain = 0.15
+	failureGain = 0.25
 	// greyShare is the share of failures above which an endpoint is used only if
 	// no other is there. Endpoints that fail one request in seven are normal.
 	greyShare = 0.35
@@ -14,7 +14,7 @@
 	maxEjection   = 4 * time.Second
 	// failureMemory is the time after which a share of failures that nothing
 	// renewed has halved, so that an endpoint which recovered is tried again.
-	failureMemory = 3 * time.Second
+	failureMemory = 8 * time.Second
 )
 
 // health is what an endpoint did with the requests of this instance. Its own
--- /dev/null
+++ b/internal/cwplacement/pattern_test.go
@@ -0,0 +1,141 @@
+package cwplacement_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/clementinewell/clementinewell/internal/cwplacement"
+	"github.com/clementinewell/clementinewell/internal/cwpolicy"
+)
+
+// TestBurstOfReviews: half more arrives than the engines can process. What they can
+// process is served in time: late work must not make other work late.
+func TestBurstOfReviews(t *testing.T) {
+	is := is.New(t)
+	burst := func(flat bool) *emulator {
+		m := newEmulator(2, 50_000, 50_000, 50_000, 50_000)
+		m.flat = flat
+		m.play(20, 5*time.Second, m.reviews(8)) // caches and speeds are learnt
+		m.inTime, m.late, m.refused = 0, 0, 0
+		m.play(100, 10*time.Second, m.reviews(8))
+		return m
+	}
+	banded, flat := burst(false), burst(true)
+	// 4 engines process 200,000 tokens a second: 66 requests of 3,000 uncached tokens.
+	capacity := 66 * 10
+	is.True(banded.inTime >= capacity*8/10)
+	is.True(banded.inTime > flat.inTime)
+}
+
+// TestSharedPromptsAreReadOnce: on a calm day shared parts are read about once, and
+// not once at each engine, although three instances place requests.
+func TestSharedPromptsAreReadOnce(t *testing.T) {
+	is := is.New(t)
+	m := newEmulator(3, 30_000, 50_000, 80_000, 50_000, 50_000)
+	const prompts = 40
+	m.play(25, 30*time.Second, m.reviews(prompts))
+	once := prompts*3500 + 4*2500*len(m.engines)
+	everywhere := prompts*3500*len(m.engines) + 4*2500*len(m.engines)
+	is.True(m.reread < 2*once)
+	is.True(m.reread < everywhere/2)
+	is.True(m.inTime > 9*m.late)
+}
+
+// TestGreyEndpointIsAvoided: an engine fails half of its requests and none of its
+// health checks, which nobody asks.
+func TestGreyEndpointIsAvoided(t *testing.T) {
+	is := is.New(t)
+	m := newEmulator(3, 50_000, 50_000, 50_000, 50_000)
+	m.play(20, 5*time.Second, m.reviews(8))
+	grey := m.engines["engine-0"]
+	grey.failing = 0.5
+	m.play(20, 2*time.Second, m.reviews(8))
+	before := grey.served
+	m.play(20, 5*time.Second, m.reviews(8))
+	is.True(grey.served-before < 20*5/10) // less than a tenth, where an even share is a quarter
+	grey.failing, before = 0, grey.served
+	m.play(60, 10*time.Second, m.reviews(8))
+	is.True(grey.served-before > 20) // back in use once it is well and needed
+}
+
+// TestDifferentSpeedsAreLearnt: engines differ by a factor of ten, and all requests
+// are in time at half of the load that they can take.
+func TestDifferentSpeedsAreLearnt(t *testing.T) {
+	is := is.New(t)
+	m := newEmulator(2, 10_000, 20_000, 100_000, 100_000)
+	m.play(15, 10*time.Second, m.reviews(4))
+	m.inTime, m.late, m.refused = 0, 0, 0
+	m.play(38, 10*time.Second, m.reviews(4))
+	is.True(m.inTime >= 19*(m.late+m.refused))
+}
+
+// TestPeakInSmallRegion: requests stay while they are in time, go to the region that
+// has room when they would be late, and stay again when that is no better.
+func TestPeakInSmallRegion(t *testing.T) {
+	is := is.New(t)
+	m := newEmulator(1, 50_000)
+	room := cwpolicy.DomainRoom{Domain: "b", Region: "south", At: m.now, RoundTrip: 160 * time.Millisecond}
+	room.Room = cwpolicy.Room{Endpoints: 4, Slots: 256, Free: 256, SecondsPerToken: 1.0 / 50_000}
+	ask := func() cwplacement.Ask { return cwplacement.Ask{Rooms: []cwpolicy.DomainRoom{room}} }
+	demand := m.reviews(1)
+	is.Equal(m.arrive(demand(), ask()).Verdict, cwplacement.Send)
+	relayed := 0
+	for range 30 {
+		d := m.arrive(demand(), ask())
+		if d.Verdict != cwplacement.Relay {
+			continue
+		}
+		relayed++
+		is.True(d.Local > 600*time.Millisecond) // late here, at a target of 800 ms
+		is.True(d.Away < 800*time.Millisecond)  // and in time there
+	}
+	is.True(relayed > 0)
+	room.WaitSeconds = 30
+	is.True(m.arrive(demand(), ask()).Verdict != cwplacement.Relay)
+	room.WaitSeconds, room.At = 0, m.now.Add(-time.Minute) // too old to believe
+	is.True(m.arrive(demand(), ask()).Verdict != cwplacement.Relay)
+}
+
+// TestNothingIsHeldThatCannotBeServed: a refusal comes at once and names a time.
+func TestNothingIsHeldThatCannotBeServed(t *testing.T) {
+	is := is.New(t)
+	m := newEmulator(1, 10_000)
+	demand := m.reviews(1)
+	var last cwplacement.Decision
+	for range 60 {
+		last = m.arrive(demand())
+	}
+	is.Equal(last.Verdict, cwplacement.Refuse)
+	is.Equal(last.Reason, "overload")
+	is.True(last.RetryAfter > 0)
+}
+
+// TestLostEndpointCountsAsCold: an endpoint that could not be reached may have
+// restarted, and takes its cold rate only until a newer entry says otherwise.
+func TestLostEndpointCountsAsCold(t *testing.T) {
+	is := is.New(t)
+	m := newEmulator(1, 50_000)
+	p := m.instances[0]
+	p.Service.ColdRate = 2
+	e := p.Endpoints()["engine-0"]
+	register := func() {
+		p.Register(e.Endpoint, "north", true, m.now, m.now)
+	}
+	register()
+	m.now = m.now.Add(time.Second)
+	e.Lost(m.now)
+	m.now = m.now.Add(3 * time.Second) // the ejection is over
+	sent := 0
+	for range 10 {
+		if m.arrive(m.reviews(1)()).Verdict == cwplacement.Send {
+			sent++
+		}
+	}
+	is.Equal(sent, 1)
+	m.now = m.now.Add(time.Second)
+	register()
+	is.Equal(m.arrive(m.reviews(1)()).Verdict, cwplacement.Send)
+	is.Equal(m.arrive(m.reviews(1)()).Verdict, cwplacement.Send)
+}
--- a/internal/cwplacement/pool.go
+++ b/internal/cwplacement/pool.go
@@ -1,12 +1,11 @@
 package cwplacement
 
 import (
-	"encoding/binary"
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/clementinewell/clementinewell/internal/cwpolicy"
 	"github.com/clementinewell/clementinewell/internal/cwroute"
 )
@@ -39,8 +38,10 @@
 	Domain string
 
 	endpoints map[string]*Endpoint
-	sent      map[string]sentWork
-	rng       *rand.Rand
+	// list holds the same endpoints, for a fast pass over all.
+	list []*Endpoint
+	sent map[string]sentWork
+	rng  *rand.Rand
 }
 
 // sentWork is what this instance relayed to a domain since its latest summary.
@@ -66,6 +67,7 @@
 	if e == nil || e.Born != entry.Born || e.Address != entry.Address {
 		e = newEndpoint(entry, p.Service, p.meanSpeed())
 		p.endpoints[entry.ID] = e
+		p.relist()
 	}
 	e.Endpoint, e.Region, e.owned = entry, region, owned
 	e.coldRate, e.engine = p.Service.ColdRate, p.Service.Engine
@@ -81,6 +83,17 @@
 			delete(p.endpoints, id)
 		}
 	}
+	p.relist()
+}
+
+// relist orders the endpoints by identifier, so that a choice doesn't depend on the
+// order of a map.
+func (p *Pool) relist() {
+	p.list = p.list[:0]
+	for _, e := range p.endpoints {
+		p.list = append(p.list, e)
+	}
+	slices.SortFunc(p.list, func(a, b *Endpoint) int { return cmp.Compare(a.ID, b.ID) })
 }
 
 func (p *Pool) meanSpeed() float64 {
@@ -101,7 +114,7 @@
 	var bestPrediction prediction
 	lowest := 0.0
 	agreed := p.agreed(d, now)
-	for _, e := range p.endpoints {
+	for _, e := range p.list {
 		if !e.usable(now) || tried(e.ID) {
 			continue
 		}
@@ -138,28 +151,31 @@
 	}
 	var best *Endpoint
 	highest := uint64(0)
-	for id, e := range p.endpoints {
+	for _, e := range p.list {
 		if e.Drains || e.Evacuated || e.out(now) {
 			continue
 		}
-		if score := rendezvous(key, id); best == nil || score > highest {
+		if score := rendezvous(key, e.hash); best == nil || score > highest {
 			best, highest = e, score
 		}
 	}
 	return best
 }
 
-func rendezvous(key uint64, id string) uint64 {
-	var buf [64]byte
-	b := binary.LittleEndian.AppendUint64(buf[:0], key)
-	return xxhash.Sum64(append(b, id...))
+// rendezvous scores an endpoint for a key. Instances agree on it, since it rests on
+// identifiers only.
+func rendezvous(key, endpoint uint64) uint64 {
+	x := (key ^ endpoint) * 0x9e3779b97f4a7c15
+	x ^= x >> 32
+	x *= 0xd6e8feb86659fd93
+	return x ^ x>>32
 }
 
 // Room sums up what the pool can take in one failure domain.
 func (p *Pool) Room(domain string, now time.Time) cwpolicy.Room {
 	var r cwpolicy.Room
 	perToken := 0.0
-	for _, e := range p.endpoints {
+	for _, e := range p.list {
 		if e.Domain != domain || !e.usable(now) || e.isCold(now) {
 			continue
 		}
--- /dev/null
+++ b/internal/cwplacement/retry_budget_test.go
@@ -0,0 +1,54 @@
+package cwplacement_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/clementinewell/clementinewell/internal/cwplacement"
+)
+
+// TestRetryBudgetSchedule: whatever the instances see, the repeats of all of them in
+// any window stay within the ratio of the requests and the slack. Requests are those
+// of the window or of the one before it.
+func TestRetryBudgetSchedule(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const window, ratio, slack = 10 * time.Second, 0.2, 50.0
+		start := time.Unix(1000, 0)
+		instances := rapid.IntRange(1, 5).Draw(t, "instances")
+		budgets := make([]*cwplacement.RetryBudget, instances)
+		for i := range budgets {
+			budgets[i] = cwplacement.NewRetryBudget(ratio, slack, window, start)
+		}
+		var requests, repeats []time.Time
+		now := start
+		for range rapid.IntRange(50, 400).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "pause")) * time.Millisecond)
+			b := budgets[rapid.IntRange(0, instances-1).Draw(t, "instance")]
+			if rapid.Bool().Draw(t, "request") {
+				b.Request(now)
+				requests = append(requests, now)
+			} else if b.Take(instances, now) {
+				repeats = append(repeats, now)
+			}
+		}
+		for _, end := range repeats {
+			allowed := ratio*float64(max(within(requests, end, window), within(requests, end.Add(-window), window))) + slack
+			if got := within(repeats, end, window); float64(got) > allowed {
+				t.Fatalf("%d repeats in the window up to %v, allowed %.1f", got, end.Sub(start), allowed)
+			}
+		}
+	})
+}
+
+// within counts the times in the window up to the end.
+func within(at []time.Time, end time.Time, window time.Duration) int {
+	n := 0
+	for _, t := range at {
+		if !t.After(end) && end.Sub(t) < window {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/cwplacement/room.go
+++ b/internal/cwplacement/room.go
@@ -21,10 +21,19 @@
 	if d.Tokens == 0 {
 		return s + startHold.Seconds()
 	}
-	tokens := float64(d.Tokens) + sent.Queued[Normal]/float64(max(r.Endpoints, 1))
+	tokens := awayTokens(d) + sent.Queued[Normal]/float64(max(r.Endpoints, 1))
 	return s + answerOverhead.Seconds() + tokens*r.SecondsPerToken
 }
 
+// awayShare is the part of the shared parts of a prompt that is taken to be in a cache
+// of another region: what is asked here is mostly asked there too.
+const awayShare = 0.6
+
+// awayTokens returns the tokens that another region has to process for a request.
+func awayTokens(d *Demand) float64 {
+	return float64(d.Tokens) - awayShare*float64(d.sharedTokens())
+}
+
 // believable reports whether a summary may be acted on.
 func believable(r *cwpolicy.DomainRoom, now time.Time) bool {
 	return r.Endpoints > 0 && now.Sub(r.At) < roomMaxAge
