Late work is sent only if its whole answer fits before the deadline

Change: a late request needs first byte and rest within 0.85 of the time left; the choice of an endpoint weighs the time by which an answer would be too long.

--- a/internal/cwgate/job.go
+++ b/internal/cwgate/job.go
@@ -44,6 +44,7 @@
 	d := cwplacement.Demand{
 		Target:  j.route.Target,
 		Left:    j.usefulUntil().Sub(now),
+		Whole:   j.deadline.Sub(now),
 		Elapsed: j.Elapsed + now.Sub(j.Arrived),
 	}
 	if j.Prompt != nil {
--- a/internal/cwplacement/decide.go
+++ b/internal/cwplacement/decide.go
@@ -16,6 +16,9 @@
 	// leftShare is the part of the time left within which the first byte of a late
 	// answer must come, so that the rest of it fits too.
 	leftShare = 0.7
+	// wholeShare is the part of the time to the deadline within which a late answer
+	// must be whole: one that is cut off has taken capacity for nothing.
+	wholeShare = 0.85
 	// minRetryAfter and maxRetryAfter bound when a refused caller is asked back.
 	minRetryAfter = 400 * time.Millisecond
 	maxRetryAfter = 6 * time.Second
@@ -84,15 +87,21 @@
 	return a.Elapsed.Seconds()+first <= inTime*a.Target.Seconds()
 }
 
-// bearable reports whether a late answer is still of use.
-func (a *Ask) bearable(first float64) bool {
-	return first <= leftShare*a.Left.Seconds()
+// bearable reports whether a late answer is still of use: its first byte comes before
+// the caller leaves, and its last one before the deadline.
+func (a *Ask) bearable(f prediction) bool {
+	return f.first <= leftShare*a.Left.Seconds() && a.fits(f)
+}
+
+// fits reports whether the whole answer is expected before the deadline.
+func (a *Ask) fits(f prediction) bool {
+	return a.Whole == 0 || f.first+f.rest <= wholeShare*a.Whole.Seconds()
 }
 
 // leaves decides whether a request that would be late here goes to another region.
 func (p *Pool) leaves(a *Ask, local, away *option, now time.Time) bool {
 	if local.endpoint == nil {
-		return a.bearable(away.forecast.first)
+		return a.bearable(away.forecast)
 	}
 	if local.endpoint.isGrey(now) && away.room.Failures < greyShare {
 		return true
@@ -106,7 +115,7 @@
 		return p.send(d, a, local, "grey", now)
 	}
 	late := p.bestLocal(a, Late, now)
-	if !a.bearable(late.forecast.first) {
+	if !a.bearable(late.forecast) {
 		return p.refuse(d, seconds(local.forecast.first)-a.Target/2, "overload")
 	}
 	d.Local = seconds(late.forecast.first)
--- a/internal/cwplacement/demand.go
+++ b/internal/cwplacement/demand.go
@@ -21,8 +21,9 @@
 	Parts []Part
 	// Target is the time to the first byte that the caller expects.
 	Target time.Duration
-	// Left is the time until an answer is of no more use.
-	Left time.Duration
+	// Left is the time until a first byte is of no more use, and Whole until the whole
+	// answer is.
+	Left, Whole time.Duration
 	// Elapsed is the time since the caller sent the request, as far as it is known.
 	Elapsed time.Duration
 }
--- a/internal/cwplacement/pool.go
+++ b/internal/cwplacement/pool.go
@@ -19,6 +19,8 @@
 	affinity = 0.7
 	// restCost weighs the time from the first byte to the last.
 	restCost = 0.1
+	// overCost weighs the time by which an answer would miss its deadline.
+	overCost = 3.0
 	// greyCost is added for an endpoint that fails much, in seconds: it is used
 	// where nothing else is in reach.
 	greyCost = 5.0
@@ -120,6 +122,9 @@
 		}
 		f := e.predict(d, band, now)
 		cost := p.cost(e, f, e == agreed, now)
+		if over := f.first + f.rest - d.Whole.Seconds(); d.Whole > 0 && over > 0 {
+			cost += overCost * over
+		}
 		if best == nil || cost < lowest {
 			best, bestPrediction, lowest = e, f, cost
 		}
