Requests look at other regions before their own is filled to the target

Cause: on the grown deployments engines were filled until predictions reached 0.85 of the target.

Change: above 0.6 of the target a request goes where it is expected sooner, if only by a twentieth; up to 0.85 it stays in the band of work in time. The pattern of the small region asks now that a request leaves only for a better place in time, in place of the old threshold.

--- a/internal/cwplacement/decide.go
+++ b/internal/cwplacement/decide.go
@@ -7,11 +7,13 @@
 )
 
 const (
-	// relayGain is how much better another region must be before a request that
-	// would be late here leaves.
-	relayGain = 0.8
-	// inTime is the share of the target that a prediction may use up and still
-	// count as in time; predictions are rough.
+	// relayGain is how much better another region must be before a request leaves.
+	relayGain = 0.95
+	// comfortable is the share of the target up to which a request stays without a
+	// look at other regions. Predictions are rough, and a region that is filled to
+	// its target has no room for what it doesn't foresee.
+	comfortable = 0.6
+	// inTime is the share of the target up to which a request counts as in time.
 	inTime = 0.85
 	// leftShare is the part of the time left within which the first byte of a late
 	// answer must come, so that the rest of it fits too.
@@ -64,7 +66,7 @@
 	}
 	if local.endpoint != nil {
 		d.Local = seconds(local.forecast.first)
-		if a.inTime(local.forecast.first) && !local.endpoint.isGrey(now) {
+		if a.within(comfortable, local.forecast.first) && !local.endpoint.isGrey(now) {
 			return p.send(d, a, local, "local", now)
 		}
 	}
@@ -81,10 +83,10 @@
 	return p.refuse(d, noPlaceRetry, "noPlace")
 }
 
-// inTime reports whether a request that takes so many more seconds to its first
-// byte meets its target.
-func (a *Ask) inTime(first float64) bool {
-	return a.Elapsed.Seconds()+first <= inTime*a.Target.Seconds()
+// within reports whether a request that takes so many more seconds to its first byte
+// uses at most a share of its target.
+func (a *Ask) within(share, first float64) bool {
+	return a.Elapsed.Seconds()+first <= share*a.Target.Seconds()
 }
 
 // bearable reports whether a late answer is still of use: its first byte comes before
@@ -106,13 +108,13 @@
 	if local.endpoint.isGrey(now) && away.room.Failures < greyShare {
 		return true
 	}
-	return a.inTime(away.forecast.first) && away.forecast.first < relayGain*local.forecast.first
+	return a.within(inTime, away.forecast.first) && away.forecast.first < relayGain*local.forecast.first
 }
 
 // sendLate sends a request that can't be in time, unless even that is of no use.
 func (p *Pool) sendLate(d Decision, a *Ask, local option, now time.Time) Decision {
-	if a.inTime(local.forecast.first) {
-		return p.send(d, a, local, "grey", now)
+	if a.within(inTime, local.forecast.first) {
+		return p.send(d, a, local, "local", now)
 	}
 	late := p.bestLocal(a, Late, now)
 	if !a.bearable(late.forecast) {
