--- a/internal/cwcommand/root.go
+++ b/internal/cwcommand/root.go
@@ -21,7 +21,7 @@
 	root.SetOut(os.Stdout)
 	root.AddCommand(
 		newServe(), newPublish(), newCheck(), newCall(), newBurn(), newStatus(), newExplain(),
-		newReplay(), newSettings(), newVersion(),
+		newReplay(), newSettings(), newTrace(), newVersion(),
 	)
 	return root
 }
--- /dev/null
+++ b/internal/cwcommand/trace.go
@@ -0,0 +1,73 @@
+package cwcommand
+
+import (
+	"bufio"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+
+	"github.com/spf13/cobra"
+)
+
+// newTrace joins the log lines of several instances by a request's identifier.
+func newTrace() *cobra.Command {
+	return &cobra.Command{
+		Use:   "trace REQUEST [FILE...]",
+		Short: "Print what instances logged about one request, in order",
+		Long:  "Print the log lines about one request from files of several instances, or from standard input, in the order of their time.",
+		Args:  cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			var story []tracedLine
+			if len(args) == 1 {
+				story = tracedLines(cmd.InOrStdin(), args[0])
+			}
+			for _, path := range args[1:] {
+				f, err := os.Open(path)
+				if err != nil {
+					return fmt.Errorf("trace: %w", err)
+				}
+				story = append(story, tracedLines(f, args[0])...)
+				_ = f.Close()
+			}
+			if len(story) == 0 {
+				return fmt.Errorf("trace: no line about request %s", args[0])
+			}
+			slices.SortStableFunc(story, func(a, b tracedLine) int { return cmp.Compare(a.Time, b.Time) })
+			for _, line := range story {
+				cmd.Println(line.text)
+			}
+			return nil
+		},
+	}
+}
+
+// tracedLine is one log line with what orders it.
+type tracedLine struct {
+	Request string `json:"request"`
+	Time    string `json:"time"`
+
+	text string
+}
+
+// maxLogLine bounds one line of a log.
+const maxLogLine = 1 << 20
+
+// tracedLines returns the lines about a request. Lines that are no JSON, such as the
+// cut last line of a killed instance, are passed over.
+func tracedLines(r io.Reader, request string) []tracedLine {
+	var found []tracedLine
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLogLine)
+	for scanner.Scan() {
+		var line tracedLine
+		if json.Unmarshal(scanner.Bytes(), &line) != nil || line.Request != request {
+			continue
+		}
+		line.text = scanner.Text()
+		found = append(found, line)
+	}
+	return found
+}
--- /dev/null
+++ b/internal/cwlog/vocabulary_test.go
@@ -0,0 +1,67 @@
+package cwlog_test
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestEveryLineIsInTheLogsPage reads the messages that the routed path logs out of the
+// code and looks them up in docs/LOGS.md.
+func TestEveryLineIsInTheLogsPage(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/LOGS.md")
+	is.NoErr(err)
+	found := 0
+	for _, dir := range []string{"cwgate", "cwpublished", "cwsync", "cwapp"} {
+		files, err := filepath.Glob("../" + dir + "/*.go")
+		is.NoErr(err)
+		for _, path := range files {
+			if strings.HasSuffix(path, "_test.go") {
+				continue
+			}
+			file, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+			is.NoErr(err)
+			ast.Inspect(file, func(n ast.Node) bool {
+				message, ok := loggedMessage(n)
+				if ok {
+					found++
+					if !strings.Contains(string(page), "`"+message+"`") {
+						t.Errorf("%s logs %q, which docs/LOGS.md does not explain", path, message)
+					}
+				}
+				return true
+			})
+		}
+	}
+	is.True(found > 15)
+}
+
+// loggedMessage returns the message of a call such as x.Log.Info("message").
+func loggedMessage(n ast.Node) (string, bool) {
+	call, ok := n.(*ast.CallExpr)
+	if !ok || len(call.Args) == 0 {
+		return "", false
+	}
+	method, ok := call.Fun.(*ast.SelectorExpr)
+	if !ok || method.Sel.Name != "Info" && method.Sel.Name != "Warn" {
+		return "", false
+	}
+	receiver, ok := method.X.(*ast.SelectorExpr)
+	if !ok || receiver.Sel.Name != "Log" {
+		return "", false
+	}
+	literal, ok := call.Args[0].(*ast.BasicLit)
+	if !ok {
+		return "", false
+	}
+	message, err := strconv.Unquote(literal.Value)
+	return message, err == nil
+}
