--- a/internal/cwapp/routed_fleet_test.go
+++ b/internal/cwapp/routed_fleet_test.go
@@ -53,7 +53,7 @@
 // TestDomainWithoutSeed: the instances of a domain in which no seed runs learn of
 // each other.
 func TestDomainWithoutSeed(t *testing.T) {
-	inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+	inRoutedScene(t, func(_ *testing.T, is *is.I, s *cwscene.RoutedScene) {
 		s.Publish(nil, cwscene.Route("r", "unsafe", nil))
 		s.AddInstance("10.1.0.1", "north-a") // the seed
 		a, b := s.AddInstance("10.2.0.1", "south-a"), s.AddInstance("10.2.0.2", "south-a")
@@ -65,7 +65,7 @@
 
 // TestSeedComesBack: instances that started while the seed was down join it later.
 func TestSeedComesBack(t *testing.T) {
-	inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+	inRoutedScene(t, func(_ *testing.T, is *is.I, s *cwscene.RoutedScene) {
 		s.Publish(nil, cwscene.Route("r", "unsafe", nil))
 		a := s.AddInstance("10.2.0.1", "south-a")
 		s.Await(a.Ready)
@@ -77,7 +77,7 @@
 }
 
 func TestDirectoryForgetsKilledAndLeavingInstances(t *testing.T) {
-	inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+	inRoutedScene(t, func(_ *testing.T, is *is.I, s *cwscene.RoutedScene) {
 		s.Publish(nil, cwscene.Route("r", "unsafe", nil))
 		a, b, c := s.AddInstance("10.1.0.1", "north-a"), s.AddInstance("10.1.0.2", "north-a"), s.AddInstance("10.1.0.3", "north-a")
 		s.AwaitReady()
