Burn report and status on the users' platform

The operator interface serves /status (endpoints, peers, revision), /burn by route and /metrics; TestOperatorInterface reads all three, the metrics with the Prometheus parser.

--- a/internal/cwadmin/status.go
+++ b/internal/cwadmin/status.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/clementinewell/clementinewell/internal/cwcontrol"
 )
 
 // Status is what an instance believes, and how old each belief is.
@@ -73,16 +75,9 @@
 		InFlight:        h.dispatcher.InFlight(),
 		Config:          s.Order.Accepted().String(),
 		ConfigConfirmed: s.Order.FreshWithin(now, confirmedWithin),
-		Peers:           []PeerStatus{},
+		Peers:           peerStatuses(s, now),
 		Endpoints:       []EndpointStatus{},
 	}
-	for _, m := range s.Members {
-		out.Peers = append(out.Peers, PeerStatus{
-			Address: m.Address, Region: m.Region, Domain: m.Domain,
-			Incarnation: m.Incarnation, Leaving: m.Leaving, Listed: m.Listed,
-			HeardSecondsAgo: now.Sub(m.HeardAt).Seconds(), Failing: !m.FailedAt.IsZero(),
-		})
-	}
 	for _, e := range s.Endpoints {
 		out.Endpoints = append(out.Endpoints, EndpointStatus{
 			Address: e.Address, Pool: e.Pool, Incarnation: e.Incarnation, Leaving: e.Leaving,
@@ -92,3 +87,15 @@
 	}
 	return out
 }
+
+func peerStatuses(s *cwcontrol.Snapshot, now time.Time) []PeerStatus {
+	peers := make([]PeerStatus, 0, len(s.Members))
+	for _, m := range s.Members {
+		peers = append(peers, PeerStatus{
+			Address: m.Address, Region: m.Region, Domain: m.Domain,
+			Incarnation: m.Incarnation, Leaving: m.Leaving, Listed: m.Listed,
+			HeardSecondsAgo: now.Sub(m.HeardAt).Seconds(), Failing: !m.FailedAt.IsZero(),
+		})
+	}
+	return peers
+}
--- a/internal/cwapp/routed.go
+++ b/internal/cwapp/routed.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/clementinewell/clementinewell/internal/cwadmin"
 	"github.com/clementinewell/clementinewell/internal/cwcontrol"
 	"github.com/clementinewell/clementinewell/internal/cwgate"
 	"github.com/clementinewell/clementinewell/internal/cwnet"
@@ -48,13 +48,14 @@
 	peers := cwpeer.NewServer(r.Common, r.Control, r.Gate, cwpeer.Sources{Published: r.State}, puller, r.auth)
 	r.front = r.newServer(site.Front, cwwire.NewFrontHandler(r.Gate), settings.MaxConnections)
 	r.relay = r.newServer(site.Relay, cwwire.NewRelayHandler(r.Gate), 0)
+	admin := cwadmin.NewRoutedHandler(r.Common, r.Control, r.State, r.Gate, r.Gate.Burn, r.metrics)
 	r.servers = []*server{
 		r.front,
 		r.relay,
 		r.newServer(site.Peer, peers.Handler(), 0),
 		r.newServer(site.Ready, cwwire.NewReadyHandler(r.Ready), 0),
 		r.newServer(site.Directory, cwwire.NewDirectoryHandler(r), 0),
-		r.newServer(settings.AdminAddress, r.adminMux(), 0),
+		r.newServer(settings.AdminAddress, admin.Mux(), 0),
 	}
 	r.loops = []loop{
 		r.Control.Run,
@@ -66,12 +67,6 @@
 	return r
 }
 
-func (r *Routed) adminMux() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", r.metrics)
-	return mux
-}
-
 // Ready reports whether callers may be sent here.
 func (r *Routed) Ready() bool {
 	return r.Control.Snapshot().Ready && r.State.View().Config != nil
--- a/internal/cwgate/gate.go
+++ b/internal/cwgate/gate.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/clementinewell/clementinewell/internal/cwburn"
 	"github.com/clementinewell/clementinewell/internal/cwcommon"
 	"github.com/clementinewell/clementinewell/internal/cwconn"
 	"github.com/clementinewell/clementinewell/internal/cwcontrol"
@@ -19,6 +20,9 @@
 // Gate serves routed requests.
 type Gate struct {
 	*cwcommon.Common
+	// Burn is the service-level report, by route.
+	Burn *cwburn.Recorder
+
 	site    *cwsite.Site
 	control *cwcontrol.Control
 	state   *cwpublished.State
@@ -47,6 +51,7 @@
 func NewGate(common *cwcommon.Common, site *cwsite.Site, control *cwcontrol.Control, state *cwpublished.State, codec Codec, seed uint64) *Gate {
 	return &Gate{
 		Common:    common,
+		Burn:      cwburn.NewRecorder(time.Now()),
 		site:      site,
 		bounds:    site.Bounds,
 		control:   control,
--- a/internal/cwgate/job.go
+++ b/internal/cwgate/job.go
@@ -26,6 +26,8 @@
 	outcome cwanswer.Outcome
 	// runs counts the attempts that may have run, and sends all attempts.
 	runs, sends int
+	// relayedTo is the domain of the last attempt that left the region.
+	relayedTo string
 	// predicted is the time to the first byte that the latest decision expected.
 	predicted time.Duration
 	// failure is an endpoint's own failure, kept while another try is made.
--- a/internal/cwgate/log.go
+++ b/internal/cwgate/log.go
@@ -12,6 +12,7 @@
 func (g *Gate) logAttempt(j *job, d cwplacement.Decision, r result) {
 	if d.Verdict == cwplacement.Relay {
 		g.counts.relays.Inc(1)
+		j.relayedTo = d.Domain
 	}
 	if j.sends > 1 {
 		g.counts.repeats.Inc(1)
@@ -33,6 +34,9 @@
 
 // logRefused writes why a request found no place.
 func (g *Gate) logRefused(j *job, d cwplacement.Decision) {
+	if reason, counts := reasonOf(d.Reason); counts {
+		g.observe(j, reason)
+	}
 	g.Log.Info("request refused", zap.String("request", j.ID), zap.String("route", j.route.Name), zap.String("reason", d.Reason),
 		zap.Duration("predicted", d.Local), zap.Duration("predictedAway", d.Away), zap.Duration("retryAfter", d.RetryAfter),
 		zap.Int("attempts", j.sends), zap.Bool("relayed", j.Relayed), zap.Uint64("revision", g.state.Revision()))
@@ -46,6 +50,9 @@
 	}
 	total := time.Since(j.Arrived)
 	g.counts.end(outcome, first, total)
+	if reason, counts := reasonOf(outcome); counts {
+		g.observe(j, reason)
+	}
 	fields := []zap.Field{
 		zap.String("request", j.ID), zap.String("route", j.route.Name), zap.String("outcome", outcome), zap.Int("status", j.out.status),
 		zap.String("place", j.out.endpoint), zap.Int("attempts", j.sends), zap.Duration("predicted", j.predicted), zap.Duration("first", first), zap.Duration("total", total),
--- a/internal/cwplacement/endpoint.go
+++ b/internal/cwplacement/endpoint.go
@@ -140,17 +140,22 @@
 	return e.own.Add(e.others)
 }
 
-// isCold reports whether the endpoint bears a limited rate only.
-func (e *Endpoint) isCold(now time.Time) bool {
+// IsCold reports whether the endpoint bears a limited rate only.
+func (e *Endpoint) IsCold(now time.Time) bool {
 	return e.coldRate > 0 && (now.Before(e.ColdUntil) || e.suspected(e.readAt, now))
 }
 
-// usable reports whether new work may go there.
-func (e *Endpoint) usable(now time.Time) bool {
+// Usable reports whether new work may go there.
+func (e *Endpoint) Usable(now time.Time) bool {
 	if e.Drains || e.Evacuated || e.out(now) {
 		return false
 	}
-	return !e.isCold(now) || e.owned && e.cold.ready(e.coldRate, now)
+	return !e.IsCold(now) || e.owned && e.cold.ready(e.coldRate, now)
+}
+
+// Speed returns the learnt speed in prompt tokens per second.
+func (e *Endpoint) Speed() float64 {
+	return e.speed
 }
 
 // slots returns the number of requests that run at once, at least 1.
--- a/internal/cwplacement/pool.go
+++ b/internal/cwplacement/pool.go
@@ -117,7 +117,7 @@
 	lowest := 0.0
 	agreed := p.agreed(d, now)
 	for _, e := range p.list {
-		if !e.usable(now) || tried(e.ID) {
+		if !e.Usable(now) || tried(e.ID) {
 			continue
 		}
 		f := e.predict(d, band, now)
@@ -181,7 +181,7 @@
 	var r cwpolicy.Room
 	perToken := 0.0
 	for _, e := range p.list {
-		if e.Domain != domain || !e.usable(now) || e.isCold(now) {
+		if e.Domain != domain || !e.Usable(now) || e.IsCold(now) {
 			continue
 		}
 		wait, share := e.predict(&Demand{}, Normal, now).wait, e.failing(now)
--- a/internal/cwplacement/ticket.go
+++ b/internal/cwplacement/ticket.go
@@ -31,7 +31,7 @@
 		e.recent.add(d.Parts, now)
 	}
 	e.own = e.own.Add(t.work)
-	if e.isCold(now) {
+	if e.IsCold(now) {
 		e.cold.open(e.coldRate, now)
 	}
 	return t
--- a/internal/cwscene/routed_scene.go
+++ b/internal/cwscene/routed_scene.go
@@ -273,6 +273,22 @@
 	return addresses
 }
 
+// Operator asks an instance's interface for operators.
+func (s *RoutedScene) Operator(t testing.TB, i *RoutedInstance, path string) string {
+	transport := &http.Transport{DialContext: s.Net.Host(CallerIP).DialContext}
+	defer transport.CloseIdleConnections()
+	resp, err := (&http.Client{Transport: transport}).Get("http://" + i.IP + metricsPort + path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("%s: status %d, %v", path, resp.StatusCode, err)
+	}
+	return string(body)
+}
+
 // Kill ends an instance without warning.
 func (s *RoutedScene) Kill(i *RoutedInstance) {
 	s.Net.Kill(i.IP)
