Readers that the store turns away are replaced, and one offer of a peer is enough

Change: instances say when the store doesn't answer them, and others become readers; three watch in a domain; a pull follows the first offer, at once if the store is away, else after the time that the own watch may take.

--- a/internal/cwapp/routed.go
+++ b/internal/cwapp/routed.go
@@ -41,6 +41,7 @@
 	r := &Routed{instance: newInstance(settings, log, n), site: site, seeds: site.Seeds}
 	r.State = cwpublished.NewState(r.Common, cwwire.Decode)
 	r.State.OnApply = func(revision uint64) { r.Control.Offer(cwcontrol.PublishedTaken{Revision: revision}) }
+	r.State.OnStore = func(away bool) { r.Control.Offer(cwcontrol.SelfStoreAway{Away: away}) }
 	r.follower = cwpublished.NewFollower(r.Common, r.State, cwwire.NewStoreClient(site.Store, n), r.IsReader)
 	r.Gate = cwgate.NewGate(r.Common, site, r.Control, r.State, cwwire.Codec{}, newSeed())
 	puller := cwsync.NewPublishedPuller(r.Common, r.State, r.client, r.follower)
@@ -88,10 +89,15 @@
 	return cwpolicy.Fronts(members, ask, time.Now()), hold.Seconds()
 }
 
+// storeReaders is the number of instances of a domain that watch the store. The store
+// may turn a third of the instances away and say nothing; three leave one in nearly
+// all cases, and the others learn from other domains.
+const storeReaders = 3
+
 // IsReader reports whether this instance watches the store for its domain.
 func (r *Routed) IsReader() bool {
 	s := r.Control.Snapshot()
-	return cwpolicy.IsReader(s.Self.Address, s.Self.Domain, s.Members, time.Now())
+	return cwpolicy.IsReader(s.Self.Address, s.Self.Domain, s.Members, storeReaders, time.Now())
 }
 
 // onFrozen makes an instance that stood still ask before it serves again.
--- a/internal/cwcontrol/self_events.go
+++ b/internal/cwcontrol/self_events.go
@@ -42,3 +42,13 @@
 func (SelfFrozen) apply(s *state, _ time.Time) {
 	s.order.Doubt()
 }
+
+// SelfStoreAway says whether the store of published state answers this instance.
+type SelfStoreAway struct {
+	// Away is set while it does not.
+	Away bool
+}
+
+func (e SelfStoreAway) apply(s *state, _ time.Time) {
+	s.self.StoreAway = e.Away
+}
--- a/internal/cwpeer/exchanger.go
+++ b/internal/cwpeer/exchanger.go
@@ -75,7 +75,7 @@
 
 func (x *Exchanger) remoteInterval() time.Duration {
 	s := x.control.Snapshot()
-	if cwpolicy.IsReader(s.Self.Address, s.Self.Domain, s.Members, time.Now()) {
+	if cwpolicy.IsReader(s.Self.Address, s.Self.Domain, s.Members, cwpolicy.ReadersPerDomain, time.Now()) {
 		return x.Settings.RemoteInterval
 	}
 	return silentShare * x.Settings.RemoteInterval
--- a/internal/cwpeer/news.go
+++ b/internal/cwpeer/news.go
@@ -67,6 +67,7 @@
 		Load:          float32(m.Load),
 		Demand:        float32(m.Demand),
 		Leaving:       m.Leaving,
+		StoreAway:     m.StoreAway,
 	}
 }
 
@@ -79,6 +80,7 @@
 		Size:          float64(p.GetSize()),
 		Load:          float64(p.GetLoad()),
 		Demand:        float64(p.GetDemand()),
+		StoreAway:     p.GetStoreAway(),
 	}
 	m.Incarnation, m.Leaving = p.GetIncarnation(), p.GetLeaving()
 	return m
--- a/internal/cwpolicy/member.go
+++ b/internal/cwpolicy/member.go
@@ -13,6 +13,8 @@
 	Size float64
 	// Load is the member's share of its own capacity in use, from 0.
 	Load float64
+	// StoreAway is set while the store of published state doesn't answer the member.
+	StoreAway bool
 	// Demand is the number of requests per second that reach the member.
 	Demand float64
 }
--- a/internal/cwpolicy/membership.go
+++ b/internal/cwpolicy/membership.go
@@ -93,6 +93,7 @@
 	}
 	member.CallerAddress, member.Region, member.Domain = news.CallerAddress, news.Region, news.Domain
 	member.Size, member.Load, member.Demand = news.Size, news.Load, news.Demand
+	member.StoreAway = news.StoreAway
 	return true
 }
 
--- a/internal/cwpolicy/reader_rank.go
+++ b/internal/cwpolicy/reader_rank.go
@@ -11,23 +11,24 @@
 const ReadersPerDomain = 2
 
 // IsReader reports whether the instance at the address is one of the readers of
-// its domain. Two instances with different views may both think so; that costs
+// its domain, of which there are at most so many. Two instances with different views may both think so; that costs
 // a watch and harms nothing.
-func IsReader(self, domain string, members []Member, now time.Time) bool {
+func IsReader(self, domain string, members []Member, most int, now time.Time) bool {
 	own := readerScore(self)
 	before := 0
 	for i := range members {
 		m := &members[i]
 		// A member that failed once may be gone. Another reader costs little, and a
-		// domain without one misses changes.
-		if m.Domain != domain || !m.Usable(now, MemberSilence) || !m.FailedAt.IsZero() {
+		// domain without one misses changes. The same holds for one that the store
+		// doesn't answer.
+		if m.Domain != domain || !m.Usable(now, MemberSilence) || !m.FailedAt.IsZero() || m.StoreAway {
 			continue
 		}
 		if readerScore(m.Address) < own {
 			before++
 		}
 	}
-	return before < ReadersPerDomain
+	return before < most
 }
 
 func readerScore(address string) uint64 {
--- a/internal/cwpublished/state.go
+++ b/internal/cwpublished/state.go
@@ -15,6 +15,8 @@
 	*cwcommon.Common
 	// OnApply is called with the revision after each change or confirmation.
 	OnApply func(revision uint64)
+	// OnStore is called when the store is lost or back.
+	OnStore func(away bool)
 
 	mu          sync.Mutex
 	book        *Book
@@ -82,16 +84,32 @@
 
 // StoreAway notes whether the store answers this instance.
 func (s *State) StoreAway(away bool) {
+	if s.storeAway(away) && s.OnStore != nil {
+		s.OnStore(away)
+	}
+}
+
+// IsStoreAway reports whether the store does not answer this instance.
+func (s *State) IsStoreAway() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.interpreter.away
+}
+
+// storeAway takes the news in and reports whether it is a change.
+func (s *State) storeAway(away bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	if away != s.interpreter.away {
+	changed := away != s.interpreter.away
+	if changed {
 		s.Log.Info("store contact changed", zap.Bool("away", away), zap.Uint64("revision", s.book.Current()))
 	}
 	s.interpreter.storeAway(away, now)
 	if !away {
 		s.publish(now)
 	}
+	return changed
 }
 
 // Since returns what changed after the revision, for a peer.
--- a/internal/cwsync/config_follower.go
+++ b/internal/cwsync/config_follower.go
@@ -67,7 +67,7 @@
 
 func (f *ConfigFollower) isReader() bool {
 	s := f.control.Snapshot()
-	return cwpolicy.IsReader(s.Self.Address, s.Self.Domain, s.Members, time.Now())
+	return cwpolicy.IsReader(s.Self.Address, s.Self.Domain, s.Members, cwpolicy.ReadersPerDomain, time.Now())
 }
 
 // due reports whether an instance that is no reader reads all the same.
--- a/internal/cwsync/published_puller.go
+++ b/internal/cwsync/published_puller.go
@@ -13,9 +13,9 @@
 	"github.com/clementinewell/clementinewell/pkg/cwconfig"
 )
 
-// behindGrace is how long this instance may be behind a peer before it pulls. Its
-// own watch brings a change within a round trip, unless it is broken.
-const behindGrace = 600 * time.Millisecond
+// behindGrace is how long an instance that watches the store may be behind a peer
+// before it pulls: the gap between two of its watches and a round trip.
+const behindGrace = 900 * time.Millisecond
 
 // PublishedPuller fetches published state from peers for an instance that the
 // store does not answer.
@@ -27,10 +27,6 @@
 
 	mu      sync.Mutex
 	pulling bool
-	// behindSince and behindRevision are when a peer first offered more than there
-	// was, and how much.
-	behindSince    time.Time
-	behindRevision uint64
 }
 
 // NewPublishedPuller returns a puller.
@@ -38,13 +34,19 @@
 	return &PublishedPuller{Common: common, state: state, client: client, follower: follower}
 }
 
-// Pull fetches what the peer has, if this instance has been behind for a while or
-// has nothing yet.
+// Pull fetches what the peer has if this instance is behind. One that watches the
+// store itself waits a moment for its own watch.
 func (p *PublishedPuller) Pull(ctx context.Context, address string, offered cwconfig.Version) {
-	if !p.begin(offered.Number, time.Now()) {
+	if !p.begin(offered.Number) {
 		return
 	}
 	defer p.end()
+	if p.expectsOwn() {
+		cwcommon.Pause(ctx, behindGrace)
+		if p.state.Revision() >= offered.Number {
+			return
+		}
+	}
 	before := p.state.Revision()
 	d, err := p.client.FetchPublished(ctx, address, before)
 	if err != nil {
@@ -61,11 +63,16 @@
 	}
 }
 
-// begin reports whether it is time to pull. One pull is in progress at a time.
-func (p *PublishedPuller) begin(offered uint64, now time.Time) bool {
+// expectsOwn reports whether the watch of this instance should bring what it lacks.
+func (p *PublishedPuller) expectsOwn() bool {
+	return p.state.Revision() > 0 && p.follower.IsReader() && !p.state.IsStoreAway()
+}
+
+// begin reports whether this instance is behind and no pull is in progress.
+func (p *PublishedPuller) begin(offered uint64) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.pulling || !p.due(offered, now) {
+	if p.pulling || offered <= p.state.Revision() {
 		return false
 	}
 	p.pulling = true
@@ -77,20 +84,3 @@
 	defer p.mu.Unlock()
 	p.pulling = false
 }
-
-// due reports whether this instance is behind, and has been for a while if it
-// watches the store itself. The caller holds mu.
-func (p *PublishedPuller) due(offered uint64, now time.Time) bool {
-	held := p.state.Revision()
-	if offered <= held {
-		return false
-	}
-	if held == 0 || !p.follower.IsReader() {
-		return true
-	}
-	if p.behindRevision <= held {
-		p.behindSince, p.behindRevision = now, offered
-		return false
-	}
-	return now.Sub(p.behindSince) >= behindGrace
-}
--- /dev/null
+++ b/internal/cwsync/published_puller_test.go
@@ -0,0 +1,71 @@
+package cwsync_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/clementinewell/clementinewell/internal/cwcommon"
+	"github.com/clementinewell/clementinewell/internal/cwmemnet"
+	"github.com/clementinewell/clementinewell/internal/cwpeer"
+	"github.com/clementinewell/clementinewell/internal/cwproto"
+	"github.com/clementinewell/clementinewell/internal/cwpublished"
+	"github.com/clementinewell/clementinewell/internal/cwsync"
+	"github.com/clementinewell/clementinewell/pkg/cwconfig"
+)
+
+const peerAddress = "10.0.0.2:8003"
+
+// peerStub is a peer that has revision 7.
+type peerStub struct {
+	cwproto.Peer
+}
+
+// FetchPublished returns an empty delta.
+func (peerStub) FetchPublished(context.Context, *cwproto.FetchPublishedRequest) (*cwproto.FetchPublishedResponse, error) {
+	return &cwproto.FetchPublishedResponse{Current: 7, Whole: true}, nil
+}
+
+// TestOneOfferIsEnough: an instance that is behind fetches after one offer of a peer,
+// at once if its store is away, and after the time that its own watch may take if
+// not. Waiting for the next offer took over a second each.
+func TestOneOfferIsEnough(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		away bool
+		most time.Duration
+	}{
+		{"the store is away", true, 100 * time.Millisecond},
+		{"its own watch may bring it", false, time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				network := cwmemnet.NewNetwork()
+				defer network.Close()
+				l, err := network.Host("10.0.0.2").Listen(t.Context(), peerAddress)
+				is.NoErr(err)
+				server := &http.Server{Handler: cwproto.NewPeerServer(peerStub{})}
+				go func() { _ = server.Serve(l) }()
+				defer func() { _ = server.Close() }()
+
+				common := &cwcommon.Common{Log: zap.NewNop(), Metrics: tally.NoopScope, Net: network.Host("10.0.0.1")}
+				state := cwpublished.NewState(common, func(string, []byte) (*cwpublished.Record, error) { return nil, nil })
+				state.Apply("store", cwpublished.Delta{Current: 5, Whole: true})
+				state.StoreAway(c.away)
+				follower := cwpublished.NewFollower(common, state, nil, func() bool { return true })
+				puller := cwsync.NewPublishedPuller(common, state, cwpeer.NewClient(common.Net, cwpeer.NewAuth("")), follower)
+				start := time.Now()
+				puller.Pull(t.Context(), peerAddress, cwconfig.Version{Number: 7})
+				is.Equal(state.Revision(), uint64(7))
+				is.True(time.Since(start) <= c.most)
+			})
+		})
+	}
+}
--- a/internal/cwtrace/control_actions.go
+++ b/internal/cwtrace/control_actions.go
@@ -86,5 +86,5 @@
 }
 
 func reader(_ *world, i *instance, s *Step, now time.Time) string {
-	return fmt.Sprint(cwpolicy.IsReader(i.name, s.Domain, i.membership.All(), now))
+	return fmt.Sprint(cwpolicy.IsReader(i.name, s.Domain, i.membership.All(), cwpolicy.ReadersPerDomain, now))
 }
