Pieces of a relayed stream are numbered between instances

The exit gave the connection up, what the cut held up was lost, and what came behind it arrived: as chunks the rest still parsed.

Change: the exit numbers its pieces in comments and tells their count at the end; the entry takes the marks out and treats a gap, or a missing end, as a broken attempt. TestHopNoticesMissingPieces has the cases.

--- /dev/null
+++ b/internal/cwevent/hop_test.go
@@ -0,0 +1,48 @@
+package cwevent_test
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/clementinewell/clementinewell/internal/cwevent"
+)
+
+func TestHopNoticesMissingPieces(t *testing.T) {
+	var w cwevent.HopWriter
+	pieces := [][]byte{
+		w.Piece([]byte("id: 1\ndata: a\n\n")),
+		w.Piece([]byte("id: 2\ndata: b\n\nid: 3\ndata: c\n\n")),
+		w.Piece([]byte("id: 4\ndata: d\n\n")),
+		w.End(),
+	}
+	for _, c := range []struct {
+		name  string
+		order []int
+		gap   bool
+		ended bool
+	}{
+		{"all pieces", []int{0, 1, 2, 3}, false, true},
+		{"no end", []int{0, 1, 2}, false, false},
+		{"one is missing", []int{0, 2, 3}, true, false},
+		{"the last is missing", []int{0, 1, 3}, true, false},
+		{"one comes twice", []int{0, 1, 1}, true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var r cwevent.HopReader
+			got, gap := "", false
+			for _, i := range c.order {
+				events, err := r.Strip(pieces[i])
+				gap = gap || errors.Is(err, cwevent.ErrGap)
+				got += string(events)
+			}
+			is.Equal(gap, c.gap)
+			is.Equal(r.Ended(), c.ended)
+			if c.ended {
+				is.Equal(got, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\nid: 4\ndata: d\n\n")
+			}
+		})
+	}
+}
--- a/internal/cwgate/attempt.go
+++ b/internal/cwgate/attempt.go
@@ -319,10 +319,18 @@
 func (a *attempt) stream(ctx context.Context, answer *cwconn.Answer) result {
 	j := a.job
 	tracker := &cwevent.Tracker{LastID: j.out.lastEvent}
+	var hop cwevent.HopReader
 	buf := make([]byte, eventBufferBytes)
 	for {
 		n, err := answer.Read(buf)
-		if events := tracker.Push(buf[:n]); len(events) > 0 {
+		events := tracker.Push(buf[:n])
+		if a.exit != "" {
+			var gap error
+			if events, gap = hop.Strip(events); gap != nil {
+				return a.broken(ctx, fmt.Errorf("read stream of %s: %w", a.peer, gap))
+			}
+		}
+		if len(events) > 0 {
 			a.eventArrived()
 			j.out.begin(answer.StatusCode, answer.Header)
 			if err := j.out.events(events); err != nil {
@@ -332,6 +340,9 @@
 			j.out.lastEvent = tracker.LastID
 		}
 		if errors.Is(err, io.EOF) {
+			if a.exit != "" && !hop.Ended() {
+				return a.broken(ctx, fmt.Errorf("read stream of %s: %w", a.peer, cwevent.ErrGap))
+			}
 			return a.streamEnded(ctx, tracker)
 		}
 		if err != nil {
@@ -353,6 +364,9 @@
 	}
 	a.job.note(cwanswer.Ran)
 	a.end(ctx, cwplacement.Served)
+	if err := a.job.out.end(); err != nil {
+		return result{err: err}
+	}
 	return result{done: true}
 }
 
--- a/internal/cwgate/responder.go
+++ b/internal/cwgate/responder.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/clementinewell/clementinewell/internal/cwevent"
 	"github.com/clementinewell/clementinewell/internal/cwheader"
 )
 
@@ -21,6 +22,9 @@
 	// endpoint is the place of the last attempt.
 	endpoint string
 	flush    func() error
+	// hop numbers the pieces of a stream for the instance that relayed the request;
+	// nil towards a caller.
+	hop *cwevent.HopWriter
 }
 
 func newResponder(w http.ResponseWriter) *responder {
@@ -57,12 +61,24 @@
 
 // events writes whole events at once.
 func (r *responder) events(p []byte) error {
+	if r.hop != nil {
+		p = r.hop.Piece(p)
+	}
 	if _, err := r.Write(p); err != nil {
 		return err
 	}
 	return r.flush()
 }
 
+// end marks the end of a stream towards another instance.
+func (r *responder) end() error {
+	if r.hop == nil {
+		return nil
+	}
+	_, err := r.Write(r.hop.End())
+	return err
+}
+
 // refuse writes an answer of the gateway's own.
 func (r *responder) refuse(refusal Refusal) {
 	r.begun, r.status = true, refusal.Status
--- a/internal/cwgate/serve.go
+++ b/internal/cwgate/serve.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/clementinewell/clementinewell/internal/cwevent"
 	"github.com/clementinewell/clementinewell/internal/cwplacement"
 	"github.com/clementinewell/clementinewell/internal/cwroute"
 )
@@ -42,6 +43,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	out := newResponder(w)
+	if r.Relayed {
+		out.hop = &cwevent.HopWriter{}
+	}
 	config := g.configAtStart(ctx)
 	switch {
 	case config == nil:
