--- a/internal/cwcommand/serve_routed.go
+++ b/internal/cwcommand/serve_routed.go
@@ -23,6 +23,10 @@
 // file names it too.
 const metricsPort = "9464"
 
+// callerShare is the part of the descriptors that callers' connections may take; the
+// rest is for endpoints, peers and files.
+const callerShare = 0.5
+
 // serveRouted runs an instance with the settings file of the users' platform.
 func serveRouted(cmd *cobra.Command, path string) error {
 	site, err := cwwire.ReadSettings(path)
@@ -59,6 +63,7 @@
 		"peers":             strings.Join(site.Seeds, ","),
 		"peer-key":          "",
 		"exchange-interval": "300ms",
+		"max-connections":   strconv.Itoa(max(int(callerShare*float64(site.MaxFiles)), 1)),
 		"exchange-peers":    "4",
 		"remote-interval":   "1s",
 		"remote-domains":    "16",
--- a/internal/cwgate/gate.go
+++ b/internal/cwgate/gate.go
@@ -43,7 +43,6 @@
 	snapshot   *cwcontrol.Snapshot
 	startedAt  time.Time
 	inFlight   atomic.Int64
-	stopped    atomic.Bool
 	closeConns atomic.Bool
 }
 
@@ -83,11 +82,6 @@
 	g.closeConns.Store(true)
 }
 
-// Stop refuses what arrives from now on.
-func (g *Gate) Stop() {
-	g.stopped.Store(true)
-}
-
 // Bounds returns the bounds in force.
 func (g *Gate) Bounds() cwsite.Bounds {
 	g.mu.Lock()
--- a/internal/cwgate/serve.go
+++ b/internal/cwgate/serve.go
@@ -21,9 +21,6 @@
 	startingWait = 500 * time.Millisecond
 	// startingRetry is when to come back to an instance that has no configuration.
 	startingRetry = 300 * time.Millisecond
-	// stoppingRetry is when to come back after a refusal by an instance that shuts
-	// down: at once, on a connection to another instance.
-	stoppingRetry = 50 * time.Millisecond
 	// defaultPatience stands in for a caller that names no deadline.
 	defaultPatience = 30 * time.Second
 	// answerMargin is left for the final answer to travel back in time.
@@ -47,13 +44,9 @@
 		out.hop = &cwevent.HopWriter{}
 	}
 	config := g.configAtStart(ctx)
-	switch {
-	case config == nil:
+	if config == nil {
 		g.turnAway(r, out, refuseNotRun("starting", startingRetry))
 		return
-	case g.stopped.Load():
-		g.turnAway(r, out, refuseNotRun("stopping", stoppingRetry))
-		return
 	}
 	route := config.Match(r.Host, r.Path)
 	if route == nil {
