--- a/internal/cwscene/routed_scene.go
+++ b/internal/cwscene/routed_scene.go
@@ -106,7 +106,7 @@
 	if services == nil {
 		services = []map[string]any{{"name": "app", "max-connections": 100}}
 	}
-	s.Store.PutJSON("op/config", map[string]any{
+	s.Store.PutJSON(cwstandin.ConfigKey, map[string]any{
 		"version": s.version, "routes": routes, "services": services,
 		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 1 << 20, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
 	})
@@ -137,7 +137,7 @@
 	for key, value := range more {
 		entry[key] = value
 	}
-	s.Store.PutJSON("servers/"+id, entry)
+	s.Store.PutJSON(cwstandin.WorkerKeyPrefix+id, entry)
 }
 
 // Bounds are those of instances in scenes.
--- a/internal/cwstandin/store.go
+++ b/internal/cwstandin/store.go
@@ -11,6 +11,14 @@
 	"time"
 )
 
+// Keys of the store, as the platform names them.
+const (
+	// ConfigKey holds the configuration.
+	ConfigKey = "op/config"
+	// WorkerKeyPrefix precedes the identifiers of workers.
+	WorkerKeyPrefix = "servers/"
+)
+
 // Store stands in for the store of published state of the users' platform: ranges
 // and watches over one revision counter.
 type Store struct {
