--- a/internal/cwroute/endpoint.go
+++ b/internal/cwroute/endpoint.go
@@ -18,8 +18,6 @@
 	Draining bool
 	// ColdLeft is how much longer it was cold when the entry was written.
 	ColdLeft time.Duration
-	// LeavesIn is the time until it is gone, when it was told at short notice.
-	LeavesIn time.Duration
 }
 
 // Evacuation asks that the endpoints of a failure domain get nothing new.
--- a/internal/cwroute/service.go
+++ b/internal/cwroute/service.go
@@ -1,16 +1,13 @@
 package cwroute
 
-import "time"
-
 // Service is a group of endpoints that serve the same requests.
 type Service struct {
 	// Name identifies the service.
 	Name string
 	// MaxConns bounds the connections to one endpoint, over all instances.
 	MaxConns int
-	// ColdFor is how long an endpoint is cold after its start, and ColdRate the
-	// requests per second that it takes meanwhile; 0 sets no bound.
-	ColdFor  time.Duration
+	// ColdRate is the requests per second that an endpoint takes while it is cold
+	// after its start; 0 sets no bound.
 	ColdRate float64
 	// Engine is set if the endpoints are model engines.
 	Engine *Engine
--- a/internal/cwscene/routed_scene.go
+++ b/internal/cwscene/routed_scene.go
@@ -143,7 +143,7 @@
 // Bounds are those of instances in scenes.
 func Bounds() cwsite.Bounds {
 	return cwsite.Bounds{
-		Grace: 8 * time.Second, Drain: 4 * time.Second, RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second,
+		Grace: 8 * time.Second, RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second,
 		ColdOverage: 1.5, ColdSlack: 3, MaxAnswerAge: 5 * time.Second,
 	}
 }
--- a/internal/cwsite/site.go
+++ b/internal/cwsite/site.go
@@ -34,8 +34,6 @@
 type Bounds struct {
 	// Grace is the time between the request to stop and the kill.
 	Grace time.Duration
-	// Drain is the time within which a leaving endpoint must get nothing new.
-	Drain time.Duration
 	// RetryRatio and RetrySlack bound the repeats in any RetryWindow: the ratio
 	// of the requests plus the slack, over all instances.
 	RetryRatio  float64
