Instances measure the speed and the pace of engines together

Cause: each instance learnt an engine's speed from its own answers alone. The pace of streams began at zero, so the expected length of a stream was too short (median 2.4 times).

Change: a meter sums up amount and time of the last seconds; the sums of all instances of the region add up by the exchange. The line of a request's end has the expected and the actual length of streams.

--- a/internal/cwcontrol/endpoint_work.go
+++ b/internal/cwcontrol/endpoint_work.go
@@ -18,6 +18,14 @@
 	Failures float64
 	// UnreachableAt is when it could last not be reached; zero if not lately.
 	UnreachableAt time.Time
+	// Speed is what was lately measured in prompt tokens, and Pace in events of streams.
+	Speed, Pace Measured
+}
+
+// Measured is an amount of work and the time that it took.
+type Measured struct {
+	// Amount is in units of the work, and Seconds the time that it took.
+	Amount, Seconds float64
 }
 
 // PromptPart is a piece of a prompt.
--- a/internal/cwgate/job.go
+++ b/internal/cwgate/job.go
@@ -30,6 +30,8 @@
 	relayedTo string
 	// predicted is the time to the first byte that the latest decision expected.
 	predicted time.Duration
+	// predictedRest is the time from the first byte to the last that it expected.
+	predictedRest time.Duration
 	// failure is an endpoint's own failure, kept while another try is made.
 	failure *wholeAnswer
 }
--- a/internal/cwgate/log.go
+++ b/internal/cwgate/log.go
@@ -58,6 +58,10 @@
 		zap.String("place", j.out.endpoint), zap.Int("attempts", j.sends), zap.Duration("predicted", j.predicted), zap.Duration("first", first), zap.Duration("total", total),
 		zap.String("ran", string(j.outcome)), zap.Bool("relayed", j.Relayed),
 	}
+	if j.Prompt != nil {
+		fields = append(fields, zap.Int("promptTokens", j.Prompt.Tokens), zap.Int("outputTokens", j.Prompt.output()),
+			zap.Duration("predictedRest", j.predictedRest), zap.Int("events", j.out.count), zap.Duration("longestPause", j.out.longestPause))
+	}
 	if err != nil {
 		g.Log.Warn("request ended", append(fields, zap.Error(err))...)
 		return
--- a/internal/cwgate/responder.go
+++ b/internal/cwgate/responder.go
@@ -17,6 +17,11 @@
 	// status and firstAt describe the answer.
 	status  int
 	firstAt time.Time
+	// count is the number of writes of a stream, lastAt the time of the latest one and
+	// longestPause the longest time between two.
+	count        int
+	lastAt       time.Time
+	longestPause time.Duration
 	// lastEvent is the last whole event of a stream that is out.
 	lastEvent string
 	// endpoint is the place of the last attempt.
@@ -61,6 +66,7 @@
 
 // events writes whole events at once.
 func (r *responder) events(p []byte) error {
+	r.paced(time.Now())
 	if r.hop != nil {
 		p = r.hop.Piece(p)
 	}
@@ -70,6 +76,15 @@
 	return r.flush()
 }
 
+// paced notes that events go out.
+func (r *responder) paced(now time.Time) {
+	if r.count > 0 {
+		r.longestPause = max(r.longestPause, now.Sub(r.lastAt))
+	}
+	r.count++
+	r.lastAt = now
+}
+
 // end marks the end of a stream towards another instance.
 func (r *responder) end() error {
 	if r.hop == nil {
--- a/internal/cwgate/serve.go
+++ b/internal/cwgate/serve.go
@@ -148,7 +148,7 @@
 			return
 		}
 		j.sends++
-		j.predicted = max(d.Local, 0)
+		j.predicted, j.predictedRest = max(d.Local, 0), d.Rest
 		if d.Verdict == cwplacement.Relay {
 			j.predicted = d.Away
 		}
--- a/internal/cwgate/sync.go
+++ b/internal/cwgate/sync.go
@@ -162,10 +162,10 @@
 		for id, e := range p.Endpoints() {
 			s := sums[id]
 			if s == nil {
-				e.SetOthers(cwplacement.Work{}, 0, time.Time{})
+				e.SetOthers(cwplacement.Others{})
 				continue
 			}
-			e.SetOthers(s.work, s.failures, s.at)
+			e.SetOthers(s.Others)
 			e.Learn(placementParts(s.parts))
 			e.Suspect(s.unreachableAt)
 		}
@@ -174,22 +174,21 @@
 
 // othersAt is what the other instances together have at an endpoint.
 type othersAt struct {
-	work     cwplacement.Work
-	failures float64
-	parts    []cwcontrol.PromptPart
+	cwplacement.Others
+	parts []cwcontrol.PromptPart
 	// unreachableAt is when one of them could last not reach it.
 	unreachableAt time.Time
-	at            time.Time
 }
 
 func (o *othersAt) add(w *cwcontrol.EndpointWork, at time.Time) {
-	o.work = o.work.Add(workOf(w))
-	o.failures = max(o.failures, w.Failures)
+	o.Work = o.Work.Add(workOf(w))
+	o.Failures = max(o.Failures, w.Failures)
+	o.Speed, o.Pace = o.Speed.Add(cwplacement.Measured(w.Speed)), o.Pace.Add(cwplacement.Measured(w.Pace))
 	if w.UnreachableAt.After(o.unreachableAt) {
 		o.unreachableAt = w.UnreachableAt
 	}
-	if at.After(o.at) {
-		o.at = at
+	if at.After(o.At) {
+		o.At = at
 	}
 }
 
@@ -265,12 +264,14 @@
 			if now.Sub(lost) > toldLoss {
 				lost = time.Time{}
 			}
+			speed, pace := e.Measured(now)
 			if w.InFlight == 0 && len(parts) == 0 && failures < toldFailures && lost.IsZero() {
 				continue
 			}
 			works = append(works, cwcontrol.EndpointWork{
 				Endpoint: id, QueuedTokens: queuedTokens(w), HeldTokens: w.Held, InFlight: w.InFlight,
 				Parts: controlParts(parts), Failures: failures, UnreachableAt: lost,
+				Speed: cwcontrol.Measured(speed), Pace: cwcontrol.Measured(pace),
 			})
 		}
 	}
--- a/internal/cwpeer/news.go
+++ b/internal/cwpeer/news.go
@@ -187,6 +187,8 @@
 			InFlight:     uint32(max(w.InFlight, 0)),
 			Parts:        protoParts(w.Parts),
 			Failures:     float32(w.Failures),
+			Speed:        protoMeasured(w.Speed),
+			Pace:         protoMeasured(w.Pace),
 		})
 		if !w.UnreachableAt.IsZero() {
 			list[i].UnreachableAgeMillis = uint32(max(now.Sub(w.UnreachableAt), 0).Milliseconds()) + 1
@@ -205,6 +207,8 @@
 			InFlight:     int(w.GetInFlight()),
 			Parts:        partsOf(w.GetParts()),
 			Failures:     float64(w.GetFailures()),
+			Speed:        measuredOf(w.GetSpeed()),
+			Pace:         measuredOf(w.GetPace()),
 		})
 		if age := w.GetUnreachableAgeMillis(); age > 0 {
 			works[i].UnreachableAt = now.Add(-time.Duration(age-1) * time.Millisecond)
@@ -213,6 +217,18 @@
 	return works
 }
 
+// protoMeasured leaves out what is nothing.
+func protoMeasured(m cwcontrol.Measured) *cwproto.Measured {
+	if m.Seconds <= 0 {
+		return nil
+	}
+	return &cwproto.Measured{Amount: float32(m.Amount), Seconds: float32(m.Seconds)}
+}
+
+func measuredOf(m *cwproto.Measured) cwcontrol.Measured {
+	return cwcontrol.Measured{Amount: float64(m.GetAmount()), Seconds: float64(m.GetSeconds())}
+}
+
 func protoParts(parts []cwcontrol.PromptPart) []*cwproto.PromptPart {
 	list := make([]*cwproto.PromptPart, len(parts))
 	for i, p := range parts {
--- a/internal/cwplacement/decide.go
+++ b/internal/cwplacement/decide.go
@@ -130,7 +130,7 @@
 }
 
 func (p *Pool) send(d Decision, a *Ask, o option, reason string, now time.Time) Decision {
-	d.Verdict, d.Reason = Send, reason
+	d.Verdict, d.Reason, d.Rest = Send, reason, seconds(o.forecast.rest)
 	d.Ticket = o.endpoint.place(&a.Demand, o.band, o.forecast, now)
 	return d
 }
--- a/internal/cwplacement/emulator_test.go
+++ b/internal/cwplacement/emulator_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/clementinewell/clementinewell/internal/cwplacement"
+	"github.com/clementinewell/clementinewell/internal/cwpolicy"
 	"github.com/clementinewell/clementinewell/internal/cwroute"
 )
 
@@ -154,18 +155,19 @@
 func (m *emulator) tell() {
 	for i, p := range m.instances {
 		for id, e := range p.Endpoints() {
-			var work cwplacement.Work
-			failures := 0.0
+			others := cwplacement.Others{At: m.now}
 			for j, other := range m.instances {
 				if i == j {
 					continue
 				}
 				o := other.Endpoints()[id]
-				work = work.Add(o.Own())
-				failures = max(failures, o.Failures(m.now))
+				others.Work = others.Work.Add(o.Own())
+				others.Failures = max(others.Failures, o.Failures(m.now))
+				speed, pace := o.Measured(m.now)
+				others.Speed, others.Pace = others.Speed.Add(speed), others.Pace.Add(pace)
 				e.Learn(o.Recent(m.now))
 			}
-			e.SetOthers(work, failures, m.now)
+			e.SetOthers(others)
 		}
 	}
 }
@@ -180,6 +182,54 @@
 	}
 }
 
+// name puts all engines and instances into one domain of a region.
+func (m *emulator) name(region, domain string) {
+	for _, p := range m.instances {
+		p.Domain = domain
+		for _, e := range p.Endpoints() {
+			e.Domain, e.Region = domain, region
+		}
+	}
+}
+
+// room is what the instances tell other regions.
+func (m *emulator) room() cwpolicy.DomainRoom {
+	p := m.instances[0]
+	r := cwpolicy.DomainRoom{Room: p.Room(p.Domain, m.now), Domain: p.Domain, At: m.now, RoundTrip: 160 * time.Millisecond}
+	for _, e := range p.Endpoints() {
+		r.Region = e.Region
+	}
+	return r
+}
+
+// idle lets all requests end, and takes no time for it.
+func (m *emulator) idle() {
+	for _, e := range m.engines {
+		for _, r := range e.queue {
+			r.ticket.Ended(cwplacement.Abandoned, m.now)
+		}
+		e.queue = nil
+	}
+}
+
+// unshared returns requests that share nothing.
+func (m *emulator) unshared() func() cwplacement.Demand {
+	own := uint64(1 << 40)
+	return func() cwplacement.Demand {
+		own++
+		return cwplacement.Demand{
+			Tokens: 9000, Output: 50, Parts: []cwplacement.Part{{ID: own, Tokens: 9000}},
+			Target: 800 * time.Millisecond, Left: 3200 * time.Millisecond,
+		}
+	}
+}
+
+// review returns a request with the shared prompt of that number.
+func (m *emulator) review(n uint64) cwplacement.Demand {
+	parts := []cwplacement.Part{{ID: 100 + n, Tokens: 5000}, {ID: 1<<50 + m.rng.Uint64N(1<<40), Tokens: 1000}}
+	return cwplacement.Demand{Tokens: 6000, Output: 50, Parts: parts, Target: 800 * time.Millisecond, Left: 3200 * time.Millisecond}
+}
+
 // reviews returns requests that share one of a number of prompts, in front of 3,000
 // tokens of their own.
 func (m *emulator) reviews(prompts int) func() cwplacement.Demand {
--- a/internal/cwplacement/endpoint.go
+++ b/internal/cwplacement/endpoint.go
@@ -14,8 +14,11 @@
 	startSpeed = 40_000
 	// minSpeed and maxSpeed bound what is learnt from one answer.
 	minSpeed, maxSpeed = 4_000, 400_000
-	// speedGain and paceGain weigh the latest answer.
-	speedGain, paceGain = 0.2, 0.2
+	// speedInertia and paceInertia are the times in seconds that a rate so far weighs
+	// against new measurements: a prompt or two, and a few events.
+	speedInertia, paceInertia = 0.15, 0.2
+	// startPace is the events per second of a stream until that is learnt.
+	startPace = 20
 	// answerOverhead is the time to a first token beside the prompt: a step of the
 	// batch and the way there and back.
 	answerOverhead = 25 * time.Millisecond
@@ -59,14 +62,15 @@
 	own            Work
 	others         Work
 	othersAt       time.Time
-	// speed is in prompt tokens per second, pace in seconds per event, hold in
-	// seconds per plain request.
-	speed, pace, hold float64
+	// speed is in prompt tokens per second, and pace in events of a stream.
+	speed, pace meter
+	// hold is in seconds per plain request.
+	hold float64
 }
 
 // newEndpoint returns an endpoint of which nothing is known but its entry.
 func newEndpoint(entry cwroute.Endpoint, service cwroute.Service, speed float64) *Endpoint {
-	e := &Endpoint{Endpoint: entry, hash: xxhash.Sum64String(entry.ID), engine: service.Engine, coldRate: service.ColdRate, speed: speed, hold: startHold.Seconds()}
+	e := &Endpoint{Endpoint: entry, hash: xxhash.Sum64String(entry.ID), engine: service.Engine, coldRate: service.ColdRate, speed: newMeter(speed, speedInertia), pace: newMeter(startPace, paceInertia), hold: startHold.Seconds()}
 	if service.Engine != nil {
 		e.cache = newPromptCache(int(cacheShare * float64(service.Engine.MemoryTokens)))
 	}
@@ -83,10 +87,29 @@
 	return e.recent.list(now)
 }
 
-// SetOthers takes in the work of the other instances, and the highest share of
-// failures that one of them saw.
-func (e *Endpoint) SetOthers(w Work, failures float64, at time.Time) {
-	e.others, e.othersFailures, e.othersAt = w, failures, at
+// Others is what the other instances of the region tell of an endpoint.
+type Others struct {
+	// Work is the sum of what they have there.
+	Work Work
+	// Failures is the highest share of failures that one of them saw.
+	Failures float64
+	// Speed is in prompt tokens, and Pace in events of streams.
+	Speed, Pace Measured
+	// At is when the latest of them said so.
+	At time.Time
+}
+
+// SetOthers takes in what the other instances tell.
+func (e *Endpoint) SetOthers(o Others) {
+	e.others, e.othersFailures, e.othersAt = o.Work, o.Failures, o.At
+	e.speed.heard(o.Speed)
+	e.pace.heard(o.Pace)
+}
+
+// Measured returns what this instance lately saw of the endpoint's speed, in prompt
+// tokens, and of its pace, in events of streams.
+func (e *Endpoint) Measured(now time.Time) (speed, pace Measured) {
+	return e.speed.recent(now), e.pace.recent(now)
 }
 
 // UnreachableAt returns when the endpoint could last not be reached, zero if it
@@ -155,7 +178,7 @@
 
 // Speed returns the learnt speed in prompt tokens per second.
 func (e *Endpoint) Speed() float64 {
-	return e.speed
+	return e.speed.rate
 }
 
 // slots returns the number of requests that run at once, at least 1.
@@ -195,13 +218,13 @@
 	cached := e.cache.cached(d.Parts)
 	p.uncached = max(d.Tokens-cached, 0)
 	p.reread = max(d.sharedTokens()-cached, 0)
-	p.wait += w.ahead(band) / e.speed
+	p.wait += w.ahead(band) / e.speed.rate
 	if held := w.Held + float64(d.Tokens+d.Output); held > float64(e.engine.MemoryTokens) {
 		// Requests over the memory are processed a second time later on.
-		p.wait += (held - float64(e.engine.MemoryTokens)) / e.speed
+		p.wait += (held - float64(e.engine.MemoryTokens)) / e.speed.rate
 		p.full = true
 	}
-	p.first = p.wait + float64(p.uncached)/e.speed + answerOverhead.Seconds()
-	p.rest = float64(d.Output) / float64(max(e.engine.EventTokens, 1)) * e.pace
+	p.first = p.wait + float64(p.uncached)/e.speed.rate + answerOverhead.Seconds()
+	p.rest = float64(d.Output) / float64(max(e.engine.EventTokens, 1)) / e.pace.rate
 	return p
 }
--- /dev/null
+++ b/internal/cwplacement/meter.go
@@ -0,0 +1,65 @@
+package cwplacement
+
+import (
+	"math"
+	"time"
+)
+
+// meterMemory is the time in which what a meter saw loses most of its weight: an
+// engine that turns slow is noticed within some answers of that time.
+const meterMemory = 4 * time.Second
+
+// Measured is an amount of work and the time that it took. What several instances
+// measured of one endpoint adds up.
+type Measured struct {
+	// Amount is in units of the work, and Seconds the time that it took.
+	Amount, Seconds float64
+}
+
+// Add returns the sum.
+func (m Measured) Add(other Measured) Measured {
+	return Measured{Amount: m.Amount + other.Amount, Seconds: m.Seconds + other.Seconds}
+}
+
+// meter learns a rate of work from what this instance and the others measure.
+type meter struct {
+	// rate is the amount per second.
+	rate   float64
+	own    Measured
+	at     time.Time
+	others Measured
+	// inertia is the time in seconds that the rate so far weighs against new
+	// measurements.
+	inertia float64
+}
+
+func newMeter(rate, inertia float64) meter {
+	return meter{rate: rate, inertia: inertia}
+}
+
+// saw takes in a measurement of this instance.
+func (m *meter) saw(amount, seconds float64, now time.Time) {
+	m.own = m.recent(now).Add(Measured{Amount: amount, Seconds: seconds})
+	m.at = now
+	m.learn()
+}
+
+// heard takes in what the other instances measured lately.
+func (m *meter) heard(others Measured) {
+	m.others = others
+	m.learn()
+}
+
+// recent returns what this instance measured, older measurements weighing less.
+func (m *meter) recent(now time.Time) Measured {
+	if m.own.Seconds == 0 {
+		return Measured{}
+	}
+	kept := math.Exp(-now.Sub(m.at).Seconds() / meterMemory.Seconds())
+	return Measured{Amount: kept * m.own.Amount, Seconds: kept * m.own.Seconds}
+}
+
+func (m *meter) learn() {
+	all := m.own.Add(m.others)
+	m.rate = (m.rate*m.inertia + all.Amount) / (m.inertia + all.Seconds)
+}
--- a/internal/cwplacement/pool.go
+++ b/internal/cwplacement/pool.go
@@ -101,7 +101,7 @@
 func (p *Pool) meanSpeed() float64 {
 	total, n := 0.0, 0
 	for _, e := range p.endpoints {
-		total += e.speed
+		total += e.speed.rate
 		n++
 	}
 	if n == 0 {
@@ -133,7 +133,7 @@
 }
 
 func (p *Pool) cost(e *Endpoint, f prediction, agreed bool, now time.Time) float64 {
-	reread := rereadCost * float64(f.reread) / e.speed
+	reread := rereadCost * float64(f.reread) / e.speed.rate
 	if agreed {
 		reread *= 1 - affinity
 	}
@@ -194,7 +194,7 @@
 		r.Endpoints++
 		r.Slots += e.slots()
 		r.Free += max(e.slots()-e.work(now).InFlight, 0)
-		perToken += 1 / e.speed
+		perToken += 1 / e.speed.rate
 	}
 	if r.Endpoints > 0 {
 		r.SecondsPerToken = perToken / float64(r.Endpoints)
--- a/internal/cwplacement/ticket.go
+++ b/internal/cwplacement/ticket.go
@@ -52,8 +52,7 @@
 	if e.engine == nil || t.Band == Late || tokens < minSpeedSample || took <= 0 {
 		return
 	}
-	sample := min(max(tokens/took, minSpeed), maxSpeed)
-	e.speed += speedGain * (sample - e.speed)
+	e.speed.saw(tokens, min(max(took, tokens/maxSpeed), tokens/minSpeed), now)
 }
 
 // processed takes the prompt off the work that waits.
@@ -68,9 +67,8 @@
 		t.Answered(now)
 		return
 	}
-	gap := now.Sub(t.last).Seconds()
+	t.Endpoint.pace.saw(1, now.Sub(t.last).Seconds(), now)
 	t.last = now
-	t.Endpoint.pace += paceGain * (gap - t.Endpoint.pace)
 }
 
 // End is how a request left its endpoint.
--- a/internal/cwplacement/verdict.go
+++ b/internal/cwplacement/verdict.go
@@ -29,4 +29,6 @@
 	// Local and Away are the predicted times to the first byte here and elsewhere;
 	// negative if there is no place.
 	Local, Away time.Duration
+	// Rest is the predicted time from the first byte to the last, for Send.
+	Rest time.Duration
 }
