Shared parts of prompts are held in one region of all

Cause: a third of the prompt tokens that engines read were shared parts that some engine had read within ten seconds. The callers' own parts fill the caches in about that time, so a region that gets a third of the requests for a part finds it gone.

Change: every part has a region, by rendezvous hashing weighted by the endpoints in use; a request goes there if it is in time there and saves more than it costs.

--- a/internal/cwplacement/decide.go
+++ b/internal/cwplacement/decide.go
@@ -55,8 +55,9 @@
 	forecast prediction
 }
 
-// Decide finds a place for a request, and counts it there: in this region in time,
-// else in another region in time, else late with what the requests in time leave.
+// Decide finds a place for a request, and counts it there: in the region that holds the
+// shared parts of its prompt, else in this region in time, else in another region in
+// time, else late with what the requests in time leave.
 func (p *Pool) Decide(a *Ask, now time.Time) Decision {
 	d := Decision{Local: -1, Away: -1}
 	band := bandOf(a.Priority)
@@ -66,15 +67,20 @@
 	}
 	if local.endpoint != nil {
 		d.Local = seconds(local.forecast.first)
-		if a.within(comfortable, local.forecast.first) && !local.endpoint.isGrey(now) {
-			return p.send(d, a, local, "local", now)
-		}
 	}
-	away = p.bestRoom(a, now)
+	holder := p.holder(a, now)
+	if held := p.heldAway(a, &local, holder, now); held.room != nil {
+		d.Away = seconds(held.forecast.first)
+		return p.relay(d, held, "held")
+	}
+	if local.endpoint != nil && a.within(comfortable, local.forecast.first) && !local.endpoint.isGrey(now) {
+		return p.send(d, a, local, "local", now)
+	}
+	away = p.bestRoom(a, "", holder, now)
 	if away.room != nil {
 		d.Away = seconds(away.forecast.first)
 		if p.leaves(a, &local, &away, now) {
-			return p.relay(d, a, away)
+			return p.relay(d, away, "away")
 		}
 	}
 	if local.endpoint != nil {
@@ -135,19 +141,39 @@
 	return d
 }
 
-func (p *Pool) bestRoom(a *Ask, now time.Time) option {
+// heldAway returns the place of the request in the region that holds the shared parts
+// of its prompt, if that is another one and saves more than it costs.
+func (p *Pool) heldAway(a *Ask, local *option, holder string, now time.Time) option {
+	if local.endpoint == nil || local.forecast.reread == 0 || holder == "" || holder == local.endpoint.Region {
+		return option{}
+	}
+	away := p.bestRoom(a, holder, holder, now)
+	if away.room == nil || !a.within(comfortable, away.forecast.first) {
+		return option{}
+	}
+	saved := rereadCost * float64(local.forecast.reread) / local.endpoint.speed.rate
+	if away.forecast.first > local.forecast.first+saved {
+		return option{}
+	}
+	return away
+}
+
+// bestRoom returns the room with the earliest first byte, of one region or, if that is
+// empty, of all. Holder is the region that has the shared parts.
+func (p *Pool) bestRoom(a *Ask, region, holder string, now time.Time) option {
 	var best option
 	if a.Relayed {
 		return best
 	}
 	for i := range a.Rooms {
 		r := &a.Rooms[i]
-		if !believable(r, now) || a.Avoid(r.Domain) {
+		if region != "" && r.Region != region || !believable(r, now) || a.Avoid(r.Domain) {
 			continue
 		}
-		first := roomFirst(r, &a.Demand, p.sentSince(r), now)
+		tokens := awayTokens(&a.Demand, r.Region == holder)
+		first := roomFirst(r, &a.Demand, tokens, p.sentSince(r), now)
 		if best.room == nil || first < best.forecast.first {
-			best.room, best.forecast.first = r, first
+			best.room, best.forecast.first, best.forecast.uncached = r, first, int(tokens)
 		}
 	}
 	return best
@@ -160,13 +186,13 @@
 	return Work{}
 }
 
-func (p *Pool) relay(d Decision, a *Ask, o option) Decision {
+func (p *Pool) relay(d Decision, o option, reason string) Decision {
 	r := o.room
 	work := Work{InFlight: 1}
-	work.Queued[Normal] = awayTokens(&a.Demand)
+	work.Queued[Normal] = float64(o.forecast.uncached)
 	work = p.sentSince(r).Add(work)
 	p.sent[r.Domain] = sentWork{work: work, at: r.At}
-	d.Verdict, d.Domain, d.Reason = Relay, r.Domain, "away"
+	d.Verdict, d.Domain, d.Reason = Relay, r.Domain, reason
 	return d
 }
 
--- /dev/null
+++ b/internal/cwplacement/holder.go
@@ -0,0 +1,68 @@
+package cwplacement
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// regionWeight is the number of endpoints of a region that are in use.
+type regionWeight struct {
+	name      string
+	hash      uint64
+	endpoints int
+}
+
+// holder returns the region that every instance picks for the shared parts of the
+// prompt, so that a part is processed and kept in one region only; empty without
+// shared parts. Regions are picked in proportion to their endpoints.
+func (p *Pool) holder(a *Ask, now time.Time) string {
+	key := a.sharedKey()
+	if key == 0 {
+		return ""
+	}
+	best, highest := "", math.Inf(-1)
+	for _, r := range p.regionWeights(a, now) {
+		if score := weightedRendezvous(key, r.hash, r.endpoints); score > highest {
+			best, highest = r.name, score
+		}
+	}
+	return best
+}
+
+// regionWeights returns the regions that may serve the request and have an endpoint
+// in use.
+func (p *Pool) regionWeights(a *Ask, now time.Time) []regionWeight {
+	weights := p.weights[:0]
+	add := func(region string, n int) {
+		for i := range weights {
+			if weights[i].name == region {
+				weights[i].endpoints += n
+				return
+			}
+		}
+		weights = append(weights, regionWeight{name: region, hash: xxhash.Sum64String(region), endpoints: n})
+	}
+	if a.Here {
+		for _, e := range p.list {
+			if !e.Drains && !e.Evacuated && !e.out(now) && !e.IsCold(now) {
+				add(e.Region, 1)
+			}
+		}
+	}
+	for i := range a.Rooms {
+		if r := &a.Rooms[i]; believable(r, now) {
+			add(r.Region, r.Endpoints)
+		}
+	}
+	p.weights = weights
+	return weights
+}
+
+// weightedRendezvous scores a region for a key so that each region wins a share of
+// the keys in proportion to its weight.
+func weightedRendezvous(key, region uint64, weight int) float64 {
+	uniform := (float64(rendezvous(key, region)>>11) + 0.5) / (1 << 53)
+	return float64(weight) / -math.Log(uniform)
+}
--- a/internal/cwplacement/pool.go
+++ b/internal/cwplacement/pool.go
@@ -44,6 +44,8 @@
 	list []*Endpoint
 	sent map[string]sentWork
 	rng  *rand.Rand
+	// weights is reused by each decision.
+	weights []regionWeight
 }
 
 // sentWork is what this instance relayed to a domain since its latest summary.
--- a/internal/cwplacement/room.go
+++ b/internal/cwplacement/room.go
@@ -15,23 +15,31 @@
 )
 
 // roomFirst predicts the seconds to the first byte of a request that is relayed to
-// a domain. Sent is the work that this instance relayed there since the summary.
-func roomFirst(r *cwpolicy.DomainRoom, d *Demand, sent Work, now time.Time) float64 {
+// a domain and has so many tokens to process there. Sent is the work that this instance relayed there since the summary.
+func roomFirst(r *cwpolicy.DomainRoom, d *Demand, tokens float64, sent Work, now time.Time) float64 {
 	s := r.WaitSeconds + r.RoundTrip.Seconds() + roomAgeCost*now.Sub(r.At).Seconds()
 	if d.Tokens == 0 {
 		return s + startHold.Seconds()
 	}
-	tokens := awayTokens(d) + sent.Queued[Normal]/float64(max(r.Endpoints, 1))
+	tokens += sent.Queued[Normal] / float64(max(r.Endpoints, 1))
 	return s + answerOverhead.Seconds() + tokens*r.SecondsPerToken
 }
 
-// awayShare is the part of the shared parts of a prompt that is taken to be in a cache
-// of another region: what is asked here is mostly asked there too.
-const awayShare = 0.6
+const (
+	// heldShare is the part of the shared parts of a prompt that is taken to be in a
+	// cache of the region that holds them: some are asked for the first time.
+	heldShare = 0.9
+	// awayShare is that in another region: the parts that most prompts begin with.
+	awayShare = 0.4
+)
 
 // awayTokens returns the tokens that another region has to process for a request.
-func awayTokens(d *Demand) float64 {
-	return float64(d.Tokens) - awayShare*float64(d.sharedTokens())
+func awayTokens(d *Demand, held bool) float64 {
+	share := awayShare
+	if held {
+		share = heldShare
+	}
+	return float64(d.Tokens) - share*float64(d.sharedTokens())
 }
 
 // believable reports whether a summary may be acted on.
