Meters keep a usual rate; parts are asked for where they are held as long as in time

Cause: a meter learnt its rate anew at each exchange, so that one old measurement outweighed all that was known before. And a region under load gave up the region that holds a part at 0.6 of the target, just when reading it again hurts most.

Change: the rate of the last ten seconds weighs against what was measured in the last four; the holder of a part is used up to the share at which a request counts as in time (0.85). An attempt without a first byte can be marked as overdue, which counts against its endpoint; a repeat can be given back to the budget.

--- a/internal/cwgate/sync.go
+++ b/internal/cwgate/sync.go
@@ -40,7 +40,7 @@
 	if viewed || g.anyCold(now) {
 		g.syncEndpoints(now)
 	}
-	g.syncWorks()
+	g.syncWorks(now)
 }
 
 func (g *Gate) anyCold(now time.Time) bool {
@@ -139,10 +139,10 @@
 }
 
 // syncWorks adds up what the other instances of the region have at each endpoint.
-func (g *Gate) syncWorks() {
+func (g *Gate) syncWorks(now time.Time) {
 	sums := make(map[string]*othersAt)
 	for address, peer := range g.snapshot.Works {
-		if time.Since(peer.At) > peerWorkAge {
+		if now.Sub(peer.At) > peerWorkAge {
 			continue
 		}
 		news := peer.At.After(g.learntAt[address])
@@ -162,10 +162,10 @@
 		for id, e := range p.Endpoints() {
 			s := sums[id]
 			if s == nil {
-				e.SetOthers(cwplacement.Others{})
+				e.SetOthers(cwplacement.Others{}, now)
 				continue
 			}
-			e.SetOthers(s.Others)
+			e.SetOthers(s.Others, now)
 			e.Learn(placementParts(s.parts))
 			e.Suspect(s.unreachableAt)
 		}
--- a/internal/cwplacement/decide.go
+++ b/internal/cwplacement/decide.go
@@ -148,7 +148,7 @@
 		return option{}
 	}
 	away := p.bestRoom(a, holder, holder, now)
-	if away.room == nil || !a.within(comfortable, away.forecast.first) {
+	if away.room == nil || !a.within(inTime, away.forecast.first) {
 		return option{}
 	}
 	saved := rereadCost * float64(local.forecast.reread) / local.endpoint.speed.rate
--- a/internal/cwplacement/emulator_test.go
+++ b/internal/cwplacement/emulator_test.go
@@ -20,6 +20,7 @@
 	engines   map[string]*engine
 	instances []*cwplacement.Pool
 	running   []*emulated
+	swallowed []*emulated
 	nextTold  time.Time
 	// flat sends everything with one rank, as a baseline.
 	flat bool
@@ -31,10 +32,12 @@
 type engine struct {
 	speed   float64
 	failing float64
-	queue   []*emulated
-	busy    time.Time
-	cache   map[uint64]bool
-	served  int
+	// mute is the share of requests that get no answer.
+	mute   float64
+	queue  []*emulated
+	busy   time.Time
+	cache  map[uint64]bool
+	served int
 }
 
 type emulated struct {
@@ -93,6 +96,10 @@
 		r.ticket.Ended(cwplacement.Failed, m.now)
 		return
 	}
+	if m.rng.Float64() < e.mute {
+		m.swallowed = append(m.swallowed, r)
+		return
+	}
 	e.queue = append(e.queue, r)
 	if !m.flat {
 		slices.SortStableFunc(e.queue, func(a, b *emulated) int { return int(a.ticket.Band - b.ticket.Band) })
@@ -108,6 +115,7 @@
 		}
 	}
 	m.running = slices.DeleteFunc(m.running, func(r *emulated) bool { return m.finish(r) })
+	m.swallowed = slices.DeleteFunc(m.swallowed, func(r *emulated) bool { return m.leave(r) })
 	if m.now.After(m.nextTold) {
 		m.nextTold = m.now.Add(tellEvery)
 		m.tell()
@@ -151,6 +159,20 @@
 	return true
 }
 
+// leave lets the caller of a request without answer go in the end.
+func (m *emulator) leave(r *emulated) bool {
+	waited := m.now.Sub(r.arrived)
+	if waited > max(r.demand.Target, 3*r.ticket.First) {
+		r.ticket.Overdue(m.now)
+	}
+	if waited < r.demand.Left {
+		return false
+	}
+	m.failed++
+	r.ticket.Ended(cwplacement.Abandoned, m.now)
+	return true
+}
+
 // tell gives each instance what the others have at the engines.
 func (m *emulator) tell() {
 	for i, p := range m.instances {
@@ -167,7 +189,7 @@
 				others.Speed, others.Pace = others.Speed.Add(speed), others.Pace.Add(pace)
 				e.Learn(o.Recent(m.now))
 			}
-			e.SetOthers(others)
+			e.SetOthers(others, m.now)
 		}
 	}
 }
--- a/internal/cwplacement/endpoint.go
+++ b/internal/cwplacement/endpoint.go
@@ -100,10 +100,10 @@
 }
 
 // SetOthers takes in what the other instances tell.
-func (e *Endpoint) SetOthers(o Others) {
+func (e *Endpoint) SetOthers(o Others, now time.Time) {
 	e.others, e.othersFailures, e.othersAt = o.Work, o.Failures, o.At
-	e.speed.heard(o.Speed)
-	e.pace.heard(o.Pace)
+	e.speed.heard(o.Speed, now)
+	e.pace.heard(o.Pace, now)
 }
 
 // Measured returns what this instance lately saw of the endpoint's speed, in prompt
--- a/internal/cwplacement/meter.go
+++ b/internal/cwplacement/meter.go
@@ -24,30 +24,35 @@
 // meter learns a rate of work from what this instance and the others measure.
 type meter struct {
 	// rate is the amount per second.
-	rate   float64
-	own    Measured
-	at     time.Time
-	others Measured
-	// inertia is the time in seconds that the rate so far weighs against new
-	// measurements.
+	rate float64
+	// usual is the rate of some time; it weighs inertia seconds against what was
+	// measured lately.
+	usual   float64
 	inertia float64
+	own     Measured
+	ownAt   time.Time
+	others  Measured
+	at      time.Time
 }
 
+// usualMemory is the time in which the usual rate follows the latest one.
+const usualMemory = 10 * time.Second
+
 func newMeter(rate, inertia float64) meter {
-	return meter{rate: rate, inertia: inertia}
+	return meter{rate: rate, usual: rate, inertia: inertia}
 }
 
 // saw takes in a measurement of this instance.
 func (m *meter) saw(amount, seconds float64, now time.Time) {
 	m.own = m.recent(now).Add(Measured{Amount: amount, Seconds: seconds})
-	m.at = now
-	m.learn()
+	m.ownAt = now
+	m.learn(now)
 }
 
 // heard takes in what the other instances measured lately.
-func (m *meter) heard(others Measured) {
+func (m *meter) heard(others Measured, now time.Time) {
 	m.others = others
-	m.learn()
+	m.learn(now)
 }
 
 // recent returns what this instance measured, older measurements weighing less.
@@ -55,11 +60,15 @@
 	if m.own.Seconds == 0 {
 		return Measured{}
 	}
-	kept := math.Exp(-now.Sub(m.at).Seconds() / meterMemory.Seconds())
+	kept := math.Exp(-now.Sub(m.ownAt).Seconds() / meterMemory.Seconds())
 	return Measured{Amount: kept * m.own.Amount, Seconds: kept * m.own.Seconds}
 }
 
-func (m *meter) learn() {
-	all := m.own.Add(m.others)
-	m.rate = (m.rate*m.inertia + all.Amount) / (m.inertia + all.Seconds)
+func (m *meter) learn(now time.Time) {
+	if !m.at.IsZero() {
+		m.usual += (m.rate - m.usual) * (1 - math.Exp(-now.Sub(m.at).Seconds()/usualMemory.Seconds()))
+	}
+	m.at = now
+	all := m.recent(now).Add(m.others)
+	m.rate = (m.usual*m.inertia + all.Amount) / (m.inertia + all.Seconds)
 }
--- a/internal/cwplacement/meter_test.go
+++ b/internal/cwplacement/meter_test.go
@@ -17,7 +17,9 @@
 	first, second := m.instances[0], m.instances[1]
 	demand := m.unshared()
 	for range 5 {
-		d := first.Decide(&cwplacement.Ask{Demand: demand(), Here: true, Tried: never, Avoid: never}, m.now)
+		demand := demand()
+		demand.Target = 2 * time.Second // late work tells nothing of the speed
+		d := first.Decide(&cwplacement.Ask{Demand: demand, Here: true, Tried: never, Avoid: never}, m.now)
 		m.now = m.now.Add(925 * time.Millisecond) // 9,000 tokens and the way there and back
 		d.Ticket.Answered(m.now)
 		d.Ticket.Ended(cwplacement.Served, m.now)
--- a/internal/cwplacement/pattern_test.go
+++ b/internal/cwplacement/pattern_test.go
@@ -60,6 +60,20 @@
 	is.True(grey.served-before > 20) // back in use once it is well and needed
 }
 
+// TestMuteEndpointIsAvoided: an engine swallows half of its requests and answers the
+// rest well. The callers of those leave after seconds; it is known sooner.
+func TestMuteEndpointIsAvoided(t *testing.T) {
+	is := is.New(t)
+	m := newEmulator(3, 50_000, 50_000, 50_000, 50_000)
+	m.play(20, 5*time.Second, m.reviews(8))
+	mute := m.engines["engine-0"]
+	mute.mute = 0.5
+	m.play(20, 2*time.Second, m.reviews(8))
+	before := mute.served
+	m.play(20, 5*time.Second, m.reviews(8))
+	is.True(mute.served-before < 20*5/10) // less than a tenth, where an even share is a quarter
+}
+
 // TestDifferentSpeedsAreLearnt: engines differ by a factor of ten, and all requests
 // are in time at half of the load that they can take.
 func TestDifferentSpeedsAreLearnt(t *testing.T) {
--- a/internal/cwplacement/retry_budget.go
+++ b/internal/cwplacement/retry_budget.go
@@ -48,6 +48,11 @@
 	return true
 }
 
+// Return gives back a repeat that was taken at the same time and not made.
+func (b *RetryBudget) Return(now time.Time) {
+	b.repeats[b.roll(now)]--
+}
+
 func (b *RetryBudget) allowance(instances int) float64 {
 	return budgetUse * (b.ratio*float64(sum(b.requests)) + b.slack/float64(max(instances, 1)))
 }
--- a/internal/cwplacement/ticket.go
+++ b/internal/cwplacement/ticket.go
@@ -18,6 +18,8 @@
 	work  Work
 	ahead float64
 	ended bool
+	// overdue is set once the missing first byte counted as a failure.
+	overdue bool
 }
 
 // place notes that the request goes to the endpoint.
@@ -71,6 +73,16 @@
 	t.last = now
 }
 
+// Overdue notes that the first byte is far later than predicted. That counts as a
+// failure already, since an endpoint that swallows requests never answers.
+func (t *Ticket) Overdue(now time.Time) {
+	if t.ended || t.overdue || !t.first.IsZero() {
+		return
+	}
+	t.overdue = true
+	t.Endpoint.failed(now)
+}
+
 // End is how a request left its endpoint.
 type End int
 
@@ -103,7 +115,9 @@
 		e.hold += holdGain * (now.Sub(t.start).Seconds() - e.hold)
 		e.succeeded(now)
 	case Failed:
-		e.failed(now)
+		if !t.overdue {
+			e.failed(now)
+		}
 	case Unreachable:
 		e.Lost(now)
 	}
