A silent attempt is given up only for another place that is there

A stream paused for 1.2 s, the instance closed it to go on elsewhere, found no place, and broke off the answer, although the endpoint went on.

Cause: the attempt was cancelled before anything was known of the next one. Change: when an attempt is overdue, the next place is taken first, with its repeat from the budget. Without one the attempt goes on and is looked at again.

--- a/internal/cwapp/routed_path_test.go
+++ b/internal/cwapp/routed_path_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -147,6 +148,31 @@
 	})
 }
 
+// TestSilentStreamIsGivenUpOnlyForAnotherPlace: a stream that pauses goes on elsewhere if
+// there is another endpoint, and is waited for if there is none.
+func TestSilentStreamIsGivenUpOnlyForAnotherPlace(t *testing.T) {
+	for _, endpoints := range []int{1, 2} {
+		t.Run(fmt.Sprint(endpoints, " endpoints"), func(t *testing.T) {
+			inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+				s.Publish(cwscene.EngineService(0), cwscene.Route("r", "streaming", cwscene.RoutedRoute{"resumable": true}))
+				var workers []*cwstandin.Worker
+				for n := range endpoints {
+					workers = append(workers, s.AddWorker("north-a", fmt.Sprintf("10.1.1.%d", n+1)))
+				}
+				i := s.AddInstance("10.1.0.1", "north-a")
+				s.AwaitReady()
+				cwstandin.FirstOf(workers, cwstandin.PausesStream)
+				a := s.Do(t.Context(), i, cwscene.RoutedRequest{Path: "/r/x", Header: prompt(), Deadline: 10 * time.Second})
+				is.NoErr(a.Err)
+				is.True(strings.HasSuffix(a.Body, "id: 6\ndata: piece 6\n\n"))
+				is.Equal(strings.Count(a.Body, "data:"), 6)
+				is.Equal(len(runsOf(workers)), endpoints)
+				is.Equal(a.Took < cwstandin.StreamPause, endpoints > 1)
+			})
+		})
+	}
+}
+
 func TestCallerWhoLeavesStopsTheWork(t *testing.T) {
 	inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
 		i, workers := oneRegion(s, cwscene.Route("r", "unsafe", nil))
--- a/internal/cwgate/attempt.go
+++ b/internal/cwgate/attempt.go
@@ -37,6 +37,8 @@
 	// not run.
 	notSent, notRun bool
 	err             error
+	// next is the place of the next attempt, if this one was given up for it.
+	next *cwplacement.Decision
 }
 
 // attempt is one try of a job.
@@ -47,6 +49,11 @@
 	// peer is where the request goes, and exit its domain if that is an instance.
 	peer, exit string
 	stall      *stall
+
+	// over is set once the attempt has ended, and next once it is given up for another
+	// place; mu guards both.
+	over bool
+	next *cwplacement.Decision
 }
 
 func (g *Gate) attempt(ctx context.Context, j *job, d cwplacement.Decision) result {
@@ -65,23 +72,27 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	a.stall = newStall(a.patience(d), cancel)
+	again := a.mayFollow()
+	a.stall = newStall(func() { a.overdue(again, cancel) })
+	a.stall.progress(a.patience(d))
 	defer a.stall.stop()
-	return a.run(ctx)
+	r := a.run(ctx)
+	a.mu.Lock()
+	a.over, r.next = true, a.next
+	a.mu.Unlock()
+	if r.done {
+		a.drop(r.next)
+	}
+	return r
 }
 
-// patience is how long the attempt may go without a byte before another one is
-// made; 0 if there can't be another.
+// patience is how long the attempt may go without a first byte.
 func (a *attempt) patience(d cwplacement.Decision) time.Duration {
-	j := a.job
-	if j.Relayed || !j.route.Idempotent() || j.runs+1 >= max(j.route.MaxAttempts, 1) || a.exit != "" {
-		return 0
-	}
-	expected := j.route.Target
+	first := d.Away
 	if d.Ticket != nil {
-		expected = max(expected, stallFactor*d.Ticket.First)
+		first = d.Ticket.First
 	}
-	return expected
+	return max(a.job.route.Target, stallFactor*first)
 }
 
 // stallFactor is how far beyond its prediction a first byte may be before the
@@ -187,11 +198,9 @@
 
 // avoid keeps the job away from what failed it.
 func (a *attempt) avoid() {
-	name := a.exit
-	if a.ticket != nil {
-		name = a.ticket.Endpoint.ID
-	}
-	a.job.tried = append(a.job.tried, name)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.job.tried = append(a.job.tried, a.place())
 }
 
 // whole passes an answer on once all of it is here: one that is cut can then still
--- a/internal/cwgate/attempt_stream.go
+++ b/internal/cwgate/attempt_stream.go
@@ -91,7 +91,7 @@
 // eventPatience is how long a stream may go without an event before it goes on
 // elsewhere; 0 if it can't.
 func (a *attempt) eventPatience() time.Duration {
-	if a.job.Relayed || !a.job.route.Resumable || a.job.runs >= a.job.route.MaxAttempts || a.exit != "" {
+	if a.job.Relayed || !a.job.route.Resumable || a.job.runs >= a.job.route.MaxAttempts {
 		return 0
 	}
 	return max(pauseFactor*a.job.route.MaxPause, minEventPatience)
--- a/internal/cwgate/decide.go
+++ b/internal/cwgate/decide.go
@@ -9,9 +9,13 @@
 
 // decide finds a place for the job.
 func (g *Gate) decide(j *job) cwplacement.Decision {
-	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	return g.placeOf(j, j.triedBefore, time.Now())
+}
+
+// placeOf finds a place that was not tried before. The caller holds mu.
+func (g *Gate) placeOf(j *job, tried func(name string) bool, now time.Time) cwplacement.Decision {
 	g.sync(now)
 	p := g.pools[j.service]
 	if p == nil {
@@ -22,10 +26,10 @@
 	ask := &cwplacement.Ask{
 		Demand:   j.demand(now),
 		Priority: j.route.Priority,
-		Tried:    j.triedBefore,
+		Tried:    tried,
 		Here:     j.route.Allows(g.site.Region),
 		Relayed:  j.Relayed,
-		Avoid:    j.triedBefore,
+		Avoid:    tried,
 	}
 	if !j.Relayed {
 		ask.Rooms = g.rooms(j, now)
--- a/internal/cwgate/serve.go
+++ b/internal/cwgate/serve.go
@@ -141,8 +141,8 @@
 // run makes attempts until one ends the request.
 func (g *Gate) run(ctx context.Context, j *job) {
 	g.admit(j)
+	d := g.decide(j)
 	for {
-		d := g.decide(j)
 		if d.Verdict == cwplacement.Refuse {
 			g.giveUp(ctx, j, d)
 			return
@@ -158,13 +158,29 @@
 			g.logEnd(j, "answered", nil)
 			return
 		}
-		if ctx.Err() != nil || !g.mayRepeat(j, result) {
+		if ctx.Err() != nil || result.next == nil && !g.mayRepeat(j, result) {
+			g.drop(result.next)
 			g.fail(ctx, j, result)
 			return
 		}
+		if result.next != nil {
+			d = *result.next
+			continue
+		}
+		d = g.decide(j)
 	}
 }
 
+// drop gives back the place of an attempt that is not made; nil is allowed.
+func (g *Gate) drop(d *cwplacement.Decision) {
+	if d == nil || d.Ticket == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	d.Ticket.Ended(cwplacement.Abandoned, time.Now())
+}
+
 // admit picks the service and counts the request for its retry budget.
 func (g *Gate) admit(j *job) {
 	g.mu.Lock()
--- a/internal/cwgate/stall.go
+++ b/internal/cwgate/stall.go
@@ -1,28 +1,22 @@
 package cwgate
 
-import (
-	"context"
-	"time"
-)
+import "time"
 
-// stall cancels an attempt that makes no progress.
+// stall watches an attempt for progress.
 type stall struct {
 	timer *time.Timer
 }
 
-// newStall returns a guard that cancels after the patience; 0 never does.
-func newStall(patience time.Duration, cancel context.CancelCauseFunc) *stall {
-	if patience <= 0 {
-		return &stall{}
-	}
-	return &stall{timer: time.AfterFunc(patience, func() { cancel(errStalled) })}
+// newStall returns a guard that acts when no byte came for the patience that progress
+// sets. It does not watch yet.
+func newStall(act func()) *stall {
+	timer := time.AfterFunc(time.Hour, act)
+	timer.Stop()
+	return &stall{timer: timer}
 }
 
-// progress notes that a byte came, and sets the patience for the next one.
+// progress sets the patience for the next byte; 0 ends the watch.
 func (s *stall) progress(patience time.Duration) {
-	if s.timer == nil {
-		return
-	}
 	if patience <= 0 {
 		s.timer.Stop()
 		return
@@ -31,7 +25,5 @@
 }
 
 func (s *stall) stop() {
-	if s.timer != nil {
-		s.timer.Stop()
-	}
+	s.timer.Stop()
 }
--- a/internal/cwstandin/worker.go
+++ b/internal/cwstandin/worker.go
@@ -59,8 +59,13 @@
 	Hangs
 	// CutsStream ends a stream within its third event.
 	CutsStream
+	// PausesStream brings nothing for StreamPause before its third event.
+	PausesStream
 )
 
+// StreamPause is how long a stream that pauses brings nothing.
+const StreamPause = 3 * time.Second
+
 // NewWorker returns a worker that answers well.
 func NewWorker(id string) *Worker {
 	return &Worker{ID: id}
@@ -186,6 +191,9 @@
 			_ = http.NewResponseController(rw).Flush()
 			panic(http.ErrAbortHandler)
 		}
+		if fault == PausesStream && n == last+3 {
+			time.Sleep(StreamPause)
+		}
 		_, _ = io.WriteString(rw, event(n))
 		_ = http.NewResponseController(rw).Flush()
 	}
