Domains without a seed meet

Cause: a message named the members of the sender's and the receiver's domain.

Change: a message names four more members of third domains, drawn at random among those heard within two seconds.

TestDomainsWithoutSeedMeet fails before (the members never become complete). A stream behind a silent endpoint of another region now goes on at that region's other domain (TestSilentEndpointBehindAnExit).

--- a/internal/cwapp/routed_fleet_test.go
+++ b/internal/cwapp/routed_fleet_test.go
@@ -51,6 +51,42 @@
 	})
 }
 
+// TestDomainsWithoutSeedMeet: an instance in a domain without a seed learns of the other
+// domains, so that it can relay there.
+func TestDomainsWithoutSeedMeet(t *testing.T) {
+	inRoutedScene(t, func(_ *testing.T, is *is.I, s *cwscene.RoutedScene) {
+		s.Regions["west-a"] = "west"
+		s.Publish(nil, cwscene.Route("r", "unsafe", nil))
+		s.AddInstance("10.1.0.1", "north-a") // the seed
+		south, west := s.AddInstance("10.2.0.1", "south-a"), s.AddInstance("10.3.0.1", "west-a")
+		s.AwaitReady()
+		is.Equal(len(s.Fronts(south, "west", "west-a")), 1)
+		is.Equal(len(s.Fronts(west, "south", "south-a")), 1)
+	})
+}
+
+// TestSilentEndpointBehindAnExit: a stream that may be resumed and was relayed gets no
+// event. It starts at another endpoint, and the first one is told to stop.
+func TestSilentEndpointBehindAnExit(t *testing.T) {
+	inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+		s.Regions["south-b"] = "south"
+		s.Publish(cwscene.EngineService(0), cwscene.Route("r", "streaming", cwscene.RoutedRoute{
+			"home-regions": []string{"south"}, "max-attempts": 2, "resumable": true,
+		}))
+		workers := []*cwstandin.Worker{s.AddWorker("south-a", "10.2.1.1"), s.AddWorker("south-b", "10.3.1.1")}
+		cwstandin.FirstOf(workers, cwstandin.Hangs)
+		north := s.AddInstance("10.1.0.1", "north-a")
+		s.AddInstance("10.2.0.1", "south-a")
+		s.AddInstance("10.3.0.1", "south-b")
+		s.AwaitReady()
+		time.Sleep(2 * time.Second)
+		a := s.Do(t.Context(), north, cwscene.RoutedRequest{Path: "/r/x", Header: []string{"Clementinewell-Token-Count", "500,50"}})
+		is.Equal(a.Status, http.StatusOK)
+		is.Equal(len(runsOf(workers)), 2)
+		is.Equal(workers[0].Gone()+workers[1].Gone(), 1)
+	})
+}
+
 // TestDomainWithoutSeed: the instances of a domain in which no seed runs learn of
 // each other.
 func TestDomainWithoutSeed(t *testing.T) {
--- a/internal/cwpeer/news.go
+++ b/internal/cwpeer/news.go
@@ -37,13 +37,8 @@
 			news.Rooms = append(news.Rooms, protoRoom(r))
 		}
 	}
-	for i := range s.Members {
-		m := &s.Members[i]
-		// A leaving member is news to all; a live one of the peer's domain is news to
-		// a peer that may know no other way to it, and those of the own domain to all.
-		if m.Leaving && now.Sub(m.HeardAt) < cwpolicy.MemberForget || m.Domain == s.Self.Domain || m.Domain == domain {
-			news.Members = append(news.Members, protoMember(m))
-		}
+	for _, m := range passedOn(s, domain, now) {
+		news.Members = append(news.Members, protoMember(m))
 	}
 	for _, move := range s.Moves {
 		news.Moves = append(news.Moves, &cwproto.Move{From: move.From, To: move.To})
--- /dev/null
+++ b/internal/cwpeer/passed_on.go
@@ -0,0 +1,37 @@
+package cwpeer
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/clementinewell/clementinewell/internal/cwcontrol"
+	"github.com/clementinewell/clementinewell/internal/cwpolicy"
+)
+
+const (
+	// maxStrangers bounds the members of third domains that one message names. With
+	// some messages a second, every domain is known within seconds.
+	maxStrangers = 4
+	// strangerAge is how lately such a member must have been heard, so that no message
+	// tells of one that is gone.
+	strangerAge = 2 * time.Second
+)
+
+// passedOn returns the members that a peer in the domain is told of. A leaving member
+// is news to all; a live one of the peer's domain is news to a peer that may know no
+// other way to it, and those of the own domain to all. A few of other domains are
+// named too: two domains in which no seed runs would never meet otherwise.
+func passedOn(s *cwcontrol.Snapshot, domain string, now time.Time) []*cwpolicy.Member {
+	var list, strangers []*cwpolicy.Member
+	for i := range s.Members {
+		m := &s.Members[i]
+		switch {
+		case m.Leaving && now.Sub(m.HeardAt) < cwpolicy.MemberForget, m.Domain == s.Self.Domain, m.Domain == domain:
+			list = append(list, m)
+		case m.Incarnation != 0 && !m.Leaving && now.Sub(m.HeardAt) < strangerAge && m.Usable(now, cwpolicy.MemberSilence):
+			strangers = append(strangers, m)
+		}
+	}
+	rand.Shuffle(len(strangers), func(i, j int) { strangers[i], strangers[j] = strangers[j], strangers[i] })
+	return append(list, strangers[:min(len(strangers), maxStrangers)]...)
+}
