Relayed requests go to the same instance, over connections that stay open

Cause: each relayed request drew one of the instances of the other domain, so that most of them opened a connection first: a round trip of 160 ms more.

Change: an instance picks one exit of each domain by rendezvous hashing, one that answers before one that failed, when the members change and not in each decision. An exit tells how long its connections may lie idle (20 s; it closes them after 60).

TestRelayedRequestsShareAConnection fails without the idle time.

--- a/internal/cwapp/routed_fleet_test.go
+++ b/internal/cwapp/routed_fleet_test.go
@@ -51,6 +51,40 @@
 	})
 }
 
+// TestRelayedRequestsShareAConnection: an instance relays to the same one of another
+// domain again, over the connection that is open already; and to another one once that
+// is gone.
+func TestRelayedRequestsShareAConnection(t *testing.T) {
+	inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+		s.Publish(nil, cwscene.Route("r", "safe", cwscene.RoutedRoute{"home-regions": []string{"south"}}))
+		s.AddWorker("south-a", "10.2.1.1")
+		north := s.AddInstance("10.1.0.1", "north-a")
+		const oneWay = 80 * time.Millisecond
+		var south []*cwscene.RoutedInstance
+		for n := range 5 {
+			ip := fmt.Sprintf("10.2.0.%d", n+1)
+			south = append(south, s.AddInstance(ip, "south-a"))
+			s.Net.SetDelay(north.IP, ip, oneWay)
+		}
+		s.AwaitReady()
+		time.Sleep(3 * time.Second)
+		relay := func() cwscene.RoutedAnswer {
+			return s.Do(t.Context(), north, cwscene.RoutedRequest{Path: "/r/x"})
+		}
+		is.Equal(relay().Status, http.StatusOK)
+		for range 8 {
+			time.Sleep(6 * time.Second)
+			a := relay()
+			is.Equal(a.Status, http.StatusOK)
+			is.True(a.Took < 3*oneWay) // a new connection takes a round trip more
+		}
+		for _, i := range south[1:] {
+			s.Kill(i)
+		}
+		s.Await(func() bool { return relay().Status == http.StatusOK })
+	})
+}
+
 // TestDomainsWithoutSeedMeet: an instance in a domain without a seed learns of the other
 // domains, so that it can relay there.
 func TestDomainsWithoutSeedMeet(t *testing.T) {
--- a/internal/cwgate/attempt.go
+++ b/internal/cwgate/attempt.go
@@ -61,7 +61,7 @@
 	if d.Verdict == cwplacement.Relay {
 		a.exit = d.Domain
 		g.mu.Lock()
-		a.peer = g.exit(d.Domain, time.Now())
+		a.peer = g.exits[d.Domain]
 		g.mu.Unlock()
 		if a.peer == "" {
 			j.tried = append(j.tried, d.Domain)
--- a/internal/cwgate/decide.go
+++ b/internal/cwgate/decide.go
@@ -32,32 +32,22 @@
 		Avoid:    tried,
 	}
 	if !j.Relayed {
-		ask.Rooms = g.rooms(j, now)
+		ask.Rooms = g.rooms(j)
 	}
 	return p.Decide(ask, now)
 }
 
 // rooms returns the permitted places outside the region.
-func (g *Gate) rooms(j *job, now time.Time) []cwpolicy.DomainRoom {
+func (g *Gate) rooms(j *job) []cwpolicy.DomainRoom {
 	var rooms []cwpolicy.DomainRoom
 	for _, r := range g.snapshot.Rooms[j.service] {
 		if r.Region == g.site.Region || !j.route.Allows(r.Region) || g.view.Evacuated[r.Domain] {
 			continue
 		}
-		if g.exit(r.Domain, now) == "" {
+		if g.exits[r.Domain] == "" {
 			continue
 		}
 		rooms = append(rooms, r)
 	}
 	return rooms
 }
-
-// exit returns the address for relayed requests of a usable instance in the domain,
-// empty if there is none. The caller holds mu.
-func (g *Gate) exit(domain string, now time.Time) string {
-	exits := g.snapshot.Exits(domain, now)
-	if len(exits) == 0 {
-		return ""
-	}
-	return g.site.RelayOf(exits[g.rng.IntN(len(exits))].Address)
-}
--- a/internal/cwgate/gate.go
+++ b/internal/cwgate/gate.go
@@ -37,7 +37,9 @@
 	budgets map[string]*cwplacement.RetryBudget
 	cold    map[string]coldSpan
 	// learntAt is when each peer said what was taken over last.
-	learntAt   map[string]time.Time
+	learntAt map[string]time.Time
+	// exits are the addresses for relayed requests by domain.
+	exits      map[string]string
 	bounds     cwsite.Bounds
 	view       *cwpublished.View
 	snapshot   *cwcontrol.Snapshot
@@ -63,6 +65,7 @@
 		budgets:   make(map[string]*cwplacement.RetryBudget),
 		cold:      make(map[string]coldSpan),
 		learntAt:  make(map[string]time.Time),
+		exits:     make(map[string]string),
 		startedAt: time.Now(),
 	}
 }
--- a/internal/cwgate/serve.go
+++ b/internal/cwgate/serve.go
@@ -42,6 +42,7 @@
 	out := newResponder(w)
 	if r.Relayed {
 		out.hop = &cwevent.HopWriter{}
+		w.Header().Set("Keep-Alive", exitKeepAlive)
 	}
 	config := g.configAtStart(ctx)
 	if config == nil {
--- a/internal/cwgate/sync.go
+++ b/internal/cwgate/sync.go
@@ -40,6 +40,9 @@
 	if viewed || g.anyCold(now) {
 		g.syncEndpoints(now)
 	}
+	if heard {
+		g.syncExits(now)
+	}
 	g.syncWorks(now)
 }
 
