--- a/internal/cwapp/routed_path_test.go
+++ b/internal/cwapp/routed_path_test.go
@@ -173,6 +173,27 @@
 	}
 }
 
+// TestRejectionAtTheDeadlineArrives: an endpoint that never came to the request says so
+// at the end of the time. The caller learns that it has not run, here and behind an exit.
+func TestRejectionAtTheDeadlineArrives(t *testing.T) {
+	for _, home := range []string{"north", "south"} {
+		t.Run(home, func(t *testing.T) {
+			inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+				s.Publish(nil, cwscene.Route("r", "unsafe", cwscene.RoutedRoute{"home-regions": []string{home}}))
+				w := s.AddWorker(home+"-a", "10.9.1.1")
+				w.Always(cwstandin.RejectsAtDeadline)
+				north, south := s.AddInstance("10.1.0.1", "north-a"), s.AddInstance("10.2.0.1", "south-a")
+				s.Net.SetDelay(north.IP, south.IP, 80*time.Millisecond)
+				s.AwaitReady()
+				time.Sleep(3 * time.Second)
+				a := s.Do(t.Context(), north, cwscene.RoutedRequest{Path: "/r/x", Deadline: 2 * time.Second})
+				is.Equal(a.Status, http.StatusServiceUnavailable)
+				is.True(a.Took < 2*time.Second)
+			})
+		})
+	}
+}
+
 func TestCallerWhoLeavesStopsTheWork(t *testing.T) {
 	inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
 		i, workers := oneRegion(s, cwscene.Route("r", "unsafe", nil))
--- a/internal/cwgate/attempt.go
+++ b/internal/cwgate/attempt.go
@@ -17,6 +17,12 @@
 const (
 	// maxAnswerBytes bounds an answer that is read to its end before it goes out.
 	maxAnswerBytes = 16 << 20
+	// returnMargin is left for an answer to travel back: one which says at the last
+	// moment that the request has not run is worth more than none.
+	returnMargin = 10 * time.Millisecond
+	// exitTrips are the round trips to an exit: one for a new connection, one for the
+	// request and its answer.
+	exitTrips = 2
 	// eventBufferBytes holds what arrives of a stream at once.
 	eventBufferBytes = 4 << 10
 )
@@ -48,7 +54,9 @@
 	ticket *cwplacement.Ticket
 	// peer is where the request goes, and exit its domain if that is an instance.
 	peer, exit string
-	stall      *stall
+	// roundTrip is that to the exit, 0 for an endpoint.
+	roundTrip time.Duration
+	stall     *stall
 
 	// over is set once the attempt has ended, and next once it is given up for another
 	// place; mu guards both.
@@ -59,7 +67,7 @@
 func (g *Gate) attempt(ctx context.Context, j *job, d cwplacement.Decision) result {
 	a := &attempt{Gate: g, job: j, ticket: d.Ticket}
 	if d.Verdict == cwplacement.Relay {
-		a.exit = d.Domain
+		a.exit, a.roundTrip = d.Domain, d.RoundTrip
 		g.mu.Lock()
 		a.peer = g.exits[d.Domain]
 		g.mu.Unlock()
@@ -136,7 +144,7 @@
 func (a *attempt) call() *cwconn.Call {
 	j := a.job
 	at := &Attempt{
-		Left:       time.Until(j.deadline),
+		Left:       max(time.Until(j.deadline)-returnMargin-exitTrips*a.roundTrip, 0),
 		Rank:       a.rank(),
 		AfterEvent: j.LastEventID,
 		Length:     len(j.body),
--- a/internal/cwplacement/verdict.go
+++ b/internal/cwplacement/verdict.go
@@ -22,6 +22,8 @@
 	Ticket *Ticket
 	// Domain is set for Relay.
 	Domain string
+	// RoundTrip is the measured network round trip to it.
+	RoundTrip time.Duration
 	// RetryAfter is set for Refuse: when there is likely to be room.
 	RetryAfter time.Duration
 	// Reason names why, for logs and metrics.
--- a/internal/cwstandin/worker.go
+++ b/internal/cwstandin/worker.go
@@ -43,6 +43,8 @@
 	Well WorkerFault = iota
 	// Rejects says that the request has not run.
 	Rejects
+	// RejectsAtDeadline says at the end of the time that the request has not run.
+	RejectsAtDeadline
 	// Fails runs the request and answers 500.
 	Fails
 	// LosesAnswer runs the request and closes the connection.
@@ -138,6 +140,14 @@
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if fault == RejectsAtDeadline {
+		left, _ := strconv.Atoi(r.Header.Get("Clementinewell-Deadline-Ms"))
+		select {
+		case <-time.After(time.Duration(left) * time.Millisecond):
+			fault = Rejects
+		case <-r.Context().Done():
+		}
+	}
 	if fault == Rejects {
 		rw.Header().Set("Clementinewell-Not-Executed", "1")
 		rw.WriteHeader(http.StatusServiceUnavailable)
