--- a/internal/cwplacement/pool.go
+++ b/internal/cwplacement/pool.go
@@ -13,7 +13,7 @@
 const (
 	// rereadCost weighs the time to process shared parts that another endpoint has
 	// in its cache: it is work that the service needn't have done.
-	rereadCost = 8
+	rereadCost = 16
 	// affinity is the part of that cost which falls away at the endpoint that all
 	// instances agree on for a shared part.
 	affinity = 0.7
