No request goes to a region that holds its parts and fails

Seen when reading the change: the holder of a part was taken without a look at the share of failures that its region tells. The pattern fails before.

--- a/internal/cwplacement/decide.go
+++ b/internal/cwplacement/decide.go
@@ -148,24 +148,20 @@
 }
 
 // heldAway returns the place of the request in the region that holds the shared parts
-// of its prompt, if that is another one and saves more than it costs.
+// of its prompt, if that is another one, does not fail much, and saves more than it costs.
 func (p *Pool) heldAway(a *Ask, local *option, holder string, now time.Time) option {
 	if local.endpoint == nil || local.forecast.reread == 0 || holder == "" || holder == local.endpoint.Region {
 		return option{}
 	}
 	away := p.bestRoom(a, holder, holder, now)
-	if away.room == nil || !a.within(inTime, away.forecast.first) {
-		return option{}
-	}
-	saved := rereadCost * float64(local.forecast.reread) / local.endpoint.speed.rate
-	if away.forecast.first > local.forecast.first+saved {
+	if away.room == nil || away.room.Failures >= greyShare || !a.within(inTime, away.forecast.first) || away.forecast.first > local.cost {
 		return option{}
 	}
 	return away
 }
 
-// bestRoom returns the room with the earliest first byte, of one region or, if that is
-// empty, of all. Holder is the region that has the shared parts.
+// bestRoom returns the room with the lowest cost, of one region or, if that is empty, of
+// all. Holder is the region that has the shared parts.
 func (p *Pool) bestRoom(a *Ask, region, holder string, now time.Time) option {
 	var best option
 	if a.Relayed {
--- a/internal/cwplacement/pattern_test.go
+++ b/internal/cwplacement/pattern_test.go
@@ -146,6 +146,13 @@
 		toNorth.At = toSouth.At
 	}
 	is.True(inNorth > prompts/5/2 && inNorth < prompts/5*2) // one engine of five
+	// A region in which every endpoint fails gets none of them.
+	toSouth.Failures = 0.4
+	for n := range uint64(prompts) {
+		is.Equal(placed(north, north.review(n), toSouth), "a")
+		north.idle()
+	}
+	toSouth.Failures = 0
 	// A region that is busy gets no more than what is in time there.
 	toSouth.WaitSeconds = 0.5
 	for n := range uint64(prompts) {
