A relayed stream has its whole time

An exit broke off a stream a second before its deadline, beside a SIGTERM of the entry.

Change: exits get the time as it is; endpoints in the region keep the margin of 10 ms.

--- a/internal/cwgate/attempt.go
+++ b/internal/cwgate/attempt.go
@@ -17,12 +17,10 @@
 const (
 	// maxAnswerBytes bounds an answer that is read to its end before it goes out.
 	maxAnswerBytes = 16 << 20
-	// returnMargin is left for an answer to travel back: one which says at the last
-	// moment that the request has not run is worth more than none.
+	// returnMargin is left for the answer of an endpoint to travel back: one which says
+	// at the last moment that the request has not run is worth more than none. Exits get
+	// no such margin, since a measured round trip may be far too long.
 	returnMargin = 10 * time.Millisecond
-	// exitTrips are the round trips to an exit: one for a new connection, one for the
-	// request and its answer.
-	exitTrips = 2
 	// eventBufferBytes holds what arrives of a stream at once.
 	eventBufferBytes = 4 << 10
 )
@@ -54,9 +52,7 @@
 	ticket *cwplacement.Ticket
 	// peer is where the request goes, and exit its domain if that is an instance.
 	peer, exit string
-	// roundTrip is that to the exit, 0 for an endpoint.
-	roundTrip time.Duration
-	stall     *stall
+	stall      *stall
 
 	// over is set once the attempt has ended, and next once it is given up for another
 	// place; mu guards both.
@@ -67,7 +63,7 @@
 func (g *Gate) attempt(ctx context.Context, j *job, d cwplacement.Decision) result {
 	a := &attempt{Gate: g, job: j, ticket: d.Ticket}
 	if d.Verdict == cwplacement.Relay {
-		a.exit, a.roundTrip = d.Domain, d.RoundTrip
+		a.exit = d.Domain
 		g.mu.Lock()
 		a.peer = g.exits[d.Domain]
 		g.mu.Unlock()
@@ -144,7 +140,7 @@
 func (a *attempt) call() *cwconn.Call {
 	j := a.job
 	at := &Attempt{
-		Left:       max(time.Until(j.deadline)-returnMargin-exitTrips*a.roundTrip, 0),
+		Left:       time.Until(j.deadline),
 		Rank:       a.rank(),
 		AfterEvent: j.LastEventID,
 		Length:     len(j.body),
@@ -157,6 +153,7 @@
 		at.Relayed, at.Elapsed = true, j.Elapsed+time.Since(j.Arrived)
 	} else {
 		at.Endpoint = a.ticket.Endpoint.ID
+		at.Left = max(at.Left-returnMargin, 0)
 		c.MaxConns = a.maxConns()
 	}
 	c.Head = a.codec.Head(j.Request, at)
--- a/internal/cwplacement/decide.go
+++ b/internal/cwplacement/decide.go
@@ -196,7 +196,7 @@
 	work.Queued[Normal] = float64(o.forecast.uncached)
 	work = p.sentSince(r).Add(work)
 	p.sent[r.Domain] = sentWork{work: work, at: r.At}
-	d.Verdict, d.Domain, d.RoundTrip, d.Reason = Relay, r.Domain, r.RoundTrip, reason
+	d.Verdict, d.Domain, d.Reason = Relay, r.Domain, reason
 	return d
 }
 
--- a/internal/cwplacement/verdict.go
+++ b/internal/cwplacement/verdict.go
@@ -22,8 +22,6 @@
 	Ticket *Ticket
 	// Domain is set for Relay.
 	Domain string
-	// RoundTrip is the measured network round trip to it.
-	RoundTrip time.Duration
 	// RetryAfter is set for Refuse: when there is likely to be room.
 	RetryAfter time.Duration
 	// Reason names why, for logs and metrics.
