A stream that began long ago goes on elsewhere when it breaks off

Seen when reading the change: a place for the rest of a stream was sought with the target and the patience of its first byte, counted from its arrival. 2.4 s after that no place was of use any more, so that an older stream was broken off when its endpoint crashed, although others had room.

Change: once a stream has begun, the next event counts, within the pause after which callers leave. TestOldStreamGoesOn fails before.

--- a/internal/cwapp/routed_path_test.go
+++ b/internal/cwapp/routed_path_test.go
@@ -148,6 +148,22 @@
 	})
 }
 
+// TestOldStreamGoesOn: a stream that breaks off long after its first byte was due goes on
+// at another endpoint.
+func TestOldStreamGoesOn(t *testing.T) {
+	inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+		s.Publish(cwscene.EngineService(0), cwscene.Route("r", "streaming", cwscene.RoutedRoute{"resumable": true, "timeout-ms": 20000}))
+		workers := []*cwstandin.Worker{s.AddWorker("north-a", "10.1.1.1"), s.AddWorker("north-a", "10.1.1.2")}
+		i := s.AddInstance("10.1.0.1", "north-a")
+		s.AwaitReady()
+		cwstandin.FirstOf(workers, cwstandin.CutsOldStream)
+		a := s.Do(t.Context(), i, cwscene.RoutedRequest{Path: "/r/x", Header: prompt(), Deadline: 20 * time.Second})
+		is.NoErr(a.Err)
+		is.Equal(strings.Count(a.Body, "data:"), 6)
+		is.Equal(len(runsOf(workers)), 2)
+	})
+}
+
 // TestSilentStreamIsGivenUpOnlyForAnotherPlace: a stream that pauses goes on elsewhere if
 // there is another endpoint, and is waited for if there is none.
 func TestSilentStreamIsGivenUpOnlyForAnotherPlace(t *testing.T) {
--- a/internal/cwgate/attempt_stream.go
+++ b/internal/cwgate/attempt_stream.go
@@ -72,12 +72,12 @@
 func (a *attempt) eventArrived() {
 	now := time.Now()
 	a.stall.progress(a.eventPatience())
-	if a.ticket == nil {
-		return
-	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.ticket.Event(now)
+	a.job.out.paced(now)
+	if a.ticket != nil {
+		a.ticket.Event(now)
+	}
 }
 
 const (
--- a/internal/cwgate/job.go
+++ b/internal/cwgate/job.go
@@ -51,6 +51,11 @@
 		Whole:   j.deadline.Sub(now),
 		Elapsed: j.Elapsed + now.Sub(j.Arrived),
 	}
+	if j.out.count > 0 {
+		// A stream that goes on has met its target or not: what counts now is that the
+		// next event comes before the caller leaves.
+		d.Elapsed, d.Target = 0, d.Left
+	}
 	if j.Prompt != nil {
 		d.Tokens, d.Output, d.Parts = j.Prompt.Tokens, j.Prompt.output(), j.Prompt.Parts
 	}
@@ -66,12 +71,16 @@
 	abandonPauses  = 8
 )
 
-// usefulUntil returns when a first byte is of no more use.
+// usefulUntil returns when the next byte is of no more use.
 func (j *job) usefulUntil() time.Time {
 	if j.route.Kind != cwroute.Stream {
 		return j.deadline
 	}
-	leaves := j.Arrived.Add(max(minAbandon, abandonTargets*j.route.Target, abandonPauses*j.route.MaxPause) - j.Elapsed)
+	patience := max(minAbandon, abandonTargets*j.route.Target, abandonPauses*j.route.MaxPause)
+	leaves := j.Arrived.Add(patience - j.Elapsed)
+	if j.out.count > 0 {
+		leaves = j.out.lastAt.Add(patience)
+	}
 	if leaves.Before(j.deadline) {
 		return leaves
 	}
--- a/internal/cwgate/responder.go
+++ b/internal/cwgate/responder.go
@@ -17,8 +17,8 @@
 	// status and firstAt describe the answer.
 	status  int
 	firstAt time.Time
-	// count is the number of writes of a stream, lastAt the time of the latest one and
-	// longestPause the longest time between two.
+	// count is the number of pieces of a stream, lastAt the time of the latest one and
+	// longestPause the longest time between two. The gate's mu guards them.
 	count        int
 	lastAt       time.Time
 	longestPause time.Duration
@@ -66,7 +66,6 @@
 
 // events writes whole events at once.
 func (r *responder) events(p []byte) error {
-	r.paced(time.Now())
 	if r.hop != nil {
 		p = r.hop.Piece(p)
 	}
--- a/internal/cwstandin/worker.go
+++ b/internal/cwstandin/worker.go
@@ -61,10 +61,15 @@
 	Hangs
 	// CutsStream ends a stream within its third event.
 	CutsStream
+	// CutsOldStream sends an event each StreamStep and ends the stream within its sixth.
+	CutsOldStream
 	// PausesStream brings nothing for StreamPause before its third event.
 	PausesStream
 )
 
+// StreamStep is the time between two events of a slow stream.
+const StreamStep = time.Second
+
 // StreamPause is how long a stream that pauses brings nothing.
 const StreamPause = 3 * time.Second
 
@@ -196,7 +201,10 @@
 	rw.Header().Set("Content-Type", "text/event-stream")
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for n := last + 1; n <= streamEvents; n++ {
-		if fault == CutsStream && n == last+3 {
+		if fault == CutsOldStream && n > last+1 {
+			time.Sleep(StreamStep)
+		}
+		if fault == CutsStream && n == last+3 || fault == CutsOldStream && n == streamEvents {
 			_, _ = fmt.Fprintf(rw, "id: %d\nda", n)
 			_ = http.NewResponseController(rw).Flush()
 			panic(http.ErrAbortHandler)
