--- a/internal/cwgate/attempt_overdue.go
+++ b/internal/cwgate/attempt_overdue.go
@@ -8,7 +8,7 @@
 )
 
 // overdueCheck is the time between two looks for another place for an attempt that
-// still brings nothing.
+// still brings nothing: about that in which news of other instances arrives.
 const overdueCheck = 250 * time.Millisecond
 
 // mayFollow reports whether another attempt may be made after this one has run.
--- a/internal/cwpeer/passed_on.go
+++ b/internal/cwpeer/passed_on.go
@@ -12,8 +12,9 @@
 	// maxStrangers bounds the members of third domains that one message names. With
 	// some messages a second, every domain is known within seconds.
 	maxStrangers = 4
-	// strangerAge is how lately such a member must have been heard, so that no message
-	// tells of one that is gone.
+	// strangerAge is how lately such a member must have been heard of. It is below the
+	// time after which a silent one is left out, so that few messages tell of one that is
+	// gone.
 	strangerAge = 2 * time.Second
 )
 
--- a/internal/cwplacement/meter.go
+++ b/internal/cwplacement/meter.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// meterMemory is the time in which what a meter saw loses most of its weight: an
-// engine that turns slow is noticed within some answers of that time.
+// meterMemory is the time in which what a meter saw loses most of its weight. An engine
+// answers some requests a second, so that a dozen answers count.
 const meterMemory = 4 * time.Second
 
 // Measured is an amount of work and the time that it took. What several instances
@@ -35,7 +35,8 @@
 	at      time.Time
 }
 
-// usualMemory is the time in which the usual rate follows the latest one.
+// usualMemory is the time in which the usual rate follows the latest one. It is longer
+// than most disturbances, and shorter than the life of an engine.
 const usualMemory = 10 * time.Second
 
 func newMeter(rate, inertia float64) meter {
