Instances that have just started ask the other domains at once

Cause: an instance that is no reader of its domain asked other domains five seconds after its start, the readers after one, and who had no place was asked back as if all endpoints were gone. Change: the members that the first round told of are asked in the next one, and each second in the first five; a caller without a place in the first three seconds is asked back after one. TestStartedInstancesRelaySoon fails before.

--- a/internal/cwapp/routed_fleet_test.go
+++ b/internal/cwapp/routed_fleet_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -51,6 +52,35 @@
 	})
 }
 
+// TestStartedInstancesRelaySoon: all instances start at once, and requests that are at home
+// in another region find it a second after the start. Who comes before that is asked back
+// soon.
+func TestStartedInstancesRelaySoon(t *testing.T) {
+	inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+		s.Publish(nil, cwscene.Route("r", "unsafe", cwscene.RoutedRoute{"home-regions": []string{"south"}}))
+		s.AddWorker("south-a", "10.2.1.1")
+		var north []*cwscene.RoutedInstance
+		for n := range 5 {
+			north = append(north, s.AddInstance(fmt.Sprintf("10.1.0.%d", n+1), "north-a"))
+			s.AddInstance(fmt.Sprintf("10.2.0.%d", n+1), "south-a")
+		}
+		for _, i := range north {
+			s.Await(i.Ready)
+			a := s.Do(t.Context(), i, cwscene.RoutedRequest{Path: "/r/x"})
+			if a.Status != http.StatusOK {
+				is.Equal(a.Status, http.StatusServiceUnavailable)
+				after, err := strconv.ParseFloat(a.Header.Get("Retry-After"), 64)
+				is.NoErr(err)
+				is.True(after <= 1.5)
+			}
+		}
+		time.Sleep(time.Second)
+		for _, i := range north {
+			is.Equal(s.Do(t.Context(), i, cwscene.RoutedRequest{Path: "/r/x"}).Status, http.StatusOK)
+		}
+	})
+}
+
 // TestRelayedRequestsShareAConnection: an instance relays to the same one of another
 // domain again, over the connection that is open already; and to another one once that
 // is gone.
--- a/internal/cwgate/decide.go
+++ b/internal/cwgate/decide.go
@@ -7,6 +7,10 @@
 	"github.com/clementinewell/clementinewell/internal/cwpolicy"
 )
 
+// startingSpan is the time after the start in which the places of other regions may not
+// be known: some exchanges and round trips.
+const startingSpan = 3 * time.Second
+
 // decide finds a place for the job.
 func (g *Gate) decide(j *job) cwplacement.Decision {
 	g.mu.Lock()
@@ -29,6 +33,7 @@
 		Tried:    tried,
 		Here:     j.route.Allows(g.site.Region),
 		Relayed:  j.Relayed,
+		Starting: now.Sub(g.startedAt) < startingSpan,
 		Avoid:    tried,
 	}
 	if !j.Relayed {
--- a/internal/cwpeer/exchanger.go
+++ b/internal/cwpeer/exchanger.go
@@ -52,16 +52,17 @@
 // Run exchanges until ctx ends: with the own domain each interval, with one
 // instance of each followed domain each remote interval.
 func (x *Exchanger) Run(ctx context.Context) error {
+	started := time.Now()
 	x.Round(ctx, true)
 	x.control.Post(ctx, cwcontrol.RoundDone{})
-	lastRemote := time.Now()
+	var lastRemote time.Time // the members that the first round told of are asked next
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-time.After(jitter(x.Settings.ExchangeInterval)):
 		}
-		remote := time.Since(lastRemote) >= x.remoteInterval()
+		remote := time.Since(lastRemote) >= x.remoteInterval(time.Since(started))
 		if remote {
 			lastRemote = time.Now()
 		}
@@ -73,9 +74,13 @@
 // its own domain: the readers pass on what they hear.
 const silentShare = 5
 
-func (x *Exchanger) remoteInterval() time.Duration {
+// startSpan is how long after its start each instance asks other domains itself: until
+// then it may not know the readers, nor they the other domains.
+const startSpan = 5 * time.Second
+
+func (x *Exchanger) remoteInterval(running time.Duration) time.Duration {
 	s := x.control.Snapshot()
-	if cwpolicy.IsReader(s.Self.Address, s.Self.Domain, s.Members, cwpolicy.ReadersPerDomain, time.Now()) {
+	if running < startSpan || cwpolicy.IsReader(s.Self.Address, s.Self.Domain, s.Members, cwpolicy.ReadersPerDomain, time.Now()) {
 		return x.Settings.RemoteInterval
 	}
 	return silentShare * x.Settings.RemoteInterval
--- a/internal/cwplacement/decide.go
+++ b/internal/cwplacement/decide.go
@@ -28,6 +28,9 @@
 	returnSpread = 0.5
 	// noPlaceRetry is when to come back if no endpoint is in reach at all.
 	noPlaceRetry = 4000 * time.Millisecond
+	// startingRetry is when to come back to an instance that does not know the places of
+	// other regions yet: it asks them within some exchanges of its start.
+	startingRetry = time.Second
 )
 
 // Ask is a request that needs a place.
@@ -43,6 +46,8 @@
 	Rooms []cwpolicy.DomainRoom
 	// Relayed is set if another instance sent the request: it goes no further.
 	Relayed bool
+	// Starting is set while this instance may not know all other regions yet.
+	Starting bool
 	// Avoid are domains that turned the request back.
 	Avoid func(domain string) bool
 }
@@ -88,6 +93,9 @@
 	if local.endpoint != nil {
 		return p.sendLate(d, a, local, now)
 	}
+	if a.Starting {
+		return p.refuse(d, startingRetry, "noPlace")
+	}
 	return p.refuse(d, noPlaceRetry, "noPlace")
 }
 
