--- a/internal/cwsoak/process_test.go
+++ b/internal/cwsoak/process_test.go
@@ -23,6 +23,8 @@
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
+	// pausedUntil is when a paused process goes on; mu guards it.
+	pausedUntil time.Time
 }
 
 // settingsText is a settings file of the users' platform.
@@ -89,12 +91,24 @@
 	_ = p.cmd.Process.Signal(s)
 }
 
-// end signals the process and waits until it is gone. It returns how long that took.
+// pause stops the process for a time.
+func (p *process) pause(d time.Duration) {
+	p.mu.Lock()
+	p.pausedUntil = time.Now().Add(d)
+	p.mu.Unlock()
+	p.signal(syscall.SIGSTOP)
+	time.AfterFunc(d, func() { p.signal(syscall.SIGCONT) })
+}
+
+// end signals the process and waits until it is gone. It returns how long that took,
+// from when a paused process goes on: until then it can't know.
 func (p *process) end(s syscall.Signal) time.Duration {
 	p.mu.Lock()
-	cmd := p.cmd
+	cmd, start := p.cmd, time.Now()
+	if p.pausedUntil.After(start) {
+		start = p.pausedUntil
+	}
 	p.mu.Unlock()
-	start := time.Now()
 	_ = cmd.Process.Signal(s)
 	_ = cmd.Wait()
 	return time.Since(start)
--- a/internal/cwsoak/soak_test.go
+++ b/internal/cwsoak/soak_test.go
@@ -185,8 +185,7 @@
 		}
 		p.start()
 	case 6:
-		p.signal(syscall.SIGSTOP)
-		time.AfterFunc(time.Duration(200+s.rng.IntN(1800))*time.Millisecond, func() { p.signal(syscall.SIGCONT) })
+		p.pause(time.Duration(200+s.rng.IntN(1800)) * time.Millisecond)
 	case 7:
 		p.signal(syscall.SIGHUP)
 		s.publish()
--- a/internal/cwstandin/worker.go
+++ b/internal/cwstandin/worker.go
@@ -43,8 +43,6 @@
 	Well WorkerFault = iota
 	// Rejects says that the request has not run.
 	Rejects
-	// RejectsAtDeadline says at the end of the time that the request has not run.
-	RejectsAtDeadline
 	// Fails runs the request and answers 500.
 	Fails
 	// LosesAnswer runs the request and closes the connection.
@@ -65,6 +63,8 @@
 	CutsOldStream
 	// PausesStream brings nothing for StreamPause before its third event.
 	PausesStream
+	// RejectsAtDeadline says at the end of the time that the request has not run.
+	RejectsAtDeadline
 )
 
 // StreamStep is the time between two events of a slow stream.
