--- a/internal/cwgate/log.go
+++ b/internal/cwgate/log.go
@@ -37,7 +37,7 @@
 	if reason, counts := reasonOf(d.Reason); counts {
 		g.observe(j, reason)
 	}
-	g.Log.Info("request refused", zap.String("request", j.ID), zap.String("route", j.route.Name), zap.String("reason", d.Reason),
+	g.Log.Info("request refused", zap.String("request", j.ID), zap.String("route", j.route.Name), zap.String("service", j.service), zap.String("reason", d.Reason),
 		zap.Duration("predicted", d.Local), zap.Duration("predictedAway", d.Away), zap.Duration("retryAfter", d.RetryAfter),
 		zap.Int("attempts", j.sends), zap.Bool("relayed", j.Relayed), zap.Uint64("revision", g.state.Revision()))
 }
