Scenes take what is published from the stand-ins

Cause: the scene of routed tests spelled entries, routes and header fields in the platform's words, which belong to platform/ and its stand-ins. No behaviour changed.

--- a/internal/cwscene/routed_scene.go
+++ b/internal/cwscene/routed_scene.go
@@ -32,8 +32,9 @@
 	workerPort    = ":8010"
 	// StoreIP is the host of the store.
 	StoreIP = "10.0.0.2"
-	// Host is the host of all routes.
-	Host = "app.example"
+	// Host is the host of all routes, and routedService their service.
+	Host          = "app.example"
+	routedService = "app"
 )
 
 // RoutedScene is a deployment on a stand-in of the users' platform, in memory.
@@ -89,10 +90,7 @@
 
 // Route returns a route to the service "app" below the path /NAME/.
 func Route(name, kind string, more RoutedRoute) RoutedRoute {
-	r := RoutedRoute{
-		"name": name, "host": Host, "path-prefix": "/" + name + "/", "type": kind, "timeout-ms": 5000,
-		"target-latency-ms": 500, "service": "app", "max-attempts": 2, "gap-aim-ms": 300,
-	}
+	r := RoutedRoute(cwstandin.PublishedRoute(Host, routedService, name, kind))
 	for key, value := range more {
 		r[key] = value
 	}
@@ -104,20 +102,14 @@
 func (s *RoutedScene) Publish(services []map[string]any, routes ...RoutedRoute) {
 	s.version++
 	if services == nil {
-		services = []map[string]any{{"name": "app", "max-connections": 100}}
+		services = []map[string]any{cwstandin.PublishedPlain(routedService)}
 	}
-	s.Store.PutJSON(cwstandin.ConfigKey, map[string]any{
-		"version": s.version, "routes": routes, "services": services,
-		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 1 << 20, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
-	})
+	s.Store.PutJSON(cwstandin.ConfigKey, cwstandin.PublishedConfig(s.version, services, routes))
 }
 
 // EngineService returns the service "app" as one of model engines.
 func EngineService(coldPerSecond float64) []map[string]any {
-	return []map[string]any{{
-		"name": "app", "max-connections": 100, "cold-s": 3, "cold-per-s": coldPerSecond,
-		"engine": map[string]any{"slots": 64, "kv-capacity": 200000, "stride": 6},
-	}}
+	return []map[string]any{cwstandin.PublishedEngines(routedService, coldPerSecond)}
 }
 
 // AddWorker starts a worker and registers it.
@@ -130,10 +122,7 @@
 
 // Register writes a worker's entry; more replaces its fields.
 func (s *RoutedScene) Register(id, domain, ip string, more map[string]any) {
-	entry := map[string]any{
-		"service": "app", "address": ip + workerPort, "zone": domain, "slots": 8, "state": "ready",
-		"cold-remaining-ms": 0, "sequence": 1, "born": 1,
-	}
+	entry := cwstandin.PublishedEntry(routedService, domain, ip+workerPort)
 	for key, value := range more {
 		entry[key] = value
 	}
@@ -247,8 +236,8 @@
 		s.t.Fatal(err)
 	}
 	req.Host = Host
-	req.Header.Set("Clementinewell-Request-Id", a.ID)
-	req.Header.Set("Clementinewell-Deadline-Ms", strconv.FormatInt(r.Deadline.Milliseconds(), 10))
+	req.Header.Set(cwstandin.RequestIDHeader, a.ID)
+	req.Header.Set(cwstandin.DeadlineHeader, strconv.FormatInt(r.Deadline.Milliseconds(), 10))
 	for n := 0; n+1 < len(r.Header); n += 2 {
 		req.Header.Set(r.Header[n], r.Header[n+1])
 	}
