Paced streams of the benchmarks follow a ticker

Cause: a sleep between events adds the time of each write to the pause. It was the one sleep on the real clock among the tests; the others run inside a synctest bubble that inScene and inRoutedScene open.

--- a/internal/cwapp/bench_test.go
+++ b/internal/cwapp/bench_test.go
@@ -139,11 +139,17 @@
 		_, _ = io.Copy(io.Discard, r.Body)
 		w.Header().Set("Content-Type", "text/event-stream")
 		rc := http.NewResponseController(w)
+		var tick <-chan time.Time
+		if pause > 0 {
+			ticker := time.NewTicker(pause)
+			defer ticker.Stop()
+			tick = ticker.C
+		}
 		for n := range streamTokens {
 			fmt.Fprintf(w, "id: %d\ndata: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"token \"}}]}\n\n", n)
 			_ = rc.Flush()
-			if pause > 0 {
-				time.Sleep(pause)
+			if tick != nil {
+				<-tick
 			}
 		}
 		if hold {
