--- a/internal/cwapp/routed_path_test.go
+++ b/internal/cwapp/routed_path_test.go
@@ -204,6 +204,22 @@
 	})
 }
 
+// TestRejectionBehindAnExitArrives: the same where another region serves the request.
+func TestRejectionBehindAnExitArrives(t *testing.T) {
+	inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+		s.Publish(nil, cwscene.Route("r", "unsafe", cwscene.RoutedRoute{"home-regions": []string{"south"}}))
+		w := s.AddWorker("south-a", "10.9.1.1")
+		w.Always(cwstandin.RejectsAtDeadline)
+		north, south := s.AddInstance("10.1.0.1", "north-a"), s.AddInstance("10.2.0.1", "south-a")
+		s.Net.SetDelay(north.IP, south.IP, 80*time.Millisecond)
+		s.AwaitReady()
+		time.Sleep(3 * time.Second)
+		a := s.Do(t.Context(), north, cwscene.RoutedRequest{Path: "/r/x", Deadline: 2 * time.Second})
+		is.Equal(a.Status, http.StatusServiceUnavailable)
+		is.True(a.Took < 2*time.Second)
+	})
+}
+
 // TestRelayedStreamHasItsWholeTime: an exit doesn't end a stream before its deadline for a
 // round trip that was long when it was measured.
 func TestRelayedStreamHasItsWholeTime(t *testing.T) {
