Log connections that are closed without a response

Callers had requests that ended without an answer, and the logs could not tell why: no line names a connection, nor the end of accepting.

All servers of an instance are now of one type (cwserver), which knows for each connection whether its peer is owed a response. It logs and counts those that the instance closes all the same, and logs the open connections by state when a listener closes. Nothing else changes: net/http still decides what is closed when. The limit of connections moves there from limitConns; connections are wrapped now, and conn.CloseWrite keeps what net/http would otherwise not find.

--- a/internal/cwapp/app.go
+++ b/internal/cwapp/app.go
@@ -19,6 +19,7 @@
 	"github.com/clementinewell/clementinewell/internal/cwnet"
 	"github.com/clementinewell/clementinewell/internal/cwpeer"
 	"github.com/clementinewell/clementinewell/internal/cwplatform"
+	"github.com/clementinewell/clementinewell/internal/cwserver"
 	"github.com/clementinewell/clementinewell/internal/cwsetting"
 	"github.com/clementinewell/clementinewell/internal/cwsync"
 )
@@ -54,10 +55,10 @@
 	peerMux.Handle("POST "+cwpeer.ForwardPath, cwexit.NewHandler(a.Common, a.Control, a.dispatcher, auth))
 	callerHandler := cwentry.NewHandler(a.Common, a.Control, a.dispatcher, a.burn)
 	adminHandler := cwadmin.NewHandler(a.Common, a.Control, a.dispatcher, a.burn, metrics)
-	a.servers = []*server{
-		a.newServer(a.Settings.CallerAddress, callerHandler.Mux(), a.Settings.MaxConnections),
-		a.newServer(a.Settings.PeerAddress, peerMux, 0),
-		a.newServer(a.Settings.AdminAddress, adminHandler.Mux(), 0),
+	a.servers = []*cwserver.Server{
+		cwserver.NewServer(a.Common, "caller", a.Settings.CallerAddress, callerHandler.Mux(), a.Settings.MaxConnections),
+		cwserver.NewServer(a.Common, "peer", a.Settings.PeerAddress, peerMux, 0),
+		cwserver.NewServer(a.Common, "admin", a.Settings.AdminAddress, adminHandler.Mux(), 0),
 	}
 }
 
--- a/internal/cwapp/instance.go
+++ b/internal/cwapp/instance.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -21,6 +20,7 @@
 	"github.com/clementinewell/clementinewell/internal/cwnet"
 	"github.com/clementinewell/clementinewell/internal/cwpeer"
 	"github.com/clementinewell/clementinewell/internal/cwpolicy"
+	"github.com/clementinewell/clementinewell/internal/cwserver"
 	"github.com/clementinewell/clementinewell/internal/cwsetting"
 )
 
@@ -36,7 +36,7 @@
 	exchanger      *cwpeer.Exchanger
 	metricsHandler http.Handler
 	loops          []loop
-	servers        []*server
+	servers        []*cwserver.Server
 	closers        []func() error
 }
 
@@ -105,31 +105,13 @@
 	return binary.LittleEndian.Uint64(b[:])
 }
 
-// server is an HTTP server with its listen address.
-type server struct {
-	*http.Server
-	address string
-}
-
-func (i *instance) newServer(address string, handler http.Handler, maxConns int) *server {
-	return &server{address: address, Server: &http.Server{
-		ConnState:         limitConns(maxConns),
-		Handler:           handler,
-		ReadHeaderTimeout: i.Settings.HeaderTimeout,
-		IdleTimeout:       time.Minute,
-		MaxHeaderBytes:    i.Settings.MaxHeaderBytes,
-		// NewStdLog logs at level info, so the messages of net/http are dropped.
-		ErrorLog: zap.NewStdLog(i.Log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
-	}}
-}
-
 // run serves until ctx is done or a loop or server fails, then calls shutdown. If ctx is
 // done, the loops keep running during the shutdown, which needs control and exchanges. If a
 // loop or server fails, the loops stop before the shutdown.
 func (i *instance) run(ctx context.Context, shutdown func(ctx context.Context)) error {
 	listeners := make([]net.Listener, 0, len(i.servers))
 	for _, s := range i.servers {
-		listener, err := i.Net.Listen(ctx, s.address)
+		listener, err := i.Net.Listen(ctx, s.Address())
 		if err != nil {
 			return fmt.Errorf("start instance: %w", err)
 		}
@@ -142,7 +124,7 @@
 		g.Go(func() error { return run(gctx) })
 	}
 	for n, s := range i.servers {
-		g.Go(func() error { return ignoreClosed(s.Serve(listeners[n])) })
+		g.Go(func() error { return s.Serve(listeners[n]) })
 	}
 	i.Log.Info("instance started", zap.Uint64("incarnation", i.Incarnation), zap.String("region", i.Settings.Region), zap.String("domain", i.Settings.Domain))
 	select {
@@ -157,10 +139,3 @@
 	}
 	return err
 }
-
-func ignoreClosed(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
-}
--- a/internal/cwapp/routed_app.go
+++ b/internal/cwapp/routed_app.go
@@ -14,6 +14,7 @@
 	"github.com/clementinewell/clementinewell/internal/cwpeer"
 	"github.com/clementinewell/clementinewell/internal/cwpolicy"
 	"github.com/clementinewell/clementinewell/internal/cwpublished"
+	"github.com/clementinewell/clementinewell/internal/cwserver"
 	"github.com/clementinewell/clementinewell/internal/cwsetting"
 	"github.com/clementinewell/clementinewell/internal/cwsite"
 	"github.com/clementinewell/clementinewell/internal/cwsync"
@@ -33,8 +34,8 @@
 	// the goroutine that runs WatchSettings accesses them.
 	seedPeers    []string
 	follower     *cwpublished.Follower
-	callerServer *server
-	relayServer  *server
+	callerServer *cwserver.Server
+	relayServer  *cwserver.Server
 }
 
 // NewRoutedApp builds an instance without starting its servers and background loops.
@@ -48,16 +49,16 @@
 	puller := cwsync.NewPublishedPuller(r.Common, r.State, r.peerClient, r.follower)
 	r.exchanger = cwpeer.NewExchanger(r.Common, r.Control, r.peerClient, r.gate, puller)
 	peerServer := cwpeer.NewServer(r.Common, r.Control, r.gate, cwpeer.Sources{Published: r.State}, puller, r.auth)
-	r.callerServer = r.newServer(site.CallerAddress, cwwire.NewFrontHandler(r.gate), settings.MaxConnections)
-	r.relayServer = r.newServer(site.RelayAddress, cwwire.NewRelayHandler(r.gate), 0)
+	r.callerServer = cwserver.NewServer(r.Common, "caller", site.CallerAddress, cwwire.NewFrontHandler(r.gate), settings.MaxConnections)
+	r.relayServer = cwserver.NewServer(r.Common, "relay", site.RelayAddress, cwwire.NewRelayHandler(r.gate), 0)
 	adminHandler := cwadmin.NewRoutedHandler(r.Common, r.Control, r.State, r.gate, r.gate.Burn, r.metricsHandler)
-	r.servers = []*server{
+	r.servers = []*cwserver.Server{
 		r.callerServer,
 		r.relayServer,
-		r.newServer(site.PeerAddress, peerServer.Handler(), 0),
-		r.newServer(site.ReadyAddress, cwwire.NewReadyHandler(r.IsReady), 0),
-		r.newServer(site.DirectoryAddress, cwwire.NewDirectoryHandler(r), 0),
-		r.newServer(settings.AdminAddress, adminHandler.Mux(), 0),
+		cwserver.NewServer(r.Common, "peer", site.PeerAddress, peerServer.Handler(), 0),
+		cwserver.NewServer(r.Common, "ready", site.ReadyAddress, cwwire.NewReadyHandler(r.IsReady), 0),
+		cwserver.NewServer(r.Common, "directory", site.DirectoryAddress, cwwire.NewDirectoryHandler(r), 0),
+		cwserver.NewServer(r.Common, "admin", settings.AdminAddress, adminHandler.Mux(), 0),
 	}
 	r.loops = []loop{
 		r.Control.Run,
@@ -140,7 +141,7 @@
 	case <-time.After(acceptDuration):
 	}
 	var g errgroup.Group
-	for _, s := range []*server{r.callerServer, r.relayServer} {
+	for _, s := range []*cwserver.Server{r.callerServer, r.relayServer} {
 		g.Go(func() error { return s.Shutdown(ctx) })
 	}
 	if err := g.Wait(); err != nil {
--- a/internal/cwlog/logs_page_test.go
+++ b/internal/cwlog/logs_page_test.go
@@ -21,7 +21,7 @@
 	page, err := os.ReadFile("../../docs/LOGS.md")
 	is.NoErr(err)
 	messageCount := 0
-	for _, dir := range []string{"cwgate", "cwpublished", "cwsync", "cwapp"} {
+	for _, dir := range []string{"cwgate", "cwpublished", "cwsync", "cwapp", "cwserver"} {
 		files, err := filepath.Glob("../" + dir + "/*.go")
 		is.NoErr(err)
 		for _, path := range files {
--- /dev/null
+++ b/internal/cwserver/conn.go
@@ -0,0 +1,100 @@
+package cwserver
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// conn is an accepted connection. It records whether the peer is owed a response.
+type conn struct {
+	net.Conn
+	server   *Server
+	openedAt time.Time
+
+	// mu guards the fields below.
+	mu    sync.Mutex
+	state http.ConnState
+	// responseCount is the number of requests that were answered.
+	responseCount int
+	// requestBytes is the number of bytes read since the last response, and requestAt the
+	// time of the first of them. hasResponded is set with the first byte of the response.
+	requestBytes int
+	requestAt    time.Time
+	hasResponded bool
+	// isPeerGone is set if a read failed, other than by its deadline, and isClosed by Close.
+	isPeerGone, isClosed bool
+}
+
+// Read reads from the connection and records the bytes as part of a request.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n > 0 && c.requestBytes == 0 {
+		c.requestAt = time.Now()
+	}
+	c.requestBytes += n
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.isPeerGone = true
+	}
+	return n, err
+}
+
+// Write writes to the connection and records that a response has begun.
+func (c *conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	c.hasResponded = true
+	c.mu.Unlock()
+	return c.Conn.Write(p)
+}
+
+// CloseWrite closes the writing side of the connection. net/http uses it so that a peer
+// that is still sending gets its response instead of a reset.
+func (c *conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
+// Close closes the connection. It logs the connection if the peer is owed a response and
+// has not closed it.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	isUnanswered := !c.isClosed && !c.isPeerGone && c.requestBytes > 0 && !c.hasResponded
+	c.isClosed = true
+	fields := []zap.Field{
+		zap.String("server", c.server.name), zap.Stringer("remote", c.RemoteAddr()), zap.Stringer("state", c.state),
+		zap.Duration("open", time.Since(c.openedAt)), zap.Int("responses", c.responseCount),
+		zap.Int("bytes", c.requestBytes), zap.Duration("firstByteAge", time.Since(c.requestAt)),
+	}
+	c.mu.Unlock()
+	if isUnanswered {
+		c.server.unanswered.Inc(1)
+		c.server.Log.Warn("connection closed without a response", append(fields, zap.Bool("listening", c.server.isListening.Load()))...)
+	}
+	return c.Conn.Close()
+}
+
+func (c *conn) currentState() http.ConnState {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state
+}
+
+// setState records a change of state. The idle state begins after a response.
+func (c *conn) setState(state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state = state
+	if state == http.StateIdle {
+		c.responseCount++
+		c.requestBytes, c.hasResponded = 0, false
+	}
+}
