Answer every request that is read during a shutdown

Cause: Server.Shutdown of net/http sets a flag after which conn.serve returns without a response once it has read a request. It closes idle connections, but one that has not carried a request yet stays open and keeps the flag's effect: accepted before the listener closes at 2.5 s, first request after it, dropped. net/http offers Shutdown for idle connections; it does not promise more.

Accepting longer only moves the gap: the flag is set whenever the listener closes.

Change: cwserver.Server.Drain instead of Shutdown, for all servers that are drained, at both edges. It closes the listener without the flag, leaves connections without a request open for 400 ms, and then makes them end by their own read: the reader either gets the bytes of a request, which is then served, or the end. So no connection is closed while a request is read from it, whatever its state in net/http. Connections end after their response; keep-alives are turned off in the server, no longer in the gate. The time stays within the 3 s after SIGTERM at which the rest of the grace still serves a request whole.

--- a/internal/cwapp/instance.go
+++ b/internal/cwapp/instance.go
@@ -139,3 +139,24 @@
 	}
 	return err
 }
+
+// requestArrivalTimeout is how long a connection without a request stays open after its
+// listener was closed. It allows for a round trip between regions, twice.
+const requestArrivalTimeout = 400 * time.Millisecond
+
+// drainServers drains servers at the same time. It returns the error of ctx if it ends before
+// all connections are closed.
+func drainServers(ctx context.Context, servers []*cwserver.Server, arrivalTimeout time.Duration) error {
+	var g errgroup.Group
+	for _, s := range servers {
+		g.Go(func() error { return s.Drain(ctx, arrivalTimeout) })
+	}
+	return g.Wait()
+}
+
+// closeServers closes all servers with their connections.
+func (i *instance) closeServers() {
+	for _, s := range i.servers {
+		_ = s.Close()
+	}
+}
--- a/internal/cwapp/routed_app.go
+++ b/internal/cwapp/routed_app.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/clementinewell/clementinewell/internal/cwadmin"
 	"github.com/clementinewell/clementinewell/internal/cwcontrol"
@@ -134,21 +133,18 @@
 	r.Log.Info("shutdown begins", zap.Int("inFlight", r.gate.InFlight()))
 	r.Control.Post(ctx, cwcontrol.SelfLeaving{})
 	r.Control.Flush(ctx)
-	r.gate.CloseConnections()
+	forwarding := []*cwserver.Server{r.callerServer, r.relayServer}
+	for _, server := range forwarding {
+		server.DisableKeepAlives()
+	}
 	go r.exchanger.Announce(ctx)
 	select {
 	case <-ctx.Done():
 	case <-time.After(acceptDuration):
 	}
-	var g errgroup.Group
-	for _, s := range []*cwserver.Server{r.callerServer, r.relayServer} {
-		g.Go(func() error { return s.Shutdown(ctx) })
-	}
-	if err := g.Wait(); err != nil {
+	if err := drainServers(ctx, forwarding, requestArrivalTimeout); err != nil {
 		r.Log.Warn("shutdown grace expired with requests in flight", zap.Int("inFlight", r.gate.InFlight()), zap.Error(err))
 	}
-	for _, s := range r.servers {
-		_ = s.Close()
-	}
+	r.closeServers()
 	r.Log.Info("shutdown done")
 }
--- a/internal/cwapp/shutdown.go
+++ b/internal/cwapp/shutdown.go
@@ -34,11 +34,10 @@
 	a.handOverTickets(ctx, successor)
 	closeCtx, cancelClose := context.WithTimeout(ctx, closeTimeout)
 	defer cancelClose()
-	for _, s := range a.servers {
-		if err := s.Shutdown(closeCtx); err != nil {
-			_ = s.Close()
-		}
+	if err := drainServers(closeCtx, a.servers, requestArrivalTimeout); err != nil {
+		a.Log.Warn("connections closed with requests in flight", zap.Int("inFlight", a.dispatcher.InFlight()), zap.Error(err))
 	}
+	a.closeServers()
 	a.Log.Info("shutdown done")
 }
 
--- a/internal/cwgate/gate.go
+++ b/internal/cwgate/gate.go
@@ -45,11 +45,10 @@
 	exitAddresses map[string]string
 	bounds        cwsite.Bounds
 	// view and snapshot are those that sync applied last.
-	view           *cwpublished.View
-	snapshot       *cwcontrol.Snapshot
-	startedAt      time.Time
-	inFlight       atomic.Int64
-	isClosingConns atomic.Bool
+	view      *cwpublished.View
+	snapshot  *cwcontrol.Snapshot
+	startedAt time.Time
+	inFlight  atomic.Int64
 }
 
 // NewGate returns a Gate. The seed and the instance's incarnation determine its random
@@ -85,11 +84,6 @@
 	return int(g.inFlight.Load())
 }
 
-// CloseConnections adds the field "Connection: close" to all further responses.
-func (g *Gate) CloseConnections() {
-	g.isClosingConns.Store(true)
-}
-
 // Bounds returns the bounds in force.
 func (g *Gate) Bounds() cwsite.Bounds {
 	g.mu.Lock()
--- a/internal/cwgate/serve.go
+++ b/internal/cwgate/serve.go
@@ -40,9 +40,6 @@
 func (g *Gate) Serve(ctx context.Context, w http.ResponseWriter, r *Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	if g.isClosingConns.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	responder := newResponder(w)
 	if r.IsRelayed {
 		responder.relay = &cwevent.RelayWriter{}
--- a/internal/cwserver/conn.go
+++ b/internal/cwserver/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -9,6 +10,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/clementinewell/clementinewell/internal/cwnet"
 )
 
 // conn is an accepted connection. It records whether the peer is owed a response.
@@ -29,11 +32,31 @@
 	hasResponded bool
 	// isPeerGone is set if a read failed, other than by its deadline, and isClosed by Close.
 	isPeerGone, isClosed bool
+	// isClosing is set if the connection is to be closed once no request is in progress, and
+	// isReadAborted if the deadline of a waiting read was set to the past for that.
+	isClosing, isReadAborted bool
 }
 
-// Read reads from the connection and records the bytes as part of a request.
+// Read reads from the connection and records the bytes as part of a request. It returns
+// io.EOF instead of waiting for another request if the connection is to be closed.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.isDone() {
+		return 0, io.EOF
+	}
 	n, err := c.Conn.Read(p)
+	c.recordRead(n, err)
+	return n, err
+}
+
+// isDone reports whether the connection is to be closed and has no request, neither in
+// progress nor in the socket's buffer.
+func (c *conn) isDone() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isClosing && c.requestBytes == 0 && cwnet.IsIdleConnUsable(c.Conn)
+}
+
+func (c *conn) recordRead(n int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n > 0 && c.requestBytes == 0 {
@@ -43,7 +66,24 @@
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.isPeerGone = true
 	}
-	return n, err
+	if n > 0 && c.isReadAborted {
+		// The bytes arrived before the read was aborted. The rest of the request must not
+		// meet the deadline that was set for this read.
+		c.isReadAborted = false
+		_ = c.Conn.SetReadDeadline(time.Time{})
+	}
+}
+
+// closeWhenUnused makes net/http close the connection once no request is in progress. A
+// waiting read is aborted, unless a request has arrived.
+func (c *conn) closeWhenUnused() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isClosing = true
+	if c.requestBytes == 0 && cwnet.IsIdleConnUsable(c.Conn) {
+		c.isReadAborted = true
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
 }
 
 // Write writes to the connection and records that a response has begun.
--- a/internal/cwserver/server.go
+++ b/internal/cwserver/server.go
@@ -1,4 +1,5 @@
-// Package cwserver runs HTTP servers that account for every connection they accept.
+// Package cwserver runs HTTP servers that answer every request they read, also while they
+// stop.
 package cwserver
 
 import (
@@ -19,20 +20,30 @@
 // keepAliveTimeout is the time after which an idle connection is closed.
 const keepAliveTimeout = time.Minute
 
-// Server is an HTTP server with its listen address. It logs and counts each connection
-// that it closes without a response to a request which it has begun to read.
+// Server is an HTTP server with its listen address. Unlike http.Server it can stop without
+// dropping a request that it has read: Server.Shutdown of net/http answers no request on a
+// connection that was accepted before the call and used for the first time after it.
 type Server struct {
 	*cwcommon.Common
 	name, address string
+	handler       http.Handler
 	// maxConns is the largest number of open connections; 0 means no limit.
 	maxConns   int
 	http       *http.Server
 	unanswered tally.Counter
+	// serving counts the running calls of Serve.
+	serving sync.WaitGroup
+	// isKeepAliveOff is set if responses announce that the connection will be closed.
+	isKeepAliveOff atomic.Bool
+	isListening    atomic.Bool
 
-	isListening atomic.Bool
-	// mu guards conns.
-	mu    sync.Mutex
-	conns map[*conn]bool
+	// mu guards the fields below.
+	mu         sync.Mutex
+	listener   net.Listener
+	isDraining bool
+	conns      map[*conn]bool
+	// connClosed has a value after a connection was closed.
+	connClosed chan struct{}
 }
 
 // NewServer returns a server that has not been started. The name identifies it in logs and
@@ -42,13 +53,15 @@
 		Common:     common,
 		name:       name,
 		address:    address,
+		handler:    handler,
 		maxConns:   maxConns,
 		unanswered: common.Metrics.Tagged(map[string]string{"server": name}).Counter("connections_unanswered"),
 		conns:      make(map[*conn]bool),
+		connClosed: make(chan struct{}, 1),
 	}
 	s.http = &http.Server{
 		ConnState:         s.handleState,
-		Handler:           handler,
+		Handler:           http.HandlerFunc(s.handle),
 		ReadHeaderTimeout: common.Settings.HeaderTimeout,
 		IdleTimeout:       keepAliveTimeout,
 		MaxHeaderBytes:    common.Settings.MaxHeaderBytes,
@@ -63,21 +76,62 @@
 	return s.address
 }
 
-// Serve accepts connections from l until the server is shut down, and then returns nil.
+// Serve accepts connections from l until the server is drained or closed, and then returns
+// nil. It closes l.
 func (s *Server) Serve(l net.Listener) error {
+	s.mu.Lock()
+	if s.isDraining {
+		s.mu.Unlock()
+		return l.Close()
+	}
+	s.listener = l
+	s.serving.Add(1)
 	s.isListening.Store(true)
+	s.mu.Unlock()
+	defer s.serving.Done()
 	err := s.http.Serve(&listener{Listener: l, server: s})
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) && !s.isListening.Load() {
 		return nil
 	}
 	return err
 }
 
-// Shutdown closes the listener and the idle connections, and returns once the active
-// connections are closed too, or with the error of ctx when it ends.
-func (s *Server) Shutdown(ctx context.Context) error {
-	s.logListenerClosed()
-	return s.http.Shutdown(ctx)
+// handle serves one request.
+func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
+	if s.isKeepAliveOff.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	s.handler.ServeHTTP(w, r)
+}
+
+// DisableKeepAlives makes all further responses announce that their connection will be
+// closed. Idle connections stay open.
+func (s *Server) DisableKeepAlives() {
+	s.isKeepAliveOff.Store(true)
+}
+
+// Drain closes the listener and returns once all connections are closed, or with the error
+// of ctx when it ends. Each request that is read gets its response. A connection without a
+// request is closed after arrivalTimeout, so that one that is already under way is served.
+func (s *Server) Drain(ctx context.Context, arrivalTimeout time.Duration) error {
+	s.DisableKeepAlives()
+	s.closeListener()
+	if s.countConns() > 0 {
+		cwcommon.Sleep(ctx, arrivalTimeout)
+	}
+	s.mu.Lock()
+	for c := range s.conns {
+		c.closeWhenUnused()
+	}
+	s.mu.Unlock()
+	for s.countConns() > 0 {
+		select {
+		case <-s.connClosed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
 }
 
 // Close closes the listener and all connections, also those with requests in progress.
@@ -85,9 +139,20 @@
 	return s.http.Close()
 }
 
-// logListenerClosed logs the number of open connections by state.
-func (s *Server) logListenerClosed() {
+// closeListener closes the listener, and returns once all connections that it accepted are
+// in conns. It logs their number by state.
+func (s *Server) closeListener() {
+	s.mu.Lock()
+	s.isDraining = true
+	l := s.listener
+	s.mu.Unlock()
 	s.isListening.Store(false)
+	if l != nil {
+		if err := l.Close(); err != nil {
+			s.Log.Warn("listener not closed", zap.String("server", s.name), zap.Error(err))
+		}
+	}
+	s.serving.Wait()
 	counts := make(map[http.ConnState]int)
 	s.mu.Lock()
 	for c := range s.conns {
@@ -98,6 +163,12 @@
 		zap.Int("idle", counts[http.StateIdle]), zap.Int("active", counts[http.StateActive]))
 }
 
+func (s *Server) countConns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
 // handleState is called by net/http for each change of a connection's state.
 func (s *Server) handleState(raw net.Conn, state http.ConnState) {
 	c := raw.(*conn)
@@ -112,5 +183,9 @@
 		}
 	case http.StateClosed, http.StateHijacked:
 		delete(s.conns, c)
+		select {
+		case s.connClosed <- struct{}{}:
+		default:
+		}
 	}
 }
--- /dev/null
+++ b/internal/cwserver/server_test.go
@@ -0,0 +1,282 @@
+package cwserver_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/clementinewell/clementinewell/internal/cwcommon"
+	"github.com/clementinewell/clementinewell/internal/cwmemnet"
+	"github.com/clementinewell/clementinewell/internal/cwnet"
+	"github.com/clementinewell/clementinewell/internal/cwserver"
+	"github.com/clementinewell/clementinewell/internal/cwsetting"
+)
+
+const (
+	serverIP       = "10.1.0.1"
+	serverAddress  = serverIP + ":8001"
+	arrivalTimeout = 400 * time.Millisecond
+	request        = "GET / HTTP/1.1\r\nHost: app.example\r\n\r\n"
+)
+
+// testServer is a running server on an in-memory network.
+type testServer struct {
+	*cwserver.Server
+	t       *testing.T
+	is      *is.I
+	network *cwmemnet.Network
+	logs    *observer.ObservedLogs
+	served  chan error
+}
+
+func newCommon(n cwnet.Net) (*cwcommon.Common, *observer.ObservedLogs) {
+	core, logs := observer.New(zap.InfoLevel)
+	return &cwcommon.Common{
+		Log: zap.New(core), Settings: &cwsetting.Settings{HeaderTimeout: 5 * time.Second, MaxHeaderBytes: 32 << 10},
+		Metrics: tally.NoopScope, Net: n,
+	}, logs
+}
+
+// withServer runs a test against a server in a synctest bubble.
+func withServer(t *testing.T, handler http.HandlerFunc, run func(s *testServer)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		network := cwmemnet.NewNetwork()
+		common, logs := newCommon(network.Host(serverIP))
+		s := &testServer{
+			Server: cwserver.NewServer(common, "caller", serverAddress, handler, 0),
+			t:      t, is: is.New(t), network: network, logs: logs, served: make(chan error, 1),
+		}
+		l, err := common.Net.Listen(t.Context(), serverAddress)
+		s.is.NoErr(err)
+		go func() { s.served <- s.Serve(l) }()
+		run(s)
+		_ = s.Close()
+		s.is.NoErr(<-s.served)
+		network.Close()
+	})
+}
+
+// dial opens a connection and returns once the server has accepted it.
+func (s *testServer) dial() net.Conn {
+	c, err := s.network.Host("10.9.0.1").DialContext(s.t.Context(), "tcp", serverAddress)
+	s.is.NoErr(err)
+	synctest.Wait()
+	return c
+}
+
+func (s *testServer) send(c net.Conn, text string) {
+	_, err := io.WriteString(c, text)
+	s.is.NoErr(err)
+	synctest.Wait()
+}
+
+// readBody reads one response and returns its body.
+func (s *testServer) readBody(c net.Conn) string {
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	s.is.NoErr(err)
+	body, err := io.ReadAll(resp.Body)
+	s.is.NoErr(err)
+	return string(body)
+}
+
+// startDrain drains the server in the background and returns once its listener is closed.
+func (s *testServer) startDrain(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
+	go func() { done <- s.Drain(ctx, arrivalTimeout) }()
+	synctest.Wait()
+	return done
+}
+
+func (s *testServer) countUnanswered() int {
+	return s.logs.FilterMessage("connection closed without a response").Len()
+}
+
+func respondOK(w http.ResponseWriter, _ *http.Request) {
+	_, _ = io.WriteString(w, "ok")
+}
+
+// TestDrainAnswersRequestsThatArriveLate guards against requests that are read and dropped
+// because their connection had none in progress when the listener was closed.
+func TestDrainAnswersRequestsThatArriveLate(t *testing.T) {
+	for _, test := range []struct {
+		name           string
+		before, during string
+		hasResponse    bool // to what was sent before
+	}{
+		{name: "first request", during: request},
+		{name: "next request", before: request, during: request, hasResponse: true},
+		{name: "rest of a head", before: request[:20], during: request[20:]},
+		{name: "body", before: "POST / HTTP/1.1\r\nHost: app.example\r\nContent-Length: 5\r\n\r\n", during: "order"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			withServer(t, respondToBody, func(s *testServer) {
+				c := s.dial()
+				s.send(c, test.before)
+				if test.hasResponse {
+					s.is.Equal(s.readBody(c), "ok")
+				}
+				done := s.startDrain(s.t.Context())
+				time.Sleep(arrivalTimeout / 2)
+				s.send(c, test.during)
+				s.is.Equal(s.readBody(c), "ok")
+				s.is.NoErr(<-done)
+				s.is.Equal(s.countUnanswered(), 0)
+			})
+		})
+	}
+}
+
+// respondToBody responds after it has read the request's body.
+func respondToBody(w http.ResponseWriter, r *http.Request) {
+	if _, err := io.ReadAll(r.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	respondOK(w, r)
+}
+
+// TestDrainKeepsHeadInProgress guards against a head that is cut off because its beginning
+// was read while the connection was being closed as unused.
+func TestDrainKeepsHeadInProgress(t *testing.T) {
+	withServer(t, respondOK, func(s *testServer) {
+		c := s.dial()
+		done := s.startDrain(s.t.Context())
+		s.send(c, request[:20])
+		time.Sleep(2 * arrivalTimeout)
+		s.send(c, request[20:])
+		s.is.Equal(s.readBody(c), "ok")
+		s.is.NoErr(<-done)
+	})
+}
+
+// TestDrainClosesUnusedConnections checks that connections without a request, new or idle,
+// stay open for the arrival timeout and no longer.
+func TestDrainClosesUnusedConnections(t *testing.T) {
+	withServer(t, respondOK, func(s *testServer) {
+		fresh, idle := s.dial(), s.dial()
+		s.send(idle, request)
+		s.is.Equal(s.readBody(idle), "ok")
+		start := time.Now()
+		done := s.startDrain(s.t.Context())
+		for _, c := range []net.Conn{fresh, idle} {
+			_, err := c.Read(make([]byte, 1))
+			s.is.Equal(err, io.EOF)
+			s.is.Equal(time.Since(start), arrivalTimeout)
+		}
+		s.is.NoErr(<-done)
+		s.is.Equal(time.Since(start), arrivalTimeout)
+		s.is.Equal(s.countUnanswered(), 0)
+	})
+}
+
+// TestDrainEndsWithTheLastResponse checks that a connection whose response began before the
+// drain, and so doesn't announce its end, is closed right after it.
+func TestDrainEndsWithTheLastResponse(t *testing.T) {
+	respond := func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "o")
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(3 * time.Second)
+		_, _ = io.WriteString(w, "k")
+	}
+	withServer(t, respond, func(s *testServer) {
+		c := s.dial()
+		s.send(c, request)
+		start := time.Now()
+		done := s.startDrain(s.t.Context())
+		s.is.Equal(s.readBody(c), "ok")
+		s.is.NoErr(<-done)
+		s.is.Equal(time.Since(start), 3*time.Second)
+	})
+}
+
+// TestDrainEndsWithItsContext checks that a request without a response at the end of the
+// grace is logged when its connection is closed.
+func TestDrainEndsWithItsContext(t *testing.T) {
+	block := func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+	withServer(t, block, func(s *testServer) {
+		c := s.dial()
+		s.send(c, request)
+		ctx, cancel := context.WithTimeout(s.t.Context(), 2*time.Second)
+		defer cancel()
+		s.is.True(errors.Is(<-s.startDrain(ctx), context.DeadlineExceeded))
+		s.is.Equal(s.countUnanswered(), 0)
+		_ = s.Close()
+		synctest.Wait()
+		s.is.Equal(s.countUnanswered(), 1)
+	})
+}
+
+// TestCallerThatLeavesIsNotLogged checks that a connection that the caller closes itself
+// does not count as closed without a response.
+func TestCallerThatLeavesIsNotLogged(t *testing.T) {
+	block := func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	withServer(t, block, func(s *testServer) {
+		c := s.dial()
+		s.send(c, request)
+		_ = c.Close()
+		synctest.Wait()
+		s.is.Equal(s.countUnanswered(), 0)
+	})
+}
+
+// TestDrainAnswersRequestsThatRaceWithIt guards against requests that are read at the moment
+// at which connections are closed as unused. It runs over TCP, where a request may wait in
+// the socket's buffer.
+func TestDrainAnswersRequestsThatRaceWithIt(t *testing.T) {
+	const rounds, connsPerRound = 20, 50
+	for range rounds {
+		is := is.New(t)
+		common, logs := newCommon(cwnet.NewTCP())
+		s := cwserver.NewServer(common, "caller", "127.0.0.1:0", http.HandlerFunc(respondOK), 0)
+		l, err := common.Net.Listen(t.Context(), s.Address())
+		is.NoErr(err)
+		served := make(chan error, 1)
+		go func() { served <- s.Serve(l) }()
+		start := make(chan struct{})
+		var wg sync.WaitGroup
+		for n := range connsPerRound {
+			c, err := net.Dial("tcp", l.Addr().String())
+			is.NoErr(err)
+			wg.Go(func() {
+				defer func() { _ = c.Close() }()
+				r := bufio.NewReader(c)
+				if n%2 == 0 { // an idle connection
+					_, _ = io.WriteString(c, request)
+					if resp, err := http.ReadResponse(r, nil); err == nil {
+						_, _ = io.Copy(io.Discard, resp.Body)
+					}
+				}
+				<-start
+				_, _ = io.WriteString(c, request)
+				// A connection that is closed before its request was read is allowed.
+				if resp, err := http.ReadResponse(r, nil); err == nil {
+					body, err := io.ReadAll(resp.Body)
+					if err != nil || !strings.HasPrefix(string(body), "ok") {
+						t.Errorf("incomplete response %q: %v", body, err)
+					}
+				}
+			})
+		}
+		close(start)
+		is.NoErr(s.Drain(t.Context(), 0))
+		is.NoErr(<-served)
+		wg.Wait()
+		is.Equal(logs.FilterMessage("connection closed without a response").Len(), 0)
+	}
+}
