Test: requests read at the end of the product's shutdown are answered

The same cause acted at the product's own interface: App.shutdown ended with Server.Shutdown of its servers. Callers that connected in the last 220 ms before a SIGTERM without requests in flight got a closed connection instead of "not run" and the other instances to use.

--- a/internal/cwapp/leaving_test.go
+++ b/internal/cwapp/leaving_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -94,3 +96,39 @@
 		<-a.Done()
 	})
 }
+
+// TestRequestReadAtTheEndOfShutdownIsAnswered guards against requests that are read and
+// dropped at the end of a shutdown: the connection is accepted before the listener closes,
+// and its request arrives after that. The caller must learn that the request was not run.
+func TestRequestReadAtTheEndOfShutdownIsAnswered(t *testing.T) {
+	inScene(t, services(cwscene.NewLookupService("north")), func(t *testing.T, is *is.I, s *cwscene.Scene) {
+		s.AddEndpoint("north-a", "10.1.0.6", "lookup", cwstandin.NewPlainService("plain", 0).Handler())
+		p := newInstancePair(s, "lookup")
+		s.Net.SetDelay(cwscene.CallerIP, "10.1.0.1", 80*time.Millisecond)
+		const stopAt = 100
+		var wg sync.WaitGroup
+		responses := make([]cwscene.Response, 2*stopAt)
+		for n := range responses {
+			if n == stopAt {
+				p.a.Stop()
+			}
+			wg.Go(func() { responses[n] = sendLookup(t, s, p.a) })
+			time.Sleep(5 * time.Millisecond)
+		}
+		wg.Wait()
+		answered, refused := 0, 0
+		for n, resp := range responses {
+			switch {
+			case resp.Err == nil:
+				answered++
+			case strings.Contains(resp.Err.Error(), "connection refused"):
+				refused++
+			default:
+				t.Errorf("request %d ms after the signal: %v", 5*(n-stopAt), resp.Err)
+			}
+		}
+		is.True(answered > 0)
+		is.True(refused > 0) // the requests continue until the listener is closed
+		<-p.a.Done()
+	})
+}
