Drain the servers of peers, directory, ready check and operators too

Now each gets its response, within 200 ms of the margin that is kept before the end of the grace; connections without a request are closed at once.

No test of its own: the handlers can't be held up from outside. The tests of cwserver.Drain cover what it relies on.

--- a/internal/cwapp/routed_app.go
+++ b/internal/cwapp/routed_app.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -31,10 +32,11 @@
 	site  *cwsite.Site
 	// seedPeers are those of the settings that were applied last. After construction only
 	// the goroutine that runs WatchSettings accesses them.
-	seedPeers    []string
-	follower     *cwpublished.Follower
-	callerServer *cwserver.Server
-	relayServer  *cwserver.Server
+	seedPeers []string
+	follower  *cwpublished.Follower
+	// forwardingServers serve the requests of callers and those that other instances relay,
+	// and controlServers everything else.
+	forwardingServers, controlServers []*cwserver.Server
 }
 
 // NewRoutedApp builds an instance without starting its servers and background loops.
@@ -48,17 +50,18 @@
 	puller := cwsync.NewPublishedPuller(r.Common, r.State, r.peerClient, r.follower)
 	r.exchanger = cwpeer.NewExchanger(r.Common, r.Control, r.peerClient, r.gate, puller)
 	peerServer := cwpeer.NewServer(r.Common, r.Control, r.gate, cwpeer.Sources{Published: r.State}, puller, r.auth)
-	r.callerServer = cwserver.NewServer(r.Common, "caller", site.CallerAddress, cwwire.NewFrontHandler(r.gate), settings.MaxConnections)
-	r.relayServer = cwserver.NewServer(r.Common, "relay", site.RelayAddress, cwwire.NewRelayHandler(r.gate), 0)
 	adminHandler := cwadmin.NewRoutedHandler(r.Common, r.Control, r.State, r.gate, r.gate.Burn, r.metricsHandler)
-	r.servers = []*cwserver.Server{
-		r.callerServer,
-		r.relayServer,
+	r.forwardingServers = []*cwserver.Server{
+		cwserver.NewServer(r.Common, "caller", site.CallerAddress, cwwire.NewFrontHandler(r.gate), settings.MaxConnections),
+		cwserver.NewServer(r.Common, "relay", site.RelayAddress, cwwire.NewRelayHandler(r.gate), 0),
+	}
+	r.controlServers = []*cwserver.Server{
 		cwserver.NewServer(r.Common, "peer", site.PeerAddress, peerServer.Handler(), 0),
 		cwserver.NewServer(r.Common, "ready", site.ReadyAddress, cwwire.NewReadyHandler(r.IsReady), 0),
 		cwserver.NewServer(r.Common, "directory", site.DirectoryAddress, cwwire.NewDirectoryHandler(r), 0),
 		cwserver.NewServer(r.Common, "admin", settings.AdminAddress, adminHandler.Mux(), 0),
 	}
+	r.servers = slices.Concat(r.forwardingServers, r.controlServers)
 	r.loops = []loop{
 		r.Control.Run,
 		r.follower.Run,
@@ -122,6 +125,9 @@
 	acceptDuration = 2500 * time.Millisecond
 	// shutdownMargin is what remains of the shutdown grace when the last streams are aborted.
 	shutdownMargin = 400 * time.Millisecond
+	// controlDrainTimeout limits the time for the responses of the control servers. It is
+	// part of shutdownMargin.
+	controlDrainTimeout = 200 * time.Millisecond
 )
 
 // shutdown stops the instance gracefully: peers and callers are notified first, requests
@@ -133,18 +139,22 @@
 	r.Log.Info("shutdown begins", zap.Int("inFlight", r.gate.InFlight()))
 	r.Control.Post(ctx, cwcontrol.SelfLeaving{})
 	r.Control.Flush(ctx)
-	forwarding := []*cwserver.Server{r.callerServer, r.relayServer}
-	for _, server := range forwarding {
-		server.DisableKeepAlives()
+	for _, s := range r.forwardingServers {
+		s.DisableKeepAlives()
 	}
 	go r.exchanger.Announce(ctx)
 	select {
 	case <-ctx.Done():
 	case <-time.After(acceptDuration):
 	}
-	if err := drainServers(ctx, forwarding, requestArrivalTimeout); err != nil {
+	if err := drainServers(ctx, r.forwardingServers, requestArrivalTimeout); err != nil {
 		r.Log.Warn("shutdown grace expired with requests in flight", zap.Int("inFlight", r.gate.InFlight()), zap.Error(err))
 	}
+	controlCtx, cancelControl := context.WithTimeout(context.WithoutCancel(ctx), controlDrainTimeout)
+	defer cancelControl()
+	if err := drainServers(controlCtx, r.controlServers, 0); err != nil {
+		r.Log.Warn("control connections closed with requests in progress", zap.Error(err))
+	}
 	r.closeServers()
 	r.Log.Info("shutdown done")
 }
