A caller that is still sending its body gets its response

Callers: a request with "Connection: close" that is refused before its body was read, such as a body above the limit, got a closed connection in place of the 413 now and then.

Cause: after the response to such a request net/http neither reads the rest of the body nor waits, as it does for requests that keep the connection (body.Close returns at once if the connection is to be closed). Closing a socket with unread bytes resets it, and the peer drops the response that it has not read yet. The in-memory network of the tests fails the peer's write instead.

Change: a connection whose request left a body unread lingers. The whole response goes out first, the writing side is closed, and what arrives is discarded for 500 ms at most. Flushing the response and reading the rest within the handler was tried first: the end of the response then waited for the rest of the body.

TestResponseArrivesBeforeTheBodyIsSent fails without it, each time.

--- a/internal/cwserver/conn.go
+++ b/internal/cwserver/conn.go
@@ -14,6 +14,9 @@
 	"github.com/clementinewell/clementinewell/internal/cwnet"
 )
 
+// lingerTimeout limits how long a closing connection reads what its peer is still sending.
+const lingerTimeout = 500 * time.Millisecond
+
 // conn is an accepted connection. It records whether the peer is owed a response.
 type conn struct {
 	net.Conn
@@ -35,6 +38,8 @@
 	// isClosing is set if the connection is to be closed once no request is in progress, and
 	// isReadAborted if the deadline of a waiting read was set to the past for that.
 	isClosing, isReadAborted bool
+	// isLingering is set if the peer may still be sending after the response.
+	isLingering bool
 }
 
 // Read reads from the connection and records the bytes as part of a request. It returns
@@ -103,10 +108,19 @@
 	return errors.ErrUnsupported
 }
 
+// lingerOnClose makes Close read what the peer is still sending. Closing a connection with
+// unread bytes resets it, and the peer may lose the response.
+func (c *conn) lingerOnClose() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isLingering = true
+}
+
 // Close closes the connection. It logs the connection if the peer is owed a response and
 // has not closed it.
 func (c *conn) Close() error {
 	c.mu.Lock()
+	lingers := c.isLingering && !c.isClosed && !c.isPeerGone && !c.server.isClosed.Load()
 	isUnanswered := !c.isClosed && !c.isPeerGone && c.requestBytes > 0 && !c.hasResponded
 	c.isClosed = true
 	fields := []zap.Field{
@@ -119,9 +133,23 @@
 		c.server.unanswered.Inc(1)
 		c.server.Log.Warn("connection closed without a response", append(fields, zap.Bool("listening", c.server.isListening.Load()))...)
 	}
+	if lingers {
+		c.linger()
+	}
 	return c.Conn.Close()
 }
 
+// linger reads and discards until the peer closes the connection, for lingerTimeout at most.
+func (c *conn) linger() {
+	// Without a half-close, as on an in-memory network, the peer sees the end later.
+	_ = c.CloseWrite()
+	if err := c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout)); err != nil {
+		return
+	}
+	// Whatever the error, the connection is closed next.
+	_, _ = io.Copy(io.Discard, c.Conn)
+}
+
 func (c *conn) currentState() http.ConnState {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/cwserver/server.go
+++ b/internal/cwserver/server.go
@@ -20,6 +20,9 @@
 // keepAliveTimeout is the time after which an idle connection is closed.
 const keepAliveTimeout = time.Minute
 
+// connKey is the key of the *conn in the context of its requests.
+type connKey struct{}
+
 // Server is an HTTP server with its listen address. Unlike http.Server it can stop without
 // dropping a request that it has read: Server.Shutdown of net/http answers no request on a
 // connection that was accepted before the call and used for the first time after it.
@@ -36,6 +39,7 @@
 	// isKeepAliveOff is set if responses announce that the connection will be closed.
 	isKeepAliveOff atomic.Bool
 	isListening    atomic.Bool
+	isClosed       atomic.Bool
 
 	// mu guards the fields below.
 	mu         sync.Mutex
@@ -61,6 +65,7 @@
 	}
 	s.http = &http.Server{
 		ConnState:         s.handleState,
+		ConnContext:       func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 		Handler:           http.HandlerFunc(s.handle),
 		ReadHeaderTimeout: common.Settings.HeaderTimeout,
 		IdleTimeout:       keepAliveTimeout,
@@ -101,7 +106,18 @@
 	if s.isKeepAliveOff.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if !r.Close || r.ContentLength == 0 {
+		s.handler.ServeHTTP(w, r)
+		return
+	}
+	// For a request that asks to close the connection, net/http does not read the rest of the
+	// body that the handler has left.
+	body := &trackedBody{ReadCloser: r.Body}
+	r.Body = body
 	s.handler.ServeHTTP(w, r)
+	if !body.hasEnded {
+		r.Context().Value(connKey{}).(*conn).lingerOnClose()
+	}
 }
 
 // DisableKeepAlives makes all further responses announce that their connection will be
@@ -136,6 +152,7 @@
 
 // Close closes the listener and all connections, also those with requests in progress.
 func (s *Server) Close() error {
+	s.isClosed.Store(true)
 	return s.http.Close()
 }
 
--- a/internal/cwserver/server_test.go
+++ b/internal/cwserver/server_test.go
@@ -63,10 +63,12 @@
 		l, err := common.Net.Listen(t.Context(), serverAddress)
 		s.is.NoErr(err)
 		go func() { s.served <- s.Serve(l) }()
+		defer func() {
+			_ = s.Close()
+			s.is.NoErr(<-s.served)
+			network.Close()
+		}()
 		run(s)
-		_ = s.Close()
-		s.is.NoErr(<-s.served)
-		network.Close()
 	})
 }
 
@@ -148,6 +150,36 @@
 	respondOK(w, r)
 }
 
+// TestResponseArrivesBeforeTheBodyIsSent guards against a response that is lost because the
+// server closes the connection while the peer is still sending a body that nobody reads.
+func TestResponseArrivesBeforeTheBodyIsSent(t *testing.T) {
+	refuse := func(w http.ResponseWriter, _ *http.Request) {
+		http.Error(w, "too large", http.StatusRequestEntityTooLarge)
+	}
+	withServer(t, refuse, func(s *testServer) {
+		c := s.dial()
+		start := time.Now()
+		s.send(c, "POST / HTTP/1.1\r\nHost: app.example\r\nConnection: close\r\nContent-Length: 100000\r\n\r\n")
+		s.is.Equal(s.readBody(c), "too large\n")
+		s.is.Equal(time.Since(start), time.Duration(0)) // the response does not wait for the body
+		s.send(c, strings.Repeat("x", 100_000))
+	})
+}
+
+// TestBodyThatIsNeverSentIsNotAwaited checks that a connection whose peer does not send the
+// rest of its body is closed.
+func TestBodyThatIsNeverSentIsNotAwaited(t *testing.T) {
+	withServer(t, respondOK, func(s *testServer) {
+		c := s.dial()
+		start := time.Now()
+		s.send(c, "POST / HTTP/1.1\r\nHost: app.example\r\nConnection: close\r\nContent-Length: 100000\r\n\r\n")
+		s.is.Equal(s.readBody(c), "ok")
+		_, err := c.Read(make([]byte, 1))
+		s.is.Equal(err, io.EOF)
+		s.is.True(time.Since(start) <= time.Second)
+	})
+}
+
 // TestDrainKeepsHeadInProgress guards against a head that is cut off because its beginning
 // was read while the connection was being closed as unused.
 func TestDrainKeepsHeadInProgress(t *testing.T) {
