Test: wait for goroutines, not time, before aborted requests are counted

TestStalledEndpointBehindAnExitIsReplaced was listed as red: 0 aborted requests at the workers instead of 1, 17 of 400 runs beside other work.

Cause: in the test, not in the gateway. The entry's abort passes through the exit while the caller reads the end of its response, so the count depended on which goroutine ran first. The check demands as much as before, an abort without any delay; an abort that waits for a timer still fails it.

--- a/internal/cwapp/routed_fleet_test.go
+++ b/internal/cwapp/routed_fleet_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -147,6 +148,7 @@
 		time.Sleep(2 * time.Second)
 		resp := s.Do(t.Context(), north, cwscene.RoutedRequest{Path: "/r/x", Header: []string{"Clementinewell-Token-Count", "500,50"}})
 		is.Equal(resp.Status, http.StatusOK)
+		synctest.Wait() // the abort passes through the exit while the response is read
 		is.Equal(len(collectRuns(workers)), 2)
 		is.Equal(workers[0].AbortedRequests()+workers[1].AbortedRequests(), 1)
 	})
