An endpoint's "not run" behind an exit reaches the caller

Callers got 504, which promises nothing, where an endpoint in another region had said at its deadline that it had not run the request; so a booking could not be sent again.

Cause: the exit got all of the time that was left, counted from before its connection was opened, and answered a round trip after the entry had given up.

Change: the head of a call is encoded once its connection is open, so the time in it no longer includes the dial, for endpoints too. A relayed request keeps the measured round trip free, a tenth of its time at most. A stream keeps nothing free, so an overestimate can't cut one off; for other kinds an answer in that last part could not have arrived anyway.

TestRelayedStreamKeepsItsDeadline passes unchanged.

--- a/internal/cwconn/call.go
+++ b/internal/cwconn/call.go
@@ -4,10 +4,12 @@
 type Call struct {
 	// Address is the peer's host and port.
 	Address string
-	// Method is the request method. Head contains it too.
+	// Method is the request method. The head contains it too.
 	Method string
-	// Head is the request line and all header fields, up to and including the empty line.
-	Head []byte
+	// EncodeHead returns the request line and all header fields, up to and including the
+	// empty line. It is called once the connection is open, since the head may state the
+	// time that is left.
+	EncodeHead func() []byte
 	// Body is the whole body.
 	Body []byte
 	// MatchesResponse reports whether a response with this status and these fields
--- a/internal/cwconn/conn.go
+++ b/internal/cwconn/conn.go
@@ -81,11 +81,12 @@
 
 // send writes the request and returns the number of bytes written.
 func (c *conn) send(call *Call) (int64, error) {
+	head := call.EncodeHead()
 	if len(call.Body) == 0 {
-		n, err := c.Write(call.Head)
+		n, err := c.Write(head)
 		return int64(n), err
 	}
-	buffers := net.Buffers{call.Head, call.Body}
+	buffers := net.Buffers{head, call.Body}
 	return buffers.WriteTo(c.Conn)
 }
 
--- a/internal/cwgate/attempt.go
+++ b/internal/cwgate/attempt.go
@@ -19,8 +19,7 @@
 	maxResponseBytes = 16 << 20
 	// endpointResponseMargin is subtracted from the timeout sent to an endpoint, so that
 	// its response arrives in time, also one which only states that the request was not
-	// run. Relayed requests get no margin, since one derived from the measured round trip
-	// could be far too long.
+	// run.
 	endpointResponseMargin = 10 * time.Millisecond
 	// eventBufferBytes is the largest number of bytes read from a stream at once.
 	eventBufferBytes = 4 << 10
@@ -145,8 +144,22 @@
 	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
 }
 
-// buildCall returns the call of the attempt, with the encoded head.
+// buildCall returns the call of the attempt.
 func (a *attempt) buildCall() *cwconn.Call {
+	routed := a.req
+	call := &cwconn.Call{Address: a.address, Method: routed.Method, Body: routed.body}
+	if a.exitDomain == "" {
+		call.MaxConns = a.maxConns()
+	}
+	call.EncodeHead = func() []byte { return a.codec.EncodeHead(routed.Request, a.buildParams()) }
+	call.MatchesResponse = func(status int, field func(string) string) bool {
+		return a.codec.MatchesResponse(routed.Request, status, field)
+	}
+	return call
+}
+
+// buildParams returns the parameters of the attempt if it is sent now.
+func (a *attempt) buildParams() *AttemptParams {
 	routed := a.req
 	params := &AttemptParams{
 		Timeout:        time.Until(routed.deadline),
@@ -157,19 +170,35 @@
 	if routed.responder.lastEventID != "" {
 		params.LastEventID = routed.responder.lastEventID
 	}
-	call := &cwconn.Call{Address: a.address, Method: routed.Method, Body: routed.body}
 	if a.exitDomain != "" {
 		params.IsRelayed, params.Elapsed = true, routed.Elapsed+time.Since(routed.ArrivedAt)
+		params.Timeout -= a.relayMargin(params.Timeout)
 	} else {
 		params.Endpoint = a.placement.Endpoint.ID
 		params.Timeout = max(params.Timeout-endpointResponseMargin, 0)
-		call.MaxConns = a.maxConns()
 	}
-	call.Head = a.codec.EncodeHead(routed.Request, params)
-	call.MatchesResponse = func(status int, field func(string) string) bool {
-		return a.codec.MatchesResponse(routed.Request, status, field)
+	return params
+}
+
+// maxRelayMarginShare is the largest part of a relayed request's time that is kept for the
+// way to the exit and back.
+const maxRelayMarginShare = 0.1
+
+// relayMargin returns the part of the remaining time that a relayed request spends between
+// the instances. Without it the exit's response at its deadline, which may state that the
+// request was not run, would arrive after this instance has given up. A stream gets none,
+// since an overestimate would cut it off.
+func (a *attempt) relayMargin(timeout time.Duration) time.Duration {
+	if a.req.route.Kind == cwroute.Stream {
+		return 0
 	}
-	return call
+	limit := time.Duration(maxRelayMarginShare * float64(timeout))
+	for _, r := range a.control.Snapshot().Capacities[a.req.service] {
+		if r.Domain == a.exitDomain {
+			return min(r.RoundTrip, limit)
+		}
+	}
+	return 0
 }
 
 // maxConns returns this instance's share of the service's limit of connections to one
