A failing test: a pipelined request is cancelled by Drain

The bytes of a request that are read together with the one before it are forgotten when that one ends (conn.setState). The connection then counts as unused while the handler runs, and closeWhenUnused aborts the background read of net/http, which cancels the request's context. No line is logged.

--- /dev/null
+++ b/internal/cwserver/pipelined_test.go
@@ -0,0 +1,44 @@
+package cwserver_test
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// TestDrainKeepsPipelinedRequest guards against a request that is cancelled because all its
+// bytes were read together with the request before it: the connection then counts as unused
+// while the handler runs.
+func TestDrainKeepsPipelinedRequest(t *testing.T) {
+	respond := func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-time.After(time.Second):
+			respondOK(w, r)
+		case <-r.Context().Done():
+			panic(http.ErrAbortHandler)
+		}
+	}
+	withServer(t, respond, func(s *testServer) {
+		c := s.dial()
+		s.send(c, request+request)
+		responses := make(chan error, 2)
+		go func() {
+			reader := bufio.NewReader(c)
+			for range 2 {
+				resp, err := http.ReadResponse(reader, nil)
+				if err == nil {
+					_, err = io.ReadAll(resp.Body)
+				}
+				responses <- err
+			}
+		}()
+		s.is.NoErr(<-responses)
+		synctest.Wait() // the second request is in progress
+		done := s.startDrain(s.t.Context())
+		s.is.NoErr(<-responses)
+		s.is.NoErr(<-done)
+	})
+}
