A pipelined request is not cancelled by Drain

A caller that sends its next request before it has the response to the last one could get a closed connection during a shutdown.

Cause: a connection counted as unused if no byte was read since the last response. net/http reads ahead: the bytes of the next request may have come with those of the one before. Drain then aborted net/http's background read, which cancels the context of the running request. A connection that net/http calls active is never unused now.

Not covered: a head of which only a part came with the request before it.

--- a/internal/cwserver/conn.go
+++ b/internal/cwserver/conn.go
@@ -58,7 +58,14 @@
 func (c *conn) isDone() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.isClosing && c.requestBytes == 0 && cwnet.IsIdleConnUsable(c.Conn)
+	return c.isClosing && c.isUnused()
+}
+
+// isUnused reports whether the peer has sent no request since the last response. The bytes of
+// a request in progress may have been read together with the request before it, so that
+// requestBytes does not include them. The caller holds mu.
+func (c *conn) isUnused() bool {
+	return c.state != http.StateActive && c.requestBytes == 0 && cwnet.IsIdleConnUsable(c.Conn)
 }
 
 func (c *conn) recordRead(n int, err error) {
@@ -85,7 +92,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.isClosing = true
-	if c.requestBytes == 0 && cwnet.IsIdleConnUsable(c.Conn) {
+	if c.isUnused() {
 		c.isReadAborted = true
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 	}
