Directory queries at the end of a shutdown are answered

Callers: a directory query on a connection that was accepted just before an instance ended got EOF, unread, and the caller had to ask the next directory. Shown by the review's test at 80 ms, each time.

Cause: the control servers were drained without time for a request that is on its way. Directory and ready check now get the same 400 ms as callers, and stop to keep connections from SIGTERM on; the connections of peers and operators are still closed at once. The servers of callers are closed before that if the grace has expired, so that streams end 0.4 s before its end as documented.

--- a/internal/cwapp/instance.go
+++ b/internal/cwapp/instance.go
@@ -154,9 +154,9 @@
 	return g.Wait()
 }
 
-// closeServers closes all servers with their connections.
-func (i *instance) closeServers() {
-	for _, s := range i.servers {
+// closeServers closes servers with all their connections.
+func closeServers(servers []*cwserver.Server) {
+	for _, s := range servers {
 		_ = s.Close()
 	}
 }
--- a/internal/cwapp/routed_app.go
+++ b/internal/cwapp/routed_app.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -35,8 +36,9 @@
 	seedPeers []string
 	follower  *cwpublished.Follower
 	// forwardingServers serve the requests of callers and those that other instances relay,
-	// and controlServers everything else.
-	forwardingServers, controlServers []*cwserver.Server
+	// lookupServers the directory and the ready check, and controlServers other instances and
+	// operators.
+	forwardingServers, lookupServers, controlServers []*cwserver.Server
 }
 
 // NewRoutedApp builds an instance without starting its servers and background loops.
@@ -55,13 +57,15 @@
 		cwserver.NewServer(r.Common, "caller", site.CallerAddress, cwwire.NewFrontHandler(r.gate), settings.MaxConnections),
 		cwserver.NewServer(r.Common, "relay", site.RelayAddress, cwwire.NewRelayHandler(r.gate), 0),
 	}
-	r.controlServers = []*cwserver.Server{
-		cwserver.NewServer(r.Common, "peer", site.PeerAddress, peerServer.Handler(), 0),
+	r.lookupServers = []*cwserver.Server{
 		cwserver.NewServer(r.Common, "ready", site.ReadyAddress, cwwire.NewReadyHandler(r.IsReady), 0),
 		cwserver.NewServer(r.Common, "directory", site.DirectoryAddress, cwwire.NewDirectoryHandler(r), 0),
+	}
+	r.controlServers = []*cwserver.Server{
+		cwserver.NewServer(r.Common, "peer", site.PeerAddress, peerServer.Handler(), 0),
 		cwserver.NewServer(r.Common, "admin", settings.AdminAddress, adminHandler.Mux(), 0),
 	}
-	r.servers = slices.Concat(r.forwardingServers, r.controlServers)
+	r.servers = slices.Concat(r.forwardingServers, r.lookupServers, r.controlServers)
 	r.loops = []loop{
 		r.Control.Run,
 		r.follower.Run,
@@ -125,21 +129,23 @@
 	acceptDuration = 2500 * time.Millisecond
 	// shutdownMargin is what remains of the shutdown grace when the last streams are aborted.
 	shutdownMargin = 400 * time.Millisecond
-	// controlDrainTimeout limits the time for the responses of the control servers. It is
-	// part of shutdownMargin.
-	controlDrainTimeout = 200 * time.Millisecond
+	// closeMargin is what remains of the shutdown grace when the other servers are closed.
+	closeMargin = 200 * time.Millisecond
 )
 
 // shutdown stops the instance gracefully: peers and callers are notified first, requests
 // that still arrive are served for acceptDuration, and requests in flight get the rest of
 // the shutdown grace. Those that take longer are aborted.
 func (r *RoutedApp) shutdown(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, r.site.Bounds.ShutdownGrace-shutdownMargin)
+	graceEnd := time.Now().Add(r.site.Bounds.ShutdownGrace)
+	closeCtx, cancelClose := context.WithDeadline(ctx, graceEnd.Add(-closeMargin))
+	defer cancelClose()
+	ctx, cancel := context.WithDeadline(ctx, graceEnd.Add(-shutdownMargin))
 	defer cancel()
 	r.Log.Info("shutdown begins", zap.Int("inFlight", r.gate.InFlight()))
 	r.Control.Post(ctx, cwcontrol.SelfLeaving{})
 	r.Control.Flush(ctx)
-	for _, s := range r.forwardingServers {
+	for _, s := range slices.Concat(r.forwardingServers, r.lookupServers) {
 		s.DisableKeepAlives()
 	}
 	go r.exchanger.Announce(ctx)
@@ -149,12 +155,12 @@
 	}
 	if err := drainServers(ctx, r.forwardingServers, requestArrivalTimeout); err != nil {
 		r.Log.Warn("shutdown grace expired with requests in flight", zap.Int("inFlight", r.gate.InFlight()), zap.Error(err))
+		closeServers(r.forwardingServers)
 	}
-	controlCtx, cancelControl := context.WithTimeout(context.WithoutCancel(ctx), controlDrainTimeout)
-	defer cancelControl()
-	if err := drainServers(controlCtx, r.controlServers, 0); err != nil {
+	err := errors.Join(drainServers(closeCtx, r.lookupServers, requestArrivalTimeout), drainServers(closeCtx, r.controlServers, 0))
+	if err != nil {
 		r.Log.Warn("control connections closed with requests in progress", zap.Error(err))
 	}
-	r.closeServers()
+	closeServers(r.servers)
 	r.Log.Info("shutdown done")
 }
--- a/internal/cwapp/shutdown.go
+++ b/internal/cwapp/shutdown.go
@@ -37,7 +37,7 @@
 	if err := drainServers(closeCtx, a.servers, requestArrivalTimeout); err != nil {
 		a.Log.Warn("connections closed with requests in flight", zap.Int("inFlight", a.dispatcher.InFlight()), zap.Error(err))
 	}
-	a.closeServers()
+	closeServers(a.servers)
 	a.Log.Info("shutdown done")
 }
 
