Callers have the time that the configuration allows

A caller that stays within header-timeout-ms and idle-timeout-ms of the configuration could be cut off: a head that takes 7 of 10 s after 5 s, a first request 12 s after its connection opened (15 s allowed), a next request after 72 of 90 s. The deployments have 3 s and 15 s, where only the first request on a connection that was opened ahead was affected.

Cause: net/http takes fixed limits, from the settings, and counts the time for the first head from the accept. The connection sets its read deadline itself now, for the first byte from the last response and for the rest of the head from its first byte. The configuration extends the limits and doesn't shorten them: a caller that is slower than the operator allows was not cut off before either.

The lock of the server is no longer taken for each change between idle and active.

--- a/internal/cwapp/app.go
+++ b/internal/cwapp/app.go
@@ -56,9 +56,9 @@
 	callerHandler := cwentry.NewHandler(a.Common, a.Control, a.dispatcher, a.burn)
 	adminHandler := cwadmin.NewHandler(a.Common, a.Control, a.dispatcher, a.burn, metrics)
 	a.servers = []*cwserver.Server{
-		cwserver.NewServer(a.Common, "caller", a.Settings.CallerAddress, callerHandler.Mux(), a.Settings.MaxConnections),
-		cwserver.NewServer(a.Common, "peer", a.Settings.PeerAddress, peerMux, 0),
-		cwserver.NewServer(a.Common, "admin", a.Settings.AdminAddress, adminHandler.Mux(), 0),
+		cwserver.NewServer(a.Common, "caller", a.Settings.CallerAddress, callerHandler.Mux(), cwserver.Limits{Conns: a.Settings.MaxConnections}),
+		cwserver.NewServer(a.Common, "peer", a.Settings.PeerAddress, peerMux, cwserver.Limits{}),
+		cwserver.NewServer(a.Common, "admin", a.Settings.AdminAddress, adminHandler.Mux(), cwserver.Limits{}),
 	}
 }
 
--- a/internal/cwapp/routed_app.go
+++ b/internal/cwapp/routed_app.go
@@ -54,16 +54,16 @@
 	peerServer := cwpeer.NewServer(r.Common, r.Control, r.gate, cwpeer.Sources{Published: r.State}, puller, r.auth)
 	adminHandler := cwadmin.NewRoutedHandler(r.Common, r.Control, r.State, r.gate, r.gate.Burn, r.metricsHandler)
 	r.forwardingServers = []*cwserver.Server{
-		cwserver.NewServer(r.Common, "caller", site.CallerAddress, cwwire.NewFrontHandler(r.gate), settings.MaxConnections),
-		cwserver.NewServer(r.Common, "relay", site.RelayAddress, cwwire.NewRelayHandler(r.gate), 0),
+		cwserver.NewServer(r.Common, "caller", site.CallerAddress, cwwire.NewFrontHandler(r.gate), cwserver.Limits{Conns: settings.MaxConnections, Times: r.callerTimeLimits}),
+		cwserver.NewServer(r.Common, "relay", site.RelayAddress, cwwire.NewRelayHandler(r.gate), cwserver.Limits{}),
 	}
 	r.lookupServers = []*cwserver.Server{
-		cwserver.NewServer(r.Common, "ready", site.ReadyAddress, cwwire.NewReadyHandler(r.IsReady), 0),
-		cwserver.NewServer(r.Common, "directory", site.DirectoryAddress, cwwire.NewDirectoryHandler(r), 0),
+		cwserver.NewServer(r.Common, "ready", site.ReadyAddress, cwwire.NewReadyHandler(r.IsReady), cwserver.Limits{}),
+		cwserver.NewServer(r.Common, "directory", site.DirectoryAddress, cwwire.NewDirectoryHandler(r), cwserver.Limits{}),
 	}
 	r.controlServers = []*cwserver.Server{
-		cwserver.NewServer(r.Common, "peer", site.PeerAddress, peerServer.Handler(), 0),
-		cwserver.NewServer(r.Common, "admin", settings.AdminAddress, adminHandler.Mux(), 0),
+		cwserver.NewServer(r.Common, "peer", site.PeerAddress, peerServer.Handler(), cwserver.Limits{}),
+		cwserver.NewServer(r.Common, "admin", settings.AdminAddress, adminHandler.Mux(), cwserver.Limits{}),
 	}
 	r.servers = slices.Concat(r.forwardingServers, r.lookupServers, r.controlServers)
 	r.loops = []loop{
@@ -76,6 +76,15 @@
 	return r
 }
 
+// callerTimeLimits returns the time limits of the configuration in force for callers.
+func (r *RoutedApp) callerTimeLimits() (header, idle time.Duration) {
+	config := r.State.View().Config
+	if config == nil {
+		return 0, 0
+	}
+	return config.Limits.HeaderTimeout, config.Limits.IdleTimeout
+}
+
 // IsReady reports whether callers may be directed to this instance.
 func (r *RoutedApp) IsReady() bool {
 	return r.Control.Snapshot().IsReady && r.State.View().Config != nil
--- a/internal/cwroute/limits.go
+++ b/internal/cwroute/limits.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// Limits bound the requests of callers. Only BodyBytes is enforced; the other limits are
-// decoded but not used.
+// Limits bound the requests of callers. HeaderBytes is decoded but not used. The time limits
+// extend those of the servers and do not shorten them.
 type Limits struct {
 	// HeaderBytes and BodyBytes are the maximum sizes; a BodyBytes of 0 means no limit.
 	HeaderBytes, BodyBytes int
--- a/internal/cwserver/conn.go
+++ b/internal/cwserver/conn.go
@@ -26,6 +26,8 @@
 	// mu guards the fields below.
 	mu    sync.Mutex
 	state http.ConnState
+	// idleSince is when the connection was opened or the last response ended.
+	idleSince time.Time
 	// responseCount is the number of requests that were answered.
 	responseCount int
 	// requestBytes is the number of bytes read since the last response, and requestAt the
@@ -45,6 +47,11 @@
 // Read reads from the connection and records the bytes as part of a request. It returns
 // io.EOF instead of waiting for another request if the connection is to be closed.
 func (c *conn) Read(p []byte) (int, error) {
+	if deadline, ok := c.requestDeadline(); ok {
+		// If it fails, the read fails too.
+		_ = c.Conn.SetReadDeadline(deadline)
+	}
+	// closeWhenUnused may have set the deadline before it was replaced.
 	if c.isDone() {
 		return 0, io.EOF
 	}
@@ -53,6 +60,21 @@
 	return n, err
 }
 
+// requestDeadline returns the deadline for the rest of a head, or for the first byte of a
+// request. It returns false once the head has been read.
+func (c *conn) requestDeadline() (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == http.StateActive {
+		return time.Time{}, false
+	}
+	header, idle := c.server.timeLimits()
+	if c.requestBytes > 0 {
+		return c.requestAt.Add(header), true
+	}
+	return c.idleSince.Add(idle), true
+}
+
 // isDone reports whether the connection is to be closed and has no request, neither in
 // progress nor in the socket's buffer.
 func (c *conn) isDone() bool {
@@ -168,7 +190,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.state = state
-	if state == http.StateIdle {
+	switch state {
+	case http.StateActive:
+		// The deadline was that of the head.
+		_ = c.Conn.SetReadDeadline(time.Time{})
+	case http.StateIdle:
+		c.idleSince = time.Now()
 		c.responseCount++
 		c.requestBytes, c.hasResponded = 0, false
 	}
--- a/internal/cwserver/held_conn_test.go
+++ b/internal/cwserver/held_conn_test.go
@@ -85,7 +85,7 @@
 			c := &heldConn{TCPConn: raw.(*net.TCPConn), holdsRead: holdsRead, held: make(chan struct{}), released: make(chan struct{})}
 			single := &singleListener{conns: make(chan net.Conn, 1)}
 			single.conns <- c
-			s := cwserver.NewServer(common, "caller", serverAddress, http.HandlerFunc(respondOK), 0)
+			s := cwserver.NewServer(common, "caller", serverAddress, http.HandlerFunc(respondOK), cwserver.Limits{})
 			go func() { _ = s.Serve(single) }()
 			<-c.held
 			is.NoErr(s.Drain(t.Context(), 0))
--- a/internal/cwserver/listener.go
+++ b/internal/cwserver/listener.go
@@ -17,5 +17,6 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, server: l.server, openedAt: time.Now()}, nil
+	now := time.Now()
+	return &conn{Conn: raw, server: l.server, openedAt: now, idleSince: now}, nil
 }
--- a/internal/cwserver/racing_conn_test.go
+++ b/internal/cwserver/racing_conn_test.go
@@ -79,7 +79,7 @@
 		common, _ := newCommon(cwmemnet.NewNetwork().Host(serverIP))
 		s := cwserver.NewServer(common, "caller", serverAddress, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 			requestCount.Add(1)
-		}), 0)
+		}), cwserver.Limits{})
 		near, far := net.Pipe()
 		defer func() { _ = far.Close() }()
 		go func() { _, _ = far.Read(make([]byte, 1<<10)) }()
--- a/internal/cwserver/server.go
+++ b/internal/cwserver/server.go
@@ -17,9 +17,6 @@
 	"github.com/clementinewell/clementinewell/internal/cwcommon"
 )
 
-// keepAliveTimeout is the time after which an idle connection is closed.
-const keepAliveTimeout = time.Minute
-
 // connKey is the key of the *conn in the context of its requests.
 type connKey struct{}
 
@@ -30,10 +27,9 @@
 	*cwcommon.Common
 	name, address string
 	handler       http.Handler
-	// maxConns is the largest number of open connections; 0 means no limit.
-	maxConns   int
-	http       *http.Server
-	unanswered tally.Counter
+	limits        Limits
+	http          *http.Server
+	unanswered    tally.Counter
 	// serving counts the running calls of Serve.
 	serving sync.WaitGroup
 	// isKeepAliveOff is set if responses announce that the connection will be closed.
@@ -51,25 +47,23 @@
 }
 
 // NewServer returns a server that has not been started. The name identifies it in logs and
-// metrics. New connections are closed while maxConns are open; 0 means no limit.
-func NewServer(common *cwcommon.Common, name, address string, handler http.Handler, maxConns int) *Server {
+// metrics.
+func NewServer(common *cwcommon.Common, name, address string, handler http.Handler, limits Limits) *Server {
 	s := &Server{
 		Common:     common,
 		name:       name,
 		address:    address,
 		handler:    handler,
-		maxConns:   maxConns,
+		limits:     limits,
 		unanswered: common.Metrics.Tagged(map[string]string{"server": name}).Counter("connections_unanswered"),
 		conns:      make(map[*conn]bool),
 		connClosed: make(chan struct{}, 1),
 	}
 	s.http = &http.Server{
-		ConnState:         s.handleState,
-		ConnContext:       func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
-		Handler:           http.HandlerFunc(s.handle),
-		ReadHeaderTimeout: common.Settings.HeaderTimeout,
-		IdleTimeout:       keepAliveTimeout,
-		MaxHeaderBytes:    common.Settings.MaxHeaderBytes,
+		ConnState:      s.handleState,
+		ConnContext:    func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
+		Handler:        http.HandlerFunc(s.handle),
+		MaxHeaderBytes: common.Settings.MaxHeaderBytes,
 		// NewStdLog logs at level info, so the messages of net/http are dropped.
 		ErrorLog: zap.NewStdLog(common.Log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}
@@ -180,6 +174,16 @@
 		zap.Int("idle", counts[http.StateIdle]), zap.Int("active", counts[http.StateActive]))
 }
 
+// timeLimits returns the time limits in force.
+func (s *Server) timeLimits() (header, idle time.Duration) {
+	header, idle = s.Settings.HeaderTimeout, keepAliveTimeout
+	if s.limits.Times != nil {
+		allowedHeader, allowedIdle := s.limits.Times()
+		header, idle = max(header, allowedHeader), max(idle, allowedIdle)
+	}
+	return header, idle
+}
+
 func (s *Server) countConns() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -190,15 +194,17 @@
 func (s *Server) handleState(raw net.Conn, state http.ConnState) {
 	c := raw.(*conn)
 	c.setState(state)
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	switch state {
 	case http.StateNew:
+		s.mu.Lock()
+		defer s.mu.Unlock()
 		s.conns[c] = true
-		if s.maxConns > 0 && len(s.conns) > s.maxConns {
+		if s.limits.Conns > 0 && len(s.conns) > s.limits.Conns {
 			_ = c.Close()
 		}
 	case http.StateClosed, http.StateHijacked:
+		s.mu.Lock()
+		defer s.mu.Unlock()
 		delete(s.conns, c)
 		select {
 		case s.connClosed <- struct{}{}:
--- a/internal/cwserver/server_test.go
+++ b/internal/cwserver/server_test.go
@@ -57,7 +57,7 @@
 		network := cwmemnet.NewNetwork()
 		common, logs := newCommon(network.Host(serverIP))
 		s := &testServer{
-			Server: cwserver.NewServer(common, "caller", serverAddress, handler, 0),
+			Server: cwserver.NewServer(common, "caller", serverAddress, handler, cwserver.Limits{}),
 			t:      t, is: is.New(t), network: network, logs: logs, served: make(chan error, 1),
 		}
 		l, err := common.Net.Listen(t.Context(), serverAddress)
@@ -275,7 +275,7 @@
 	for range rounds {
 		is := is.New(t)
 		common, logs := newCommon(cwnet.NewTCP())
-		s := cwserver.NewServer(common, "caller", "127.0.0.1:0", http.HandlerFunc(respondOK), 0)
+		s := cwserver.NewServer(common, "caller", "127.0.0.1:0", http.HandlerFunc(respondOK), cwserver.Limits{})
 		l, err := common.Net.Listen(t.Context(), s.Address())
 		is.NoErr(err)
 		served := make(chan error, 1)
