Failing tests: pipelined heads, interim responses and unsent bodies

An interim response counts as the response, so that a dropped request is not logged. Drain waits until the end of its context for a body that nobody reads, after the response was sent.

--- a/internal/cwserver/pipelined_test.go
+++ b/internal/cwserver/pipelined_test.go
@@ -42,3 +42,32 @@
 		s.is.NoErr(<-done)
 	})
 }
+
+// TestDrainKeepsPipelinedHeadInProgress guards against a head that is cut off because its
+// beginning was read together with the request before it.
+func TestDrainKeepsPipelinedHeadInProgress(t *testing.T) {
+	withServer(t, respondOK, func(s *testServer) {
+		c := s.dial()
+		s.send(c, request+request[:20])
+		s.is.Equal(s.readBody(c), "ok")
+		done := s.startDrain(s.t.Context())
+		time.Sleep(2 * arrivalTimeout)
+		s.send(c, request[20:])
+		s.is.Equal(s.readBody(c), "ok")
+		s.is.NoErr(<-done)
+	})
+}
+
+// TestHeaderTimeoutOfPipelinedHead guards against a head that has the time of an idle
+// connection because its beginning was read together with the request before it.
+func TestHeaderTimeoutOfPipelinedHead(t *testing.T) {
+	withServer(t, respondOK, func(s *testServer) {
+		c := s.dial()
+		start := time.Now()
+		s.send(c, request+request[:20])
+		s.is.Equal(s.readBody(c), "ok")
+		_, err := io.ReadAll(c) // net/http may send status 400 for a head that is cut off
+		s.is.NoErr(err)
+		s.is.Equal(time.Since(start), 5*time.Second)
+	})
+}
--- a/internal/cwserver/server_test.go
+++ b/internal/cwserver/server_test.go
@@ -267,6 +267,49 @@
 	})
 }
 
+// TestInterimResponseIsNoResponse guards against a request that is dropped without a line in
+// the log because its peer was told to send the body.
+func TestInterimResponseIsNoResponse(t *testing.T) {
+	block := func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	withServer(t, block, func(s *testServer) {
+		c := s.dial()
+		s.send(c, "POST / HTTP/1.1\r\nHost: app.example\r\nExpect: 100-continue\r\nContent-Length: 5\r\n\r\n")
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		s.is.NoErr(err)
+		s.is.Equal(resp.StatusCode, http.StatusContinue)
+		s.send(c, "order")
+		_ = s.Close()
+		synctest.Wait()
+		s.is.Equal(s.countUnanswered(), 1)
+	})
+}
+
+// TestBodyThatIsNeverSentDoesNotHoldDrain checks that Drain does not wait for a body that the
+// handler does not want, after its response was sent.
+func TestBodyThatIsNeverSentDoesNotHoldDrain(t *testing.T) {
+	for name, fields := range map[string]string{
+		"length":                 "Content-Length: 1000\r\n",
+		"chunked, closing":       "Connection: close\r\nTransfer-Encoding: chunked\r\n",
+		"waits for the continue": "Expect: 100-continue\r\nContent-Length: 1000\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			withServer(t, respondOK, func(s *testServer) {
+				c := s.dial()
+				ctx, cancel := context.WithTimeout(s.t.Context(), time.Minute)
+				defer cancel()
+				done := s.startDrain(ctx)
+				s.send(c, "POST / HTTP/1.1\r\nHost: app.example\r\n"+fields+"\r\n")
+				s.is.Equal(s.readBody(c), "ok")
+				s.is.NoErr(<-done)
+			})
+		})
+	}
+}
+
 // TestDrainAnswersRequestsThatRaceWithIt guards against requests that are read at the moment
 // at which connections are closed as unused. It runs over TCP, where a request may wait in
 // the socket's buffer.
