--- a/internal/cwapp/routed_app.go
+++ b/internal/cwapp/routed_app.go
@@ -166,7 +166,9 @@
 		r.Log.Warn("shutdown grace expired with requests in flight", zap.Int("inFlight", r.gate.InFlight()), zap.Error(err))
 		closeServers(r.forwardingServers)
 	}
-	err := errors.Join(drainServers(closeCtx, r.lookupServers, requestArrivalTimeout), drainServers(closeCtx, r.controlServers, 0))
+	// After an expired grace the time for requests on their way is short.
+	lookupArrivalTimeout := min(requestArrivalTimeout, time.Until(graceEnd.Add(-closeMargin))/2)
+	err := errors.Join(drainServers(closeCtx, r.lookupServers, lookupArrivalTimeout), drainServers(closeCtx, r.controlServers, 0))
 	if err != nil {
 		r.Log.Warn("control connections closed with requests in progress", zap.Error(err))
 	}
--- a/internal/cwgate/attempt.go
+++ b/internal/cwgate/attempt.go
@@ -162,7 +162,7 @@
 func (a *attempt) buildParams() *AttemptParams {
 	routed := a.req
 	params := &AttemptParams{
-		Timeout:        time.Until(routed.deadline),
+		Timeout:        max(time.Until(routed.deadline), 0),
 		EnginePriority: a.enginePriority(),
 		LastEventID:    routed.LastEventID,
 		ContentLength:  len(routed.body),
@@ -184,8 +184,8 @@
 // way to the exit and back.
 const maxRelayMarginShare = 0.1
 
-// relayMargin returns the part of the remaining time that a relayed request spends between
-// the instances. Without it the exit's response at its deadline, which may state that the
+// relayMargin returns the part of the remaining time that a relayed request may spend between
+// the instances, from the measured time of an exchange. Without it the exit's response at its deadline, which may state that the
 // request was not run, would arrive after this instance has given up. A stream gets none,
 // since an overestimate would cut it off.
 func (a *attempt) relayMargin(timeout time.Duration) time.Duration {
--- a/internal/cwserver/conn.go
+++ b/internal/cwserver/conn.go
@@ -1,6 +1,7 @@
 package cwserver
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -14,9 +15,6 @@
 	"github.com/clementinewell/clementinewell/internal/cwnet"
 )
 
-// lingerTimeout limits how long a closing connection reads what its peer is still sending.
-const lingerTimeout = 500 * time.Millisecond
-
 // conn is an accepted connection. It records whether the peer is owed a response.
 type conn struct {
 	net.Conn
@@ -26,7 +24,7 @@
 	// mu guards the fields below.
 	mu    sync.Mutex
 	state http.ConnState
-	// idleSince is when the connection was opened or the last response ended.
+	// idleSince is when the last response ended.
 	idleSince time.Time
 	// responseCount is the number of requests that were answered.
 	responseCount int
@@ -51,7 +49,7 @@
 		// If it fails, the read fails too.
 		_ = c.Conn.SetReadDeadline(deadline)
 	}
-	// closeWhenUnused may have set the deadline before it was replaced.
+	// The deadline just set may have replaced that of closeWhenUnused.
 	if c.isDone() {
 		return 0, io.EOF
 	}
@@ -61,16 +59,19 @@
 }
 
 // requestDeadline returns the deadline for the rest of a head, or for the first byte of a
-// request. It returns false once the head has been read.
+// request. It returns false while a request is being served.
 func (c *conn) requestDeadline() (time.Time, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.state == http.StateActive {
 		return time.Time{}, false
 	}
-	header, idle := c.server.timeLimits()
-	if c.requestBytes > 0 {
+	header, first, idle := c.server.timeLimits()
+	switch {
+	case c.requestBytes > 0:
 		return c.requestAt.Add(header), true
+	case c.state == http.StateNew:
+		return c.openedAt.Add(first), true
 	}
 	return c.idleSince.Add(idle), true
 }
@@ -120,10 +121,13 @@
 	}
 }
 
+// continueLine begins the interim response that asks for the body.
+var continueLine = []byte("HTTP/1.1 100 ")
+
 // Write writes to the connection and records that a response has begun.
 func (c *conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
-	c.hasResponded = true
+	c.hasResponded = c.hasResponded || !bytes.HasPrefix(p, continueLine)
 	c.mu.Unlock()
 	return c.Conn.Write(p)
 }
--- a/internal/cwserver/listener.go
+++ b/internal/cwserver/listener.go
@@ -17,6 +17,5 @@
 	if err != nil {
 		return nil, err
 	}
-	now := time.Now()
-	return &conn{Conn: raw, server: l.server, openedAt: now, idleSince: now}, nil
+	return &conn{Conn: raw, server: l.server, openedAt: time.Now()}, nil
 }
--- a/internal/cwserver/server.go
+++ b/internal/cwserver/server.go
@@ -37,13 +37,13 @@
 	isListening    atomic.Bool
 	isClosed       atomic.Bool
 
+	// connClosed has a value after a connection was closed.
+	connClosed chan struct{}
 	// mu guards the fields below.
 	mu         sync.Mutex
 	listener   net.Listener
 	isDraining bool
 	conns      map[*conn]bool
-	// connClosed has a value after a connection was closed.
-	connClosed chan struct{}
 }
 
 // NewServer returns a server that has not been started. The name identifies it in logs and
@@ -100,16 +100,20 @@
 	if s.isKeepAliveOff.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	if !r.Close || r.ContentLength == 0 {
+	if r.ContentLength == 0 {
 		s.handler.ServeHTTP(w, r)
 		return
 	}
-	// For a request that asks to close the connection, net/http does not read the rest of the
-	// body that the handler has left.
 	body := &trackedBody{ReadCloser: r.Body}
-	r.Body = body
+	if r.Close {
+		r.Body = body
+	}
 	s.handler.ServeHTTP(w, r)
-	if !body.hasEnded {
+	// net/http reads what the handler has left of the body, without a time limit.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(lingerTimeout))
+	if r.Close && !body.hasEnded {
+		// In this case net/http leaves the rest unread, and closing the connection would reset
+		// it before the peer has read the response.
 		r.Context().Value(connKey{}).(*conn).lingerOnClose()
 	}
 }
@@ -126,14 +130,22 @@
 func (s *Server) Drain(ctx context.Context, arrivalTimeout time.Duration) error {
 	s.DisableKeepAlives()
 	s.closeListener()
-	if s.countConns() > 0 {
-		cwcommon.Sleep(ctx, arrivalTimeout)
+	arrivalCtx, cancel := context.WithTimeout(ctx, arrivalTimeout)
+	defer cancel()
+	if s.waitUntilUnconnected(arrivalCtx) == nil {
+		return nil
 	}
 	s.mu.Lock()
 	for c := range s.conns {
 		c.closeWhenUnused()
 	}
 	s.mu.Unlock()
+	return s.waitUntilUnconnected(ctx)
+}
+
+// waitUntilUnconnected waits until all connections are closed, or returns the error of ctx
+// when it ends.
+func (s *Server) waitUntilUnconnected(ctx context.Context) error {
 	for s.countConns() > 0 {
 		select {
 		case <-s.connClosed:
@@ -146,6 +158,7 @@
 
 // Close closes the listener and all connections, also those with requests in progress.
 func (s *Server) Close() error {
+	s.isListening.Store(false)
 	s.isClosed.Store(true)
 	return s.http.Close()
 }
@@ -174,14 +187,16 @@
 		zap.Int("idle", counts[http.StateIdle]), zap.Int("active", counts[http.StateActive]))
 }
 
-// timeLimits returns the time limits in force.
-func (s *Server) timeLimits() (header, idle time.Duration) {
-	header, idle = s.Settings.HeaderTimeout, keepAliveTimeout
+// timeLimits returns the time limits in force: for a head, and for the first byte of the first
+// and of any other request on a connection.
+func (s *Server) timeLimits() (header, first, idle time.Duration) {
+	header = s.Settings.HeaderTimeout
+	first, idle = header, keepAliveTimeout
 	if s.limits.Times != nil {
 		allowedHeader, allowedIdle := s.limits.Times()
-		header, idle = max(header, allowedHeader), max(idle, allowedIdle)
+		header, first, idle = max(header, allowedHeader), max(first, allowedIdle), max(idle, allowedIdle)
 	}
-	return header, idle
+	return header, first, idle
 }
 
 func (s *Server) countConns() int {
