cwserver: the last request of a connection in a function of its own

No change of behaviour, except that requests which keep their connection no longer allocate a tracked body. Comments say until when requests are answered.

--- a/internal/cwapp/routed_app.go
+++ b/internal/cwapp/routed_app.go
@@ -144,7 +144,8 @@
 
 // shutdown stops the instance gracefully: peers and callers are notified first, requests
 // that still arrive are served for acceptDuration, and requests in flight get the rest of
-// the shutdown grace. Those that take longer are aborted.
+// the shutdown grace. Those that take longer are aborted. The directory, the ready check and
+// the interfaces for peers and operators are closed last.
 func (r *RoutedApp) shutdown(ctx context.Context) {
 	graceEnd := time.Now().Add(r.site.Bounds.ShutdownGrace)
 	closeCtx, cancelClose := context.WithDeadline(ctx, graceEnd.Add(-closeMargin))
--- a/internal/cwserver/conn.go
+++ b/internal/cwserver/conn.go
@@ -35,11 +35,11 @@
 	hasResponded bool
 	// isPeerGone is set if a read failed, other than by its deadline, and isClosed by Close.
 	isPeerGone, isClosed bool
-	// isClosing is set if the connection is to be closed once no request is in progress, and
-	// isReadAborted if the deadline of a waiting read was set to the past for that.
+	// isClosing is set by closeWhenUnused, and isReadAborted if it set the deadline of a
+	// waiting read to the past.
 	isClosing, isReadAborted bool
-	// isLingering is set if the peer may still be sending after the response.
-	isLingering bool
+	// lingers is set by lingerOnClose.
+	lingers bool
 }
 
 // Read reads from the connection and records the bytes as part of a request. It returns
@@ -146,14 +146,14 @@
 func (c *conn) lingerOnClose() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.isLingering = true
+	c.lingers = true
 }
 
 // Close closes the connection. It logs the connection if the peer is owed a response and
 // has not closed it.
 func (c *conn) Close() error {
 	c.mu.Lock()
-	lingers := c.isLingering && !c.isClosed && !c.isPeerGone && !c.server.isClosed.Load()
+	lingers := c.lingers && !c.isClosed && !c.isPeerGone && !c.server.isClosed.Load()
 	isUnanswered := !c.isClosed && !c.isPeerGone && c.requestBytes > 0 && !c.hasResponded
 	c.isClosed = true
 	fields := []zap.Field{
--- a/internal/cwserver/server.go
+++ b/internal/cwserver/server.go
@@ -1,5 +1,5 @@
-// Package cwserver runs HTTP servers that answer every request they read, also while they
-// stop.
+// Package cwserver runs HTTP servers that, while they stop, still answer the requests they
+// have read.
 package cwserver
 
 import (
@@ -100,24 +100,36 @@
 	if s.isKeepAliveOff.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	if r.ContentLength == 0 {
+	switch {
+	case r.ContentLength == 0:
 		s.handler.ServeHTTP(w, r)
-		return
+	case r.Close:
+		s.handleLast(w, r)
+	default:
+		s.handler.ServeHTTP(w, r)
+		limitBodyDiscard(w)
 	}
+}
+
+// handleLast serves a request with a body that asks to close the connection. net/http may
+// leave the rest of such a body unread, and closing the connection then would reset it before
+// the peer has read the response.
+func (s *Server) handleLast(w http.ResponseWriter, r *http.Request) {
 	body := &trackedBody{ReadCloser: r.Body}
-	if r.Close {
-		r.Body = body
-	}
+	r.Body = body
 	s.handler.ServeHTTP(w, r)
-	// net/http reads what the handler has left of the body, without a time limit.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(lingerTimeout))
-	if r.Close && !body.hasEnded {
-		// In this case net/http leaves the rest unread, and closing the connection would reset
-		// it before the peer has read the response.
+	limitBodyDiscard(w)
+	if !body.hasEnded {
 		r.Context().Value(connKey{}).(*conn).lingerOnClose()
 	}
 }
 
+// limitBodyDiscard limits the time for which net/http reads what a handler has left of the
+// body. An error means that the connection is closed already.
+func limitBodyDiscard(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(lingerTimeout))
+}
+
 // DisableKeepAlives makes all further responses announce that their connection will be
 // closed. Idle connections stay open.
 func (s *Server) DisableKeepAlives() {
@@ -125,8 +137,9 @@
 }
 
 // Drain closes the listener and returns once all connections are closed, or with the error
-// of ctx when it ends. Each request that is read gets its response. A connection without a
-// request is closed after arrivalTimeout, so that one that is already under way is served.
+// of ctx when it ends. Until then each request that is read gets its response. A connection
+// without a request is closed after arrivalTimeout, so that a request that is already under
+// way is served.
 func (s *Server) Drain(ctx context.Context, arrivalTimeout time.Duration) error {
 	s.DisableKeepAlives()
 	s.closeListener()
