--- a/internal/cwapp/helpers_test.go
+++ b/internal/cwapp/helpers_test.go
@@ -3,8 +3,11 @@
 import (
 	"encoding/json"
 	"net/http/httptest"
+	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -55,3 +58,35 @@
 const chatBodyFormat = `{"model":"chat-model","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"hello"}]}`
 
 func newRecorder() *httptest.ResponseRecorder { return httptest.NewRecorder() }
+
+// sendAtIntervals calls send count times at an interval, each in its own goroutine, and returns
+// their errors.
+func sendAtIntervals(count int, interval time.Duration, send func(n int) error) []error {
+	var wg sync.WaitGroup
+	errs := make([]error, count)
+	for n := range errs {
+		wg.Go(func() { errs[n] = send(n) })
+		time.Sleep(interval)
+	}
+	wg.Wait()
+	return errs
+}
+
+// checkAnsweredOrRefused checks that each request was answered or found its listener closed, and
+// that there were both.
+func checkAnsweredOrRefused(t *testing.T, is *is.I, errs []error) {
+	t.Helper()
+	answered, refused := 0, 0
+	for n, err := range errs {
+		switch {
+		case err == nil:
+			answered++
+		case strings.Contains(err.Error(), "connection refused"):
+			refused++
+		default:
+			t.Errorf("request %d of %d: %v", n, len(errs), err)
+		}
+	}
+	is.True(answered > 0)
+	is.True(refused > 0) // the requests continue until the listener is closed
+}
--- a/internal/cwapp/leaving_test.go
+++ b/internal/cwapp/leaving_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"net/http"
-	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -106,29 +104,13 @@
 		p := newInstancePair(s, "lookup")
 		s.Net.SetDelay(cwscene.CallerIP, "10.1.0.1", 80*time.Millisecond)
 		const stopAt = 100
-		var wg sync.WaitGroup
-		responses := make([]cwscene.Response, 2*stopAt)
-		for n := range responses {
+		errs := sendAtIntervals(2*stopAt, 5*time.Millisecond, func(n int) error {
 			if n == stopAt {
 				p.a.Stop()
 			}
-			wg.Go(func() { responses[n] = sendLookup(t, s, p.a) })
-			time.Sleep(5 * time.Millisecond)
-		}
-		wg.Wait()
-		answered, refused := 0, 0
-		for n, resp := range responses {
-			switch {
-			case resp.Err == nil:
-				answered++
-			case strings.Contains(resp.Err.Error(), "connection refused"):
-				refused++
-			default:
-				t.Errorf("request %d ms after the signal: %v", 5*(n-stopAt), resp.Err)
-			}
-		}
-		is.True(answered > 0)
-		is.True(refused > 0) // the requests continue until the listener is closed
+			return sendLookup(t, s, p.a).Err
+		})
+		checkAnsweredOrRefused(t, is, errs)
 		<-p.a.Done()
 	})
 }
--- a/internal/cwapp/routed_shutdown_test.go
+++ b/internal/cwapp/routed_shutdown_test.go
@@ -1,9 +1,8 @@
 package cwapp_test
 
 import (
+	"fmt"
 	"net/http"
-	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -23,27 +22,14 @@
 		s.AwaitReady()
 		s.Net.SetDelay(cwscene.CallerIP, i.IP, 80*time.Millisecond)
 		i.Stop()
-		var wg sync.WaitGroup
-		responses := make([]cwscene.RoutedResponse, 300)
-		for n := range responses {
-			wg.Go(func() { responses[n] = s.Do(t.Context(), i, cwscene.RoutedRequest{Path: "/r/x", Body: "order"}) })
-			time.Sleep(10 * time.Millisecond)
-		}
-		wg.Wait()
-		served, refused := 0, 0
-		for n, resp := range responses {
-			switch {
-			case resp.Err == nil:
-				is.Equal(resp.Status, http.StatusOK)
-				served++
-			case strings.Contains(resp.Err.Error(), "connection refused"):
-				refused++
-			default:
-				t.Errorf("request %d ms after the signal: %v", 10*n, resp.Err)
+		errs := sendAtIntervals(300, 10*time.Millisecond, func(int) error {
+			resp := s.Do(t.Context(), i, cwscene.RoutedRequest{Path: "/r/x", Body: "order"})
+			if resp.Err == nil && resp.Status != http.StatusOK {
+				return fmt.Errorf("status %d", resp.Status)
 			}
-		}
-		is.True(served > 0)
-		is.True(refused > 0) // the requests continue until the listener is closed
+			return resp.Err
+		})
+		checkAnsweredOrRefused(t, is, errs)
 		<-i.Done()
 	})
 }
