--- a/internal/cwgate/attempt.go
+++ b/internal/cwgate/attempt.go
@@ -185,9 +185,9 @@
 const maxRelayMarginShare = 0.1
 
 // relayMargin returns the part of the remaining time that a relayed request may spend between
-// the instances, from the measured time of an exchange. Without it the exit's response at its deadline, which may state that the
-// request was not run, would arrive after this instance has given up. A stream gets none,
-// since an overestimate would cut it off.
+// the instances, from the measured time of an exchange. Without it the exit's response at its
+// deadline, which may state that the request was not run, would arrive after this instance
+// has given up. A stream gets none, since an overestimate would cut it off.
 func (a *attempt) relayMargin(timeout time.Duration) time.Duration {
 	if a.req.route.Kind == cwroute.Stream {
 		return 0
--- a/internal/cwroute/limits.go
+++ b/internal/cwroute/limits.go
@@ -7,7 +7,7 @@
 type Limits struct {
 	// HeaderBytes and BodyBytes are the maximum sizes; a BodyBytes of 0 means no limit.
 	HeaderBytes, BodyBytes int
-	// HeaderTimeout is the maximum time to send the header, and IdleTimeout the
-	// maximum time between two requests on a connection.
+	// HeaderTimeout is the maximum time to send the header, and IdleTimeout the maximum
+	// time before the first request on a connection and between two requests.
 	HeaderTimeout, IdleTimeout time.Duration
 }
