Logs and metrics show the rate limits that endpoints name

Nothing decides by it yet. Ruled out: lifting a limit by any response without it; one that was begun before the limit was named can arrive after it, so only a request sent after the last naming lifts it. A value that can't be read leaves what was known.

--- a/internal/cwgate/attempt.go
+++ b/internal/cwgate/attempt.go
@@ -110,12 +110,14 @@
 
 // run sends the request and handles the response or the error.
 func (a *attempt) run(ctx context.Context) result {
+	sentAt := time.Now()
 	response, err := a.conns.Do(ctx, a.buildCall())
 	if err != nil {
 		return a.handleCallError(ctx, err)
 	}
 	defer response.Close()
 	head := a.codec.DecodeHead(response.Response)
+	a.recordRateLimit(head, sentAt)
 	switch {
 	case head.IsNotRun || a.exitDomain != "" && !head.IsSigned && isPeerRefusal(response.StatusCode):
 		return a.handleRejection(ctx, response)
--- a/internal/cwgate/codec.go
+++ b/internal/cwgate/codec.go
@@ -45,4 +45,19 @@
 	IsNotRun bool
 	// IsEncoded is set if the body has a content encoding.
 	IsEncoded bool
+	// IsOtherEndpoint is set if the response is from another endpoint than the expected
+	// one.
+	IsOtherEndpoint bool
+	// RateLimit is the rate limit that the endpoint names.
+	RateLimit RateLimitField
+}
+
+// RateLimitField is the field of a response in which an endpoint names a rate limit.
+type RateLimitField struct {
+	// IsPresent is set if the response has the field, and Err if its value is not a rate.
+	IsPresent bool
+	Err       error
+	// PerSecond is the rate of requests that the endpoint accepts from all instances
+	// together.
+	PerSecond float64
 }
--- a/internal/cwgate/endpoint_status.go
+++ b/internal/cwgate/endpoint_status.go
@@ -20,6 +20,9 @@
 	Draining  bool `json:"drains"`
 	Evacuated bool `json:"evacuated"`
 	Cold      bool `json:"cold"`
+	// RateLimit is the limit that the endpoint names, in requests per second for all
+	// instances together; null if it names none.
+	RateLimit *float64 `json:"rateLimit"`
 	// InFlight is the number of this instance's requests in progress at the endpoint.
 	InFlight int `json:"inFlight"`
 	// TokensPerSecond is the estimated prompt speed, and FailureRate the fraction of failed
@@ -37,9 +40,13 @@
 	statuses := []EndpointStatus{}
 	for service, p := range g.pools {
 		for id, e := range p.Endpoints() {
+			var rateLimit *float64
+			if l := e.RateLimit(); l.IsNamed {
+				rateLimit = &l.PerSecond
+			}
 			statuses = append(statuses, EndpointStatus{
 				ID: id, Address: e.Address, Service: service, Domain: e.Domain,
-				Usable: e.IsUsable(now), Draining: e.HasStartedDraining, Evacuated: e.IsEvacuated, Cold: e.IsCold(now),
+				Usable: e.IsUsable(now), Draining: e.HasStartedDraining, Evacuated: e.IsEvacuated, Cold: e.IsCold(now), RateLimit: rateLimit,
 				InFlight: e.OwnWork().InFlight, TokensPerSecond: e.PromptSpeed(), FailureRate: e.FailureRate(now),
 			})
 		}
--- a/internal/cwgate/log.go
+++ b/internal/cwgate/log.go
@@ -18,6 +18,9 @@
 	if routed.attempts > 1 {
 		g.metrics.retries.Inc(1)
 	}
+	if routed.isEndpointLimited && d.Placement != nil {
+		g.metrics.limitedSends.Inc(1)
+	}
 	if r.done && routed.attempts == 1 && d.Action == cwplacement.ActionSend {
 		// The log entry of the request's end contains the place.
 		routed.responder.place = d.Placement.Endpoint.ID
@@ -58,7 +61,7 @@
 	fields := []zap.Field{
 		zap.String("request", routed.ID), zap.String("route", routed.route.Name), zap.String("outcome", outcome), zap.Int("status", routed.responder.status),
 		zap.String("place", routed.responder.place), zap.Int("attempts", routed.attempts), zap.Duration("predicted", routed.predictedFirstByte), zap.Duration("first", firstByte), zap.Duration("total", total),
-		zap.String("ran", string(routed.outcome)), zap.Bool("relayed", routed.IsRelayed),
+		zap.String("ran", string(routed.outcome)), zap.Bool("relayed", routed.IsRelayed), zap.Bool("limited", routed.isEndpointLimited),
 	}
 	if routed.Prompt != nil {
 		fields = append(fields, zap.Int("promptTokens", routed.Prompt.Tokens), zap.Int("outputTokens", routed.Prompt.expectedOutputTokens()),
--- a/internal/cwgate/metrics.go
+++ b/internal/cwgate/metrics.go
@@ -17,16 +17,19 @@
 	total     tally.Histogram
 	retries   tally.Counter
 	relays    tally.Counter
+	// limitedSends counts the requests sent to endpoints that name a rate limit.
+	limitedSends tally.Counter
 }
 
 func newMetrics(root tally.Scope) *metrics {
 	buckets := tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 14)
 	return &metrics{
-		root:      root,
-		firstByte: root.Histogram("routed_first_byte_seconds", buckets),
-		total:     root.Histogram("routed_total_seconds", buckets),
-		retries:   root.Counter("routed_repeats"),
-		relays:    root.Counter("routed_relays"),
+		root:         root,
+		firstByte:    root.Histogram("routed_first_byte_seconds", buckets),
+		total:        root.Histogram("routed_total_seconds", buckets),
+		retries:      root.Counter("routed_repeats"),
+		relays:       root.Counter("routed_relays"),
+		limitedSends: root.Counter("routed_limited_sends"),
 	}
 }
 
--- a/internal/cwgate/routed_request.go
+++ b/internal/cwgate/routed_request.go
@@ -27,6 +27,9 @@
 	// possibleRuns is the number of attempts that may have run, and attempts that of all
 	// attempts.
 	possibleRuns, attempts int
+	// isEndpointLimited is set if the latest attempt was sent to an endpoint that named a
+	// rate limit.
+	isEndpointLimited bool
 	// relayedTo is the domain to which the last relayed attempt was sent.
 	relayedTo string
 	// predictedFirstByte is the time to the first byte that the latest decision predicted.
--- a/internal/cwgate/serve.go
+++ b/internal/cwgate/serve.go
@@ -156,6 +156,7 @@
 		}
 		routed.attempts++
 		routed.predictedFirstByte, routed.predictedRest = max(d.LocalFirstByte, 0), d.RestOfResponse
+		routed.isEndpointLimited = d.IsEndpointLimited
 		if d.Action == cwplacement.ActionRelay {
 			routed.predictedFirstByte = d.RemoteFirstByte
 		}
--- a/internal/cwplacement/decide.go
+++ b/internal/cwplacement/decide.go
@@ -170,6 +170,7 @@
 
 func (p *Pool) send(d Decision, req *Request, c candidate, reason string, now time.Time) Decision {
 	d.Action, d.Reason, d.RestOfResponse = ActionSend, reason, durationOfSeconds(c.prediction.restSeconds)
+	d.IsEndpointLimited = c.endpoint.rateLimit.IsNamed
 	d.Placement = c.endpoint.place(&req.Requirements, c.band, c.prediction, now)
 	return d
 }
--- a/internal/cwplacement/decision.go
+++ b/internal/cwplacement/decision.go
@@ -21,6 +21,8 @@
 	Action Action
 	// Placement is set for ActionSend.
 	Placement *Placement
+	// IsEndpointLimited is set for ActionSend if the endpoint names a rate limit.
+	IsEndpointLimited bool
 	// Domain is set for ActionRelay.
 	Domain string
 	// RetryAfter is set for ActionRefuse: the time after which capacity is likely.
--- a/internal/cwplacement/endpoint.go
+++ b/internal/cwplacement/endpoint.go
@@ -81,6 +81,7 @@
 	promptSpeed, eventRate meter
 	// serviceTimeSeconds is the mean time that a request occupies its slot.
 	serviceTimeSeconds float64
+	rateLimit          RateLimit
 }
 
 // newEndpoint returns an endpoint without measurements, with an initial prompt speed.
