--- a/internal/cwstandin/worker.go
+++ b/internal/cwstandin/worker.go
@@ -22,6 +22,12 @@
 	sharedFault     chan WorkerFault
 	runs            []WorkerRun
 	abortedRequests int
+	// rateLimits are the limits named so far, in order of time, and arrivals the times at
+	// which requests were received.
+	rateLimits []rateLimitChange
+	arrivals   []time.Time
+	// serviceTime is how long the worker takes before it responds.
+	serviceTime time.Duration
 }
 
 // WorkerRun is a request that the worker ran.
@@ -140,6 +146,25 @@
 	return fault
 }
 
+// SetServiceTime sets how long the worker takes before it responds to a request.
+func (w *Worker) SetServiceTime(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.serviceTime = d
+}
+
+// recordArrival records a request and names the current rate limit in its response. It
+// returns the service time.
+func (w *Worker) recordArrival(header http.Header) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.arrivals = append(w.arrivals, time.Now())
+	if n := len(w.rateLimits); n > 0 && w.rateLimits[n-1].isNamed {
+		header.Set("Server-Limit", strconv.FormatFloat(w.rateLimits[n-1].perSecond, 'f', -1, 64))
+	}
+	return w.serviceTime
+}
+
 // eventsPerStream is the number of events in a complete stream.
 const eventsPerStream = 6
 
@@ -147,6 +172,7 @@
 func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	fault := w.takeFault()
+	time.Sleep(w.recordArrival(rw.Header()))
 	id := r.Header.Get("Clementinewell-Request-Id")
 	if expected := r.Header.Get("Clementinewell-Expected-Instance"); expected != "" && expected != w.ID {
 		rw.WriteHeader(http.StatusMisdirectedRequest)
