Instances share the rate limit that an endpoint names

Cause: the endpoint's statement was not read. An endpoint that slows its intake looks idle and is preferred, by each instance of its region and for relayed requests too. Change: responses, also rejections, are read for a limit. Instances tell each other the latest statement with its age, and the demand for the service, in the exchanges that exist. Each computes its own share by the same rule (cwpolicy.RateDivision): demand, with a floor; where bursts of one request each would be too many, only some instances hold a share. Every send spends it. Limited endpoints don't count in capacities and affinity. Callers that find all shares spent go to another region or are refused at once with the time of the next request. Account limits use the same division. Ruled out: the limit at each instance alone (three instances send three times as much); an owner for each endpoint as for cold ones (uses only the requests that reach the owner).

--- a/internal/cwcontrol/endpoint_work.go
+++ b/internal/cwcontrol/endpoint_work.go
@@ -23,6 +23,18 @@
 	UnreachableAt time.Time
 	// PromptSpeed is measured in prompt tokens, EventRate in events of streams.
 	PromptSpeed, EventRate Measurement
+	// RateLimit is the latest known rate limit of the endpoint.
+	RateLimit EndpointRateLimit
+}
+
+// EndpointRateLimit is what an endpoint stated about its rate limit.
+type EndpointRateLimit struct {
+	// IsNamed is set if the endpoint names a limit, and not set if it has withdrawn it.
+	IsNamed bool
+	// PerSecond is the limit for all instances together, in requests per second.
+	PerSecond float64
+	// ObservedAt is when the endpoint stated this; zero if nothing is known.
+	ObservedAt time.Time
 }
 
 // Measurement is an amount of work and the time that it took.
--- a/internal/cwcontrol/snapshot.go
+++ b/internal/cwcontrol/snapshot.go
@@ -35,6 +35,9 @@
 	TicketMoves []cwpolicy.TicketMove
 	// Demands are the request rates at all usable other instances together, by limit.
 	Demands DemandTable
+	// MemberDemands are the request rates that each other instance last reported, by peer
+	// address and limit.
+	MemberDemands map[string][]cwpolicy.LimitDemand
 	// AllMembersUsable is set while every other instance that is not leaving is usable.
 	AllMembersUsable bool
 	// IsReady is set while the instance may serve: its configuration is confirmed, its
--- a/internal/cwcontrol/state.go
+++ b/internal/cwcontrol/state.go
@@ -167,6 +167,7 @@
 	next.Members = s.membership.All()
 	next.TicketMoves = s.membership.TicketMoves()
 	next.Demands, next.AllMembersUsable = make(DemandTable), true
+	next.MemberDemands = maps.Clone(s.demands)
 	for i := range next.Members {
 		m := &next.Members[i]
 		isUsable := m.IsUsable(now, cwpolicy.MemberContactTimeout)
--- a/internal/cwgate/attempt_rate_limit.go
+++ b/internal/cwgate/attempt_rate_limit.go
@@ -22,6 +22,7 @@
 	defer a.mu.Unlock()
 	before := e.RateLimit()
 	if e.ObserveRateLimit(head.RateLimit.IsPresent, head.RateLimit.PerSecond, sentAt, time.Now()) {
-		a.logRateLimit(e.ID, "response", before, e.RateLimit())
+		a.setRateShare(e, time.Now())
+		a.logRateLimit(e, "response", before)
 	}
 }
--- a/internal/cwgate/burn.go
+++ b/internal/cwgate/burn.go
@@ -37,6 +37,7 @@
 	"noRoom":         cwburn.ReasonOverload,
 	"overload":       cwburn.ReasonOverload,
 	"noPlace":        cwburn.ReasonNoRoute,
+	"rateLimit":      cwburn.ReasonOverload,
 }
 
 // burnReasonOf returns the reason for which a request uses error budget, ReasonTruncated
--- a/internal/cwgate/endpoint_status.go
+++ b/internal/cwgate/endpoint_status.go
@@ -23,6 +23,8 @@
 	// RateLimit is the limit that the endpoint names, in requests per second for all
 	// instances together; null if it names none.
 	RateLimit *float64 `json:"rateLimit"`
+	// RateShare is this instance's share of that limit, in requests per second.
+	RateShare float64 `json:"rateShare"`
 	// InFlight is the number of this instance's requests in progress at the endpoint.
 	InFlight int `json:"inFlight"`
 	// TokensPerSecond is the estimated prompt speed, and FailureRate the fraction of failed
@@ -46,7 +48,7 @@
 			}
 			statuses = append(statuses, EndpointStatus{
 				ID: id, Address: e.Address, Service: service, Domain: e.Domain,
-				Usable: e.IsUsable(now), Draining: e.HasStartedDraining, Evacuated: e.IsEvacuated, Cold: e.IsCold(now), RateLimit: rateLimit,
+				Usable: e.IsUsable(now), Draining: e.HasStartedDraining, Evacuated: e.IsEvacuated, Cold: e.IsCold(now), RateLimit: rateLimit, RateShare: e.RateShare(),
 				InFlight: e.OwnWork().InFlight, TokensPerSecond: e.PromptSpeed(), FailureRate: e.FailureRate(now),
 			})
 		}
--- a/internal/cwgate/gate.go
+++ b/internal/cwgate/gate.go
@@ -43,7 +43,9 @@
 	// exitAddresses are the addresses of the instances to which requests are relayed, by
 	// domain.
 	exitAddresses map[string]string
-	bounds        cwsite.Bounds
+	// rateSharesSetAt is when the shares of the endpoints' rate limits were last computed.
+	rateSharesSetAt time.Time
+	bounds          cwsite.Bounds
 	// view and snapshot are those that sync applied last.
 	view      *cwpublished.View
 	snapshot  *cwcontrol.Snapshot
--- a/internal/cwgate/rate_limit.go
+++ b/internal/cwgate/rate_limit.go
@@ -1,14 +1,165 @@
 package cwgate
 
 import (
+	"time"
+
 	"go.uber.org/zap"
 
+	"github.com/clementinewell/clementinewell/internal/cwcontrol"
 	"github.com/clementinewell/clementinewell/internal/cwplacement"
+	"github.com/clementinewell/clementinewell/internal/cwpolicy"
+)
+
+const (
+	// rateShareInterval is the shortest time between two computations of all shares. The
+	// demand that other instances report changes about once per second.
+	rateShareInterval = 200 * time.Millisecond
+	// sharerSilenceLimit is how long an instance without contact keeps its share in any
+	// case: it may only be partitioned from this one and still use the endpoint.
+	sharerSilenceLimit = 30 * time.Second
+	// rateLimitProbeAfter is the time without any response of an endpoint after which
+	// instances without a share of its limit probe it, at probesPerSecond each. Without
+	// them a limit that was withdrawn unnoticed would hold for good.
+	rateLimitProbeAfter = 30 * time.Second
+	probesPerSecond     = 0.1
+	// withdrawalReportPeriod is how long the withdrawal of a limit is reported.
+	withdrawalReportPeriod = 30 * time.Second
 )
 
+// An endpoint's limit is tolerated to be exceeded by half of it and by rateLimitSlack
+// requests, in a window of rateLimitWindowSeconds. The bursts of all shares use
+// baseLimitBurst requests of this and the limit of limitBurstSeconds. The rest is for the
+// time in which the instances have different knowledge.
+const (
+	baseLimitBurst    = 3
+	limitBurstSeconds = 0.5
+)
+
+// syncRateShares computes the shares of all limits anew, since the other instances or their
+// demand may have changed. The caller holds mu.
+func (g *Gate) syncRateShares(now time.Time) {
+	g.rateSharesSetAt = now
+	for _, p := range g.pools {
+		if !p.HasRateLimits() {
+			continue
+		}
+		for _, e := range p.Endpoints() {
+			g.setRateShare(e, now)
+		}
+	}
+}
+
+// setRateShare computes this instance's share of the limit of an endpoint, if it names one.
+// The caller holds mu.
+func (g *Gate) setRateShare(e *cwplacement.Endpoint, now time.Time) {
+	limit := e.RateLimit()
+	if !limit.IsNamed {
+		return
+	}
+	perSecond, burst := 0.0, 1
+	if now.Sub(g.startedAt) >= ownershipDelay {
+		// A limit of 0 is probed, like one whose endpoint does not respond any more.
+		total := max(limit.PerSecond, probesPerSecond)
+		division := cwpolicy.RateDivision{Key: e.ID, PerSecond: total, Burst: baseLimitBurst + limitBurstSeconds*total, Sharers: g.rateSharers(e, now)}
+		perSecond, burst = division.Share(g.snapshot.Self.PeerAddress)
+	}
+	if now.Sub(limit.ObservedAt) > rateLimitProbeAfter {
+		perSecond, burst = max(perSecond, probesPerSecond), max(burst, 1)
+	}
+	e.SetRateShare(perSecond, burst, now)
+}
+
+// rateSharers returns the instances that share the limit of an endpoint: those of its
+// failure domain, since they have the most accurate lists of each other, or those of the
+// region if the domain has none.
+func (g *Gate) rateSharers(e *cwplacement.Endpoint, now time.Time) []cwpolicy.RateSharer {
+	sharers := g.sharersAmong(e.Service, func(m *cwpolicy.Member) bool { return m.Domain == e.Domain }, now)
+	if len(sharers) > 0 {
+		return sharers
+	}
+	return g.sharersAmong(e.Service, func(m *cwpolicy.Member) bool { return m.Region == e.Region }, now)
+}
+
+// sharersAmong returns the instances of a group that share a limit on requests of a service.
+// Silent ones keep their share while they may only be partitioned from this instance: for
+// sharerSilenceLimit, and longer if this instance has no contact with a majority of the
+// group, since it may then be the one that is partitioned. So the two sides of a partition
+// together never have more than the limit and the shares of the smaller side.
+func (g *Gate) sharersAmong(service string, isInGroup func(m *cwpolicy.Member) bool, now time.Time) []cwpolicy.RateSharer {
+	var current, silent []cwpolicy.RateSharer
+	if self := &g.snapshot.Self; isInGroup(self) {
+		current = append(current, cwpolicy.RateSharer{Address: self.PeerAddress, RequestsPerSecond: g.pools[service].ArrivalsPerSecond(now)})
+	}
+	for i := range g.snapshot.Members {
+		m := &g.snapshot.Members[i]
+		silence := now.Sub(m.LastContactAt)
+		if !isInGroup(m) || m.IsLeaving && silence > g.bounds.ShutdownGrace {
+			continue
+		}
+		sharer := cwpolicy.RateSharer{Address: m.PeerAddress, RequestsPerSecond: g.reportedDemand(m.PeerAddress, service)}
+		if silence > sharerSilenceLimit {
+			silent = append(silent, sharer)
+		} else {
+			current = append(current, sharer)
+		}
+	}
+	if len(silent) >= len(current) {
+		return append(current, silent...)
+	}
+	return current
+}
+
+// reportedDemand returns the rate of requests of a service that another instance last
+// reported.
+func (g *Gate) reportedDemand(address, service string) float64 {
+	for _, d := range g.snapshot.MemberDemands[address] {
+		if d.Key == (cwpolicy.LimitKey{Service: service}) {
+			return d.RequestsPerSecond
+		}
+	}
+	return 0
+}
+
+// mergeRateLimits applies the limits that another instance of the region reported. The
+// caller holds mu.
+func (g *Gate) mergeRateLimits(peer *cwcontrol.PeerWork, now time.Time) {
+	for i := range peer.EndpointWork {
+		w := &peer.EndpointWork[i]
+		if w.RateLimit.ObservedAt.IsZero() {
+			continue
+		}
+		e := g.findEndpoint(w.Endpoint)
+		if e == nil {
+			continue
+		}
+		before := e.RateLimit()
+		if e.MergeRateLimit(cwplacement.RateLimit(w.RateLimit)) {
+			g.setRateShare(e, now)
+			g.logRateLimit(e, "peer", before)
+		}
+	}
+}
+
+// findEndpoint returns the endpoint of the region with the identifier, nil if there is none.
+func (g *Gate) findEndpoint(id string) *cwplacement.Endpoint {
+	return g.pools[g.view.Endpoints[id].Service].Endpoint(id)
+}
+
+// reportedRateLimit returns what the other instances are told about the limit of an
+// endpoint: a named limit, or that it was withdrawn recently.
+func reportedRateLimit(e *cwplacement.Endpoint, now time.Time) cwcontrol.EndpointRateLimit {
+	limit := e.RateLimit()
+	if !limit.IsNamed && now.Sub(limit.ObservedAt) > withdrawalReportPeriod {
+		return cwcontrol.EndpointRateLimit{}
+	}
+	return cwcontrol.EndpointRateLimit(limit)
+}
+
 // logRateLimit logs that the known rate limit of an endpoint has changed. The source is
 // "response", or "peer" if another instance reported it.
-func (g *Gate) logRateLimit(endpoint, source string, before, after cwplacement.RateLimit) {
-	g.Log.Info("endpoint rate limit changed", zap.String("endpoint", endpoint), zap.String("source", source),
-		zap.Bool("named", after.IsNamed), zap.Float64("perSecond", after.PerSecond), zap.Bool("namedBefore", before.IsNamed), zap.Float64("perSecondBefore", before.PerSecond))
+func (g *Gate) logRateLimit(e *cwplacement.Endpoint, source string, before cwplacement.RateLimit) {
+	after := e.RateLimit()
+	g.Log.Info("endpoint rate limit changed", zap.String("endpoint", e.ID), zap.String("source", source),
+		zap.Bool("named", after.IsNamed), zap.Float64("perSecond", after.PerSecond), zap.Float64("share", e.RateShare()),
+		zap.Bool("namedBefore", before.IsNamed), zap.Float64("perSecondBefore", before.PerSecond))
 }
--- a/internal/cwgate/sync.go
+++ b/internal/cwgate/sync.go
@@ -28,9 +28,16 @@
 	until    time.Time
 }
 
-// sync applies changes of the published state and of the control state since the last call.
-// The caller holds mu.
+// sync applies changes of the published state and of the control state since the last call,
+// and computes the shares of rate limits again when that is due. The caller holds mu.
 func (g *Gate) sync(now time.Time) {
+	g.syncState(now)
+	if now.Sub(g.rateSharesSetAt) >= rateShareInterval {
+		g.syncRateShares(now)
+	}
+}
+
+func (g *Gate) syncState(now time.Time) {
 	view, snapshot := g.state.View(), g.control.Snapshot()
 	viewChanged := g.view == nil || view.Generation != g.view.Generation
 	snapshotChanged := g.snapshot == nil || snapshot.Generation != g.snapshot.Generation
@@ -154,6 +161,7 @@
 func (g *Gate) syncPeerWork(now time.Time) {
 	totals := make(map[string]*peerWork)
 	for address, peer := range g.snapshot.PeerWork {
+		g.mergeRateLimits(&peer, now)
 		if now.Sub(peer.ReportedAt) > maxPeerWorkAge {
 			continue
 		}
@@ -254,9 +262,19 @@
 	return capacities
 }
 
-// LimitDemands returns nil, since routes have no limits for client accounts.
+// LimitDemands returns the rate of requests at this instance for each service with an
+// endpoint that names a rate limit. Routes have no limits for client accounts.
 func (g *Gate) LimitDemands() []cwpolicy.LimitDemand {
-	return nil
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var demands []cwpolicy.LimitDemand
+	for name, p := range g.pools {
+		if p.HasRateLimits() {
+			demands = append(demands, cwpolicy.LimitDemand{Key: cwpolicy.LimitKey{Service: name}, RequestsPerSecond: p.ArrivalsPerSecond(now)})
+		}
+	}
+	return demands
 }
 
 // TakeOverTickets refuses all tickets, since routed requests have none.
@@ -266,7 +284,7 @@
 
 // EndpointWork returns the work of this instance at each endpoint of its region, with its
 // measurements there, for the other instances. It omits idle endpoints without recent prompt
-// parts and failures.
+// parts, failures and rate limits.
 func (g *Gate) EndpointWork() []cwcontrol.EndpointWork {
 	now := time.Now()
 	g.mu.Lock()
@@ -280,13 +298,14 @@
 				unreachableAt = time.Time{}
 			}
 			promptSpeed, eventRate := e.Measurements(now)
-			if w.InFlight == 0 && len(parts) == 0 && failureRate < minReportedFailureRate && unreachableAt.IsZero() {
+			rateLimit := reportedRateLimit(e, now)
+			if w.InFlight == 0 && len(parts) == 0 && failureRate < minReportedFailureRate && unreachableAt.IsZero() && rateLimit.ObservedAt.IsZero() {
 				continue
 			}
 			endpointWork = append(endpointWork, cwcontrol.EndpointWork{
 				Endpoint: id, QueuedTokens: toQueuedTokens(w), HeldTokens: w.HeldTokens, InFlight: w.InFlight,
 				PromptParts: toControlParts(parts), FailureRate: failureRate, UnreachableAt: unreachableAt,
-				PromptSpeed: cwcontrol.Measurement(promptSpeed), EventRate: cwcontrol.Measurement(eventRate),
+				PromptSpeed: cwcontrol.Measurement(promptSpeed), EventRate: cwcontrol.Measurement(eventRate), RateLimit: rateLimit,
 			})
 		}
 	}
--- a/internal/cwpeer/exchange_message.go
+++ b/internal/cwpeer/exchange_message.go
@@ -186,6 +186,7 @@
 			Failures:     float32(w.FailureRate),
 			Speed:        protoMeasurement(w.PromptSpeed),
 			Pace:         protoMeasurement(w.EventRate),
+			RateLimit:    protoRateLimit(w.RateLimit, now),
 		})
 		if !w.UnreachableAt.IsZero() {
 			list[i].UnreachableAgeMillis = uint32(max(now.Sub(w.UnreachableAt), 0).Milliseconds()) + 1
@@ -206,6 +207,7 @@
 			FailureRate:  float64(w.GetFailures()),
 			PromptSpeed:  measurementOf(w.GetSpeed()),
 			EventRate:    measurementOf(w.GetPace()),
+			RateLimit:    rateLimitOf(w.GetRateLimit(), now),
 		})
 		if age := w.GetUnreachableAgeMillis(); age > 0 {
 			work[i].UnreachableAt = now.Add(-time.Duration(age-1) * time.Millisecond)
@@ -214,6 +216,21 @@
 	return work
 }
 
+// protoRateLimit encodes a rate limit; nil if nothing is known.
+func protoRateLimit(l cwcontrol.EndpointRateLimit, now time.Time) *cwproto.EndpointRateLimit {
+	if l.ObservedAt.IsZero() {
+		return nil
+	}
+	return &cwproto.EndpointRateLimit{Named: l.IsNamed, PerSecond: l.PerSecond, AgeMillis: uint32(max(now.Sub(l.ObservedAt), 0).Milliseconds())}
+}
+
+func rateLimitOf(l *cwproto.EndpointRateLimit, now time.Time) cwcontrol.EndpointRateLimit {
+	if l == nil {
+		return cwcontrol.EndpointRateLimit{}
+	}
+	return cwcontrol.EndpointRateLimit{IsNamed: l.GetNamed(), PerSecond: l.GetPerSecond(), ObservedAt: now.Add(-time.Duration(l.GetAgeMillis()) * time.Millisecond)}
+}
+
 // protoMeasurement encodes a measurement. An empty one is encoded as nil, so that it is
 // not sent.
 func protoMeasurement(m cwcontrol.Measurement) *cwproto.Measurement {
--- a/internal/cwplacement/decide.go
+++ b/internal/cwplacement/decide.go
@@ -81,6 +81,7 @@
 // late response is of no use.
 func (p *Pool) Decide(req *Request, now time.Time) Decision {
 	d := Decision{LocalFirstByte: -1, RemoteFirstByte: -1}
+	p.arrivals.Count(now)
 	band := bandForPriority(req.Priority)
 	var local, remote candidate
 	if req.IsLocalAllowed {
@@ -107,6 +108,9 @@
 	if local.endpoint != nil {
 		return p.sendLocalOrRefuse(d, req, local, now)
 	}
+	if wait, isLimited := p.reserveLimitedReturn(req, now); isLimited {
+		return p.refuse(d, wait, "rateLimit")
+	}
 	if req.IsStarting {
 		return p.refuse(d, startingRetryAfter, "noPlace")
 	}
@@ -170,7 +174,7 @@
 
 func (p *Pool) send(d Decision, req *Request, c candidate, reason string, now time.Time) Decision {
 	d.Action, d.Reason, d.RestOfResponse = ActionSend, reason, durationOfSeconds(c.prediction.restSeconds)
-	d.IsEndpointLimited = c.endpoint.rateLimit.IsNamed
+	d.IsEndpointLimited = c.endpoint.limit.IsNamed
 	d.Placement = c.endpoint.place(&req.Requirements, c.band, c.prediction, now)
 	return d
 }
--- a/internal/cwplacement/endpoint.go
+++ b/internal/cwplacement/endpoint.go
@@ -53,6 +53,7 @@
 
 	health
 	restartSuspicion
+	rateLimiter
 	// idHash is the hash of the identifier.
 	idHash uint64
 	// readAt is when the entry was read.
@@ -81,7 +82,6 @@
 	promptSpeed, eventRate meter
 	// serviceTimeSeconds is the mean time that a request occupies its slot.
 	serviceTimeSeconds float64
-	rateLimit          RateLimit
 }
 
 // newEndpoint returns an endpoint without measurements, with an initial prompt speed.
@@ -193,6 +193,12 @@
 
 // IsUsable reports whether this instance may send a new request to the endpoint now.
 func (e *Endpoint) IsUsable(now time.Time) bool {
+	return e.isUsableWithinRate(now) && e.isWithinRateLimit(now)
+}
+
+// isUsableWithinRate reports whether this instance may send a new request to the endpoint
+// as soon as the rate limit that the endpoint names allows one.
+func (e *Endpoint) isUsableWithinRate(now time.Time) bool {
 	if e.HasStartedDraining || e.IsEvacuated || e.isEjected(now) {
 		return false
 	}
--- a/internal/cwplacement/placement.go
+++ b/internal/cwplacement/placement.go
@@ -38,6 +38,7 @@
 	if e.IsCold(now) {
 		e.coldLimiter.take(e.coldRate, now)
 	}
+	e.countRequest(now)
 	return p
 }
 
--- a/internal/cwplacement/pool.go
+++ b/internal/cwplacement/pool.go
@@ -49,6 +49,11 @@
 	// relayed is the work relayed to other domains, by domain.
 	relayed map[string]relayedWork
 	rng     *rand.Rand
+	// arrivals is the rate of requests to be placed at this instance.
+	arrivals cwpolicy.ArrivalRate
+	// limitedReturnAt is the time for which the latest caller was told to return that was
+	// refused because of rate limits.
+	limitedReturnAt time.Time
 	// weightBuffer is reused by each decision to avoid allocations.
 	weightBuffer []regionWeight
 }
@@ -70,6 +75,15 @@
 	return p.endpoints
 }
 
+// Endpoint returns the endpoint with the identifier, nil if there is none or the pool is
+// nil.
+func (p *Pool) Endpoint(id string) *Endpoint {
+	if p == nil {
+		return nil
+	}
+	return p.endpoints[id]
+}
+
 // Register adds or updates an endpoint from its entry, which was read at readAt. A new
 // incarnation or address under the same identifier starts without measurements.
 func (p *Pool) Register(entry cwroute.Endpoint, region string, isColdOwner bool, readAt, coldUntil time.Time) *Endpoint {
@@ -160,7 +174,8 @@
 }
 
 // affinityEndpoint returns the endpoint in use that every instance picks for the shared
-// parts of the prompt, by rendezvous hashing; nil without shared parts.
+// parts of the prompt, by rendezvous hashing; nil without shared parts. Endpoints that
+// name a rate limit are omitted: few of the prompts would get there.
 func (p *Pool) affinityEndpoint(rs *Requirements, now time.Time) *Endpoint {
 	key := rs.sharedKey()
 	if key == 0 {
@@ -169,7 +184,7 @@
 	var best *Endpoint
 	highest := uint64(0)
 	for _, e := range p.sorted {
-		if e.HasStartedDraining || e.IsEvacuated || e.isEjected(now) {
+		if e.HasStartedDraining || e.IsEvacuated || e.isEjected(now) || e.limit.IsNamed {
 			continue
 		}
 		if score := rendezvousScore(key, e.idHash); best == nil || score > highest {
@@ -190,12 +205,12 @@
 }
 
 // Capacity returns a summary of the free capacity of the pool in one failure domain,
-// without cold endpoints.
+// without cold endpoints and those that name a rate limit.
 func (p *Pool) Capacity(domain string, now time.Time) cwpolicy.PoolCapacity {
 	var c cwpolicy.PoolCapacity
 	secondsPerToken := 0.0
 	for _, e := range p.sorted {
-		if e.Domain != domain || !e.IsUsable(now) || e.IsCold(now) {
+		if e.Domain != domain || !e.IsUsable(now) || e.IsCold(now) || e.limit.IsNamed {
 			continue
 		}
 		wait, failureRate := e.predict(&Requirements{}, Normal, now).waitSeconds, e.worstFailureRate(now)
--- a/internal/cwpolicy/limits.go
+++ b/internal/cwpolicy/limits.go
@@ -11,9 +11,6 @@
 	limitBurstSeconds = 1.0
 	// limiterIdleTimeout is how long an unused limiter is kept.
 	limiterIdleTimeout = time.Minute
-	// minEvenShareFraction is the fraction of an even share that an instance keeps
-	// without demand.
-	minEvenShareFraction = 0.25
 	// demandGain is the weight of the latest second in the moving average of the demand.
 	demandGain = 0.3
 )
@@ -125,11 +122,6 @@
 	if lim == nil {
 		return
 	}
-	even := 1 / float64(l.instances)
-	proportional := even
-	if sum := lim.demandPerSecond + othersPerSecond; sum > 0 {
-		proportional = lim.demandPerSecond / sum
-	}
-	lim.share = minEvenShareFraction*even + (1-minEvenShareFraction)*proportional
+	lim.share = shareOfDemand(lim.demandPerSecond, lim.demandPerSecond+othersPerSecond, l.instances)
 	lim.applyRate(now)
 }
