Tests: rate limits of endpoints while instances start, are cut off or killed

Scenes with four instances that start in a row, one that is cut off from the others and whose demand grows, one that is killed and starts again; a withdrawn limit is noticed by instances without a share; callers that find all limits spent are refused at once with a time, or served by another region.

--- a/internal/cwapp/routed_rate_limit_test.go
+++ b/internal/cwapp/routed_rate_limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -197,3 +198,131 @@
 		s.is.NoErr(limited.CheckRateLimit(rateLimitSettling))
 	})
 }
+
+// TestEndpointRateLimitHoldsWhileInstancesStart guards against an instance that starts while
+// an endpoint names a limit, and uses the endpoint before it has been told the limit or knows
+// the others that share it.
+func TestEndpointRateLimitHoldsWhileInstancesStart(t *testing.T) {
+	inLimitedScene(t, 2, func(s *limitedScene) {
+		limited, _ := s.addWorkers()
+		limited.SetRateLimit(1)
+		s.AwaitReady()
+		s.loadAll(10, 40*time.Second)
+		time.Sleep(10 * time.Second)
+		for n := range 4 {
+			i := s.AddInstance(fmt.Sprintf("10.1.0.1%d", n), "north-a")
+			s.Await(i.IsReady)
+			s.load(i, 10, 0, 20*time.Second)
+			time.Sleep(time.Second)
+		}
+		s.wg.Wait()
+		s.is.NoErr(limited.CheckRateLimit(rateLimitSettling))
+	})
+}
+
+// TestEndpointRateLimitHoldsWhileInstancesAreCutOff guards against instances that can't reach
+// each other, still reach the endpoint and each take the whole limit.
+func TestEndpointRateLimitHoldsWhileInstancesAreCutOff(t *testing.T) {
+	inLimitedScene(t, 4, func(s *limitedScene) {
+		limited, _ := s.addWorkers()
+		limited.SetRateLimit(2)
+		s.AwaitReady()
+		s.loadAll(8, 70*time.Second)
+		time.Sleep(12 * time.Second)
+		cut := s.instances[3]
+		for _, other := range s.instances[:3] {
+			s.Net.SetPartitioned(cut.IP, other.IP, true)
+		}
+		s.load(cut, 30, 0, 50*time.Second) // its own demand grows, which the others can't know
+		time.Sleep(40 * time.Second)
+		for _, other := range s.instances[:3] {
+			s.Net.SetPartitioned(cut.IP, other.IP, false)
+		}
+		s.wg.Wait()
+		s.is.NoErr(limited.CheckRateLimit(rateLimitSettling))
+	})
+}
+
+// TestEndpointRateLimitHoldsAfterKill guards against the others that exceed the limit with the
+// share of an instance that was killed and has started again.
+func TestEndpointRateLimitHoldsAfterKill(t *testing.T) {
+	inLimitedScene(t, 3, func(s *limitedScene) {
+		limited, _ := s.addWorkers()
+		limited.SetRateLimit(2)
+		s.AwaitReady()
+		s.loadAll(10, 50*time.Second)
+		time.Sleep(12 * time.Second)
+		killed := s.instances[2]
+		s.Kill(killed)
+		time.Sleep(3 * time.Second)
+		s.Net.RestoreHost(killed.IP)
+		killed.Stop()
+		<-killed.Done()
+		restarted := s.AddInstance(killed.IP, "north-a")
+		s.Await(restarted.IsReady)
+		s.load(restarted, 10, 0, 30*time.Second)
+		s.wg.Wait()
+		s.is.NoErr(limited.CheckRateLimit(rateLimitSettling))
+	})
+}
+
+// TestWithdrawnEndpointRateLimitIsNoticed guards against an endpoint that stays limited for an
+// instance which sends it nothing, because other instances hold all shares, after it has
+// withdrawn its limit.
+func TestWithdrawnEndpointRateLimitIsNoticed(t *testing.T) {
+	inLimitedScene(t, 8, func(s *limitedScene) {
+		limited, _ := s.addWorkers()
+		limited.SetRateLimit(0.4)
+		s.AwaitReady()
+		s.loadAll(4, 30*time.Second)
+		time.Sleep(12 * time.Second)
+		limited.ClearRateLimit()
+		time.Sleep(10 * time.Second)
+		from := time.Now()
+		time.Sleep(6 * time.Second)
+		s.is.True(countBetween(limited.Arrivals(), from, time.Now()) >= 6*32/2)
+		s.wg.Wait()
+	})
+}
+
+// TestRequestsBeyondAllEndpointRateLimits guards against callers that wait, or that get no
+// time to return, when the limits of all endpoints of a service are spent. Requests go to
+// another region if it has a free endpoint.
+func TestRequestsBeyondAllEndpointRateLimits(t *testing.T) {
+	for _, test := range []struct {
+		name            string
+		hasRemoteRegion bool
+	}{{name: "no other region"}, {name: "other region", hasRemoteRegion: true}} {
+		t.Run(test.name, func(t *testing.T) {
+			inLimitedScene(t, 2, func(s *limitedScene) {
+				fast, slow := s.addWorkers()
+				if test.hasRemoteRegion {
+					s.AddInstance("10.2.0.1", "south-a")
+					s.AddWorker("south-a", "10.2.1.1")
+				}
+				s.AwaitReady()
+				for _, w := range []*cwstandin.Worker{fast, slow} {
+					w.SetRateLimit(1)
+				}
+				s.loadAll(5, 5*time.Second)
+				s.wg.Wait()
+				s.responses = nil
+				s.loadAll(5, 10*time.Second)
+				s.wg.Wait()
+				for _, resp := range s.responses {
+					s.is.NoErr(resp.Err)
+					if resp.Status == http.StatusOK {
+						continue
+					}
+					s.is.True(!test.hasRemoteRegion)
+					s.is.Equal(resp.Status, http.StatusServiceUnavailable)
+					s.is.True(resp.Elapsed < 200*time.Millisecond)
+					seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+					s.is.NoErr(err)
+					s.is.True(seconds >= 0.4)
+				}
+				s.is.True(s.statusCount(http.StatusOK) >= 15) // three quarters of both limits
+			})
+		})
+	}
+}
