--- a/internal/cwapp/routed_rate_limit_test.go
+++ b/internal/cwapp/routed_rate_limit_test.go
@@ -123,7 +123,7 @@
 				limited.SetRateLimit(test.perSecond)
 				named := time.Now()
 				s.wg.Wait()
-				s.is.NoErr(limited.CheckRateLimit(rateLimitSettling))
+				s.is.NoErr(limited.CheckRateLimit(rateLimitSettling, nil))
 				const usedFrom, usedUntil = 10 * time.Second, 26 * time.Second
 				used := countBetween(limited.Arrivals(), named.Add(usedFrom), named.Add(usedUntil))
 				s.is.True(float64(used) >= 0.5*test.perSecond*(usedUntil-usedFrom).Seconds()-1)
@@ -146,7 +146,7 @@
 		time.Sleep(4 * time.Second)
 		limited.SetRateLimit(1)
 		s.wg.Wait()
-		s.is.NoErr(limited.CheckRateLimit(rateLimitSettling))
+		s.is.NoErr(limited.CheckRateLimit(rateLimitSettling, nil))
 	})
 }
 
@@ -165,7 +165,7 @@
 		}
 		s.wg.Wait()
 		for _, w := range workers {
-			s.is.NoErr(w.CheckRateLimit(rateLimitSettling))
+			s.is.NoErr(w.CheckRateLimit(rateLimitSettling, nil))
 		}
 	})
 }
@@ -195,7 +195,7 @@
 		time.Sleep(6 * time.Second)
 		s.is.True(countBetween(limited.Arrivals(), from, time.Now()) >= 6*30/2) // half of the load
 		s.wg.Wait()
-		s.is.NoErr(limited.CheckRateLimit(rateLimitSettling))
+		s.is.NoErr(limited.CheckRateLimit(rateLimitSettling, nil))
 	})
 }
 
@@ -216,7 +216,7 @@
 			time.Sleep(time.Second)
 		}
 		s.wg.Wait()
-		s.is.NoErr(limited.CheckRateLimit(rateLimitSettling))
+		s.is.NoErr(limited.CheckRateLimit(rateLimitSettling, nil))
 	})
 }
 
@@ -239,7 +239,7 @@
 			s.Net.SetPartitioned(cut.IP, other.IP, false)
 		}
 		s.wg.Wait()
-		s.is.NoErr(limited.CheckRateLimit(rateLimitSettling))
+		s.is.NoErr(limited.CheckRateLimit(rateLimitSettling, nil))
 	})
 }
 
@@ -262,7 +262,7 @@
 		s.Await(restarted.IsReady)
 		s.load(restarted, 10, 0, 30*time.Second)
 		s.wg.Wait()
-		s.is.NoErr(limited.CheckRateLimit(rateLimitSettling))
+		s.is.NoErr(limited.CheckRateLimit(rateLimitSettling, nil))
 	})
 }
 
--- a/internal/cwsoak/gateway_process_test.go
+++ b/internal/cwsoak/gateway_process_test.go
@@ -24,6 +24,8 @@
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
+	// starts are the times at which processes were started.
+	starts []time.Time
 	// pausedUntil is when a paused process resumes, and startedAt when the current process
 	// was started. faults are the times in which a process was killed or paused, and shutdowns
 	// those from SIGTERM to exit. mu guards cmd and these fields.
@@ -64,7 +66,7 @@
 bounds.cold-slack=3
 bounds.ttl_max_s=5
 provider.address=%[5]s
-`, ip, domain, strings.TrimSuffix(domain, "-a"), strings.Join(seedPeers, ","), storeAddress)
+`, ip, domain, strings.TrimSuffix(domain, "-a"), strings.Join(seedPeers, ","), storeAddress())
 }
 
 func newGatewayProcess(t *testing.T, program, ip, domain string, seedPeers []string) *gatewayProcess {
@@ -99,6 +101,7 @@
 	}
 	p.mu.Lock()
 	p.cmd, p.startedAt = cmd, time.Now()
+	p.starts = append(p.starts, p.startedAt)
 	p.mu.Unlock()
 }
 
@@ -156,6 +159,15 @@
 	return slices.ContainsFunc(p.faults, func(f span) bool { return f.overlaps(from, to) })
 }
 
+// hadRestart reports whether the process was started, or shut down, between two times. A
+// killed process is started again at once.
+func (p *gatewayProcess) hadRestart(from, to time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.starts, func(at time.Time) bool { return span{from: at, to: at}.overlaps(from, to) }) ||
+		slices.ContainsFunc(p.shutdowns, func(d span) bool { return d.overlaps(from, to) })
+}
+
 // findShutdown returns the last shutdown during which a request was sent or cut.
 func (p *gatewayProcess) findShutdown(resp response) (shutdown span, ok bool) {
 	p.mu.Lock()
--- a/internal/cwsoak/soak_test.go
+++ b/internal/cwsoak/soak_test.go
@@ -28,13 +28,13 @@
 var (
 	firstSeed   = flag.Uint64("soak.seed", 1, "first seed to run")
 	seedCount   = flag.Int("soak.seeds", 1, "number of seeds to run")
+	network     = flag.Int("soak.network", 0, "second number of the loopback addresses, so that several soaks can run at once")
 	faultPeriod = flag.Duration("soak.lasts", 5*time.Second, "duration of the fault injection in each run")
 )
 
 const (
-	storeAddress = "127.0.21.1:8010"
-	workerPort   = "8010"
-	routeHost    = "app.example"
+	workerPort = "8010"
+	routeHost  = "app.example"
 	// recoveryTimeout is the time within which all instances must serve again after
 	// the last fault. It is the recovery time that the platform allows.
 	recoveryTimeout = 12 * time.Second
@@ -56,7 +56,8 @@
 // the store, workers and instances that break a guarantee to callers: a success
 // carries the whole response to its own request, an unsafe request runs at most
 // once, a refused one not at all, an instance drops no request that it has read because
-// of planned work, and all instances recover in time.
+// of planned work, workers get no more than the rate limits that they name, and all
+// instances recover in time.
 func TestSoak(t *testing.T) {
 	program := filepath.Join(t.TempDir(), "clementinewell")
 	build := exec.Command("go", "build", "-o", program, "../../cmd/clementinewell")
@@ -99,10 +100,10 @@
 		t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 7)), store: cwstandin.NewStore(),
 		refusedIDs: make(map[string]bool), unsafeIDs: make(map[string]bool),
 	}
-	s.storeProxy = newProxy(t, storeAddress, startServer(t, s.store.Handler()))
+	s.storeProxy = newProxy(t, storeAddress(), startServer(t, s.store.Handler()))
 	for n, domain := range []string{"north-a", "north-a", "south-a", "south-a"} {
 		w := cwstandin.NewWorker(fmt.Sprint("worker-", n))
-		ip := fmt.Sprintf("127.0.22.%d", n+1)
+		ip := loopbackIP(22, n+1)
 		s.workers = append(s.workers, w)
 		o := &workerObserver{worker: w, domain: domain, work: make(map[string]work)}
 		s.observers = append(s.observers, o)
@@ -110,13 +111,22 @@
 		s.registerWorker(n, domain)
 	}
 	s.publishConfig()
-	seedAddresses := []string{"127.0.23.1:8003", "127.0.23.3:8003"}
+	seedAddresses := []string{loopbackIP(23, 1) + ":8003", loopbackIP(23, 3) + ":8003"}
 	for n, domain := range []string{"north-a", "north-a", "south-a", "south-a"} {
-		s.instances = append(s.instances, newGatewayProcess(t, program, fmt.Sprintf("127.0.23.%d", n+1), domain, seedAddresses))
+		s.instances = append(s.instances, newGatewayProcess(t, program, loopbackIP(23, n+1), domain, seedAddresses))
 	}
 	return s
 }
 
+// loopbackIP returns a loopback address by its last two numbers.
+func loopbackIP(third, fourth int) string {
+	return fmt.Sprintf("127.%d.%d.%d", *network, third, fourth)
+}
+
+func storeAddress() string {
+	return loopbackIP(21, 1) + ":8010"
+}
+
 func startServer(t *testing.T, handler http.Handler) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -130,7 +140,7 @@
 
 func (s *soakRun) registerWorker(n int, domain string) {
 	s.store.PutJSON("servers/"+s.workers[n].ID, map[string]any{
-		"service": "app", "address": fmt.Sprintf("127.0.22.%d:%s", n+1, workerPort), "zone": domain,
+		"service": "app", "address": loopbackIP(22, n+1) + ":" + workerPort, "zone": domain,
 		"slots": 32, "state": "ready", "cold-remaining-ms": 0, "sequence": s.configVersion, "born": 1,
 	})
 }
@@ -166,6 +176,7 @@
 		wg.Go(func() { c.run(ctx, n) })
 	}
 	s.runPlannedWork(rand.New(rand.NewPCG(s.seed, 8)))
+	s.runRateLimits(rand.New(rand.NewPCG(s.seed, 9)))
 	for end := time.Now().Add(*faultPeriod); time.Now().Before(end); {
 		s.injectFault()
 		<-time.After(time.Duration(50+s.rng.IntN(300)) * time.Millisecond)
--- a/internal/cwstandin/rate_limit.go
+++ b/internal/cwstandin/rate_limit.go
@@ -52,8 +52,8 @@
 // CheckRateLimit returns an error if the worker received more requests than tolerated in any
 // window. Requests of all instances count, also of those that no response told the limit.
 // Counting begins when the worker has named a limit for the settling time, and ends when it
-// names none.
-func (w *Worker) CheckRateLimit(settling time.Duration) error {
+// names none. Windows for which isExcused returns true are omitted; it may be nil.
+func (w *Worker) CheckRateLimit(settling time.Duration, isExcused func(from, to time.Time) bool) error {
 	arrivals := w.Arrivals()
 	slices.SortFunc(arrivals, time.Time.Compare)
 	w.mu.Lock()
@@ -61,7 +61,7 @@
 	w.mu.Unlock()
 	for first, start := range arrivals {
 		allowed, ok := allowedRequests(limits, start, settling)
-		if !ok {
+		if !ok || isExcused != nil && isExcused(start, start.Add(rateLimitWindow)) {
 			continue
 		}
 		count := 0
