Servers recognise the head of a pipelined request

Cause: net/http reads the bytes of the next request together with the end of the one before, and then the connection counts as idle although the peer is sending a head: a drain cut it off with status 400, and it had the time of an idle connection (60 s) for a head (5 s). Change: conn finds the end of each request by its blank line and Content-Length and gives net/http no bytes beyond it, so that what was read of the next one is known. After a chunked body or an invalid length it can't, as before. Ruled out: to ask net/http how much it has buffered (not exposed); to replace its server.

--- a/internal/cwserver/conn.go
+++ b/internal/cwserver/conn.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,11 +29,19 @@
 	idleSince time.Time
 	// responseCount is the number of requests that were answered.
 	responseCount int
-	// requestBytes is the number of bytes read since the last response, and requestAt the
+	// requestBytes is the number of bytes read of the request in progress, and requestAt the
 	// time of the first of them. hasResponded is set with the first byte of the response.
 	requestBytes int
 	requestAt    time.Time
 	hasResponded bool
+	// framer finds the end of the request, hasEnded is set at the end, and nextBytes is the
+	// number of bytes read of the request after it.
+	framer    requestFramer
+	hasEnded  bool
+	nextBytes int
+	// unread are bytes of the next request that were read from the socket together with the
+	// request in progress.
+	unread []byte
 	// isPeerGone is set if a read failed, other than by its deadline, and isClosed by Close.
 	isPeerGone, isClosed bool
 	// isClosing is set by closeWhenUnused, and isReadAborted if it set the deadline of a
@@ -53,9 +62,20 @@
 	if c.isDone() {
 		return 0, io.EOF
 	}
-	n, err := c.Conn.Read(p)
-	c.recordRead(n, err)
-	return n, err
+	n, err := c.readUnread(p), error(nil)
+	if n == 0 {
+		n, err = c.Conn.Read(p)
+	}
+	return c.recordRead(p[:n], err), err
+}
+
+// readUnread moves bytes from unread to p and returns their number.
+func (c *conn) readUnread(p []byte) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := copy(p, c.unread)
+	c.unread = c.unread[n:]
+	return n
 }
 
 // requestDeadline returns the deadline for the rest of a head, or for the first byte of a
@@ -84,20 +104,33 @@
 	return c.isClosing && c.isUnused()
 }
 
-// isUnused reports whether the peer has sent no request since the last response. The bytes of
-// a request in progress may have been read together with the request before it, so that
-// requestBytes does not include them. The caller holds mu.
+// isUnused reports whether the peer has sent no request since the last response. After a
+// request whose end the framer can't find, bytes of the next one may have been read together
+// with it, so that requestBytes does not include them. The caller holds mu.
 func (c *conn) isUnused() bool {
-	return c.state != http.StateActive && c.requestBytes == 0 && cwnet.IsIdleConnUsable(c.Conn)
+	return c.state != http.StateActive && c.requestBytes == 0 && len(c.unread) == 0 && cwnet.IsIdleConnUsable(c.Conn)
 }
 
-func (c *conn) recordRead(n int, err error) {
+// recordRead counts the bytes that belong to the request in progress or, once that has been
+// read to its end, to the next one. It returns how many of the bytes net/http may have now: it
+// gets no bytes of the next request together with the end of this one, since it would not be
+// known here that a part of the next one has arrived.
+func (c *conn) recordRead(p []byte, err error) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	n, isEnd := c.framer.take(p)
+	if n < len(p) {
+		c.unread = slices.Concat(p[n:], c.unread)
+	}
 	if n > 0 && c.requestBytes == 0 {
 		c.requestAt = time.Now()
 	}
-	c.requestBytes += n
+	if c.hasEnded {
+		c.nextBytes += n
+	} else {
+		c.requestBytes += n
+		c.hasEnded = isEnd
+	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.isPeerGone = true
 	}
@@ -107,6 +140,7 @@
 		c.isReadAborted = false
 		_ = c.Conn.SetReadDeadline(time.Time{})
 	}
+	return n
 }
 
 // closeWhenUnused makes net/http close the connection once no request is in progress. A
@@ -201,6 +235,9 @@
 	case http.StateIdle:
 		c.idleSince = time.Now()
 		c.responseCount++
-		c.requestBytes, c.hasResponded = 0, false
+		// The time for a head begins with the response's end if the peer sent its first bytes
+		// before.
+		c.requestBytes, c.requestAt = c.nextBytes, c.idleSince
+		c.nextBytes, c.hasEnded, c.hasResponded = 0, false, false
 	}
 }
--- a/internal/cwserver/pipelined_test.go
+++ b/internal/cwserver/pipelined_test.go
@@ -71,3 +71,38 @@
 		s.is.Equal(time.Since(start), 5*time.Second)
 	})
 }
+
+// TestPipelinedRequestsArriveWhole guards against bytes of a request that are lost, or reach
+// another request, because they were read together with the request before it.
+func TestPipelinedRequestsArriveWhole(t *testing.T) {
+	echo := func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		_, _ = io.WriteString(w, r.URL.Path+" "+string(body))
+	}
+	const (
+		get     = "GET /get HTTP/1.1\r\nHost: a\r\n\r\n"
+		post    = "POST /post HTTP/1.1\r\nHost: a\r\ncontent-length: 9\r\n\r\nab\r\n\r\ncde"
+		chunked = "POST /chunked HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"
+	)
+	text := post + get + get + post + post + chunked + get + chunked + post
+	want := []string{"/post ab\r\n\r\ncde", "/get ", "/get ", "/post ab\r\n\r\ncde", "/post ab\r\n\r\ncde", "/chunked hello", "/get ", "/chunked hello", "/post ab\r\n\r\ncde"}
+	for split := range len(text) {
+		withServer(t, echo, func(s *testServer) {
+			c := s.dial()
+			go func() {
+				_, _ = io.WriteString(c, text[:split])
+				time.Sleep(time.Millisecond)
+				_, _ = io.WriteString(c, text[split:])
+			}()
+			reader := bufio.NewReader(c)
+			for _, body := range want {
+				resp, err := http.ReadResponse(reader, nil)
+				s.is.NoErr(err)
+				got, err := io.ReadAll(resp.Body)
+				s.is.NoErr(err)
+				s.is.Equal(string(got), body)
+			}
+			s.is.NoErr(c.Close())
+		})
+	}
+}
