Published state is ordered by the store's era and revision

Cause: a store that comes back from an older copy gives revisions out again. Instances compared revisions alone: after the store's 410 they read all items, found nothing newer, watched the old revision again and so on, without a pause; and what was written again under lower revisions was ignored. A new era is taken as a full state. The newest configuration stays; what the copy lacks has time to be written again; entries of endpoints known to be gone are ignored until then. Reading again after 410 pauses for 50 to 150 ms. Ruled out: a pair of fields in messages (the version before can't compare it); to drop all state.

--- a/internal/cwadmin/routed_handler.go
+++ b/internal/cwadmin/routed_handler.go
@@ -45,6 +45,8 @@
 	// Revision is the revision of the published state.
 	ConfigVersion uint64 `json:"configVersion"`
 	Revision      uint64 `json:"revision"`
+	// Era is the era of the store.
+	Era uint64 `json:"era"`
 	// EvacuatedDomains are the failure domains that get no new requests.
 	EvacuatedDomains []string `json:"evacuated"`
 	// Peers and Endpoints are the last known states of the other instances and of the
@@ -68,7 +70,7 @@
 	s, view := h.control.Snapshot(), h.state.View()
 	status := RoutedStatus{
 		Incarnation: h.Incarnation, Region: h.Settings.Region, Domain: h.Settings.Domain,
-		IsReady: s.IsReady, IsLeaving: s.Self.IsLeaving, InFlight: h.gate.InFlight(), Revision: view.Revision,
+		IsReady: s.IsReady, IsLeaving: s.Self.IsLeaving, InFlight: h.gate.InFlight(), Revision: view.Revision.StoreRevision(), Era: view.Revision.Era(),
 		EvacuatedDomains: []string{}, Peers: peerStatuses(s, now), Endpoints: h.gate.EndpointStatuses(now),
 	}
 	if view.Config != nil {
--- a/internal/cwapp/routed_app.go
+++ b/internal/cwapp/routed_app.go
@@ -45,7 +45,9 @@
 func NewRoutedApp(settings *cwsetting.Settings, site *cwsite.Site, log *zap.Logger, n cwnet.Net) *RoutedApp {
 	r := &RoutedApp{instance: newInstance(settings, log, n), site: site, seedPeers: site.SeedPeers}
 	r.State = cwpublished.NewState(r.Common, cwwire.DecodeRecord)
-	r.State.OnApply = func(revision uint64) { r.Control.TryPost(cwcontrol.PublishedApplied{Revision: revision}) }
+	r.State.OnApply = func(revision cwpublished.Revision) {
+		r.Control.TryPost(cwcontrol.PublishedApplied{Revision: uint64(revision)})
+	}
 	r.State.OnStoreContact = func(unreachable bool) { r.Control.TryPost(cwcontrol.SelfStoreUnreachable{IsUnreachable: unreachable}) }
 	r.follower = cwpublished.NewFollower(r.Common, r.State, cwwire.NewStoreClient(site.StoreAddress, n), r.IsReader)
 	r.gate = cwgate.NewGate(r.Common, site, r.Control, r.State, cwwire.Codec{}, newSeed())
--- a/internal/cwgate/log.go
+++ b/internal/cwgate/log.go
@@ -33,7 +33,7 @@
 	routed.responder.place = place
 	g.Log.Info("attempt", zap.String("request", routed.ID), zap.String("route", routed.route.Name), zap.String("place", place),
 		zap.String("why", d.Reason), zap.Int("attempt", routed.attempts), zap.Duration("predicted", d.LocalFirstByte), zap.Duration("predictedAway", d.RemoteFirstByte),
-		zap.Uint64("revision", g.state.Revision()), zap.Bool("notRun", r.notRun), zap.Bool("done", r.done), zap.Error(r.err))
+		zap.Uint64("revision", g.state.Revision().StoreRevision()), zap.Bool("notRun", r.notRun), zap.Bool("done", r.done), zap.Error(r.err))
 }
 
 // logRefused logs a request that was refused for lack of a place, and records it for the
@@ -44,7 +44,7 @@
 	}
 	g.Log.Info("request refused", zap.String("request", routed.ID), zap.String("route", routed.route.Name), zap.String("service", routed.service), zap.String("reason", d.Reason),
 		zap.Duration("predicted", d.LocalFirstByte), zap.Duration("predictedAway", d.RemoteFirstByte), zap.Duration("retryAfter", d.RetryAfter),
-		zap.Int("attempts", routed.attempts), zap.Bool("relayed", routed.IsRelayed), zap.Uint64("revision", g.state.Revision()))
+		zap.Int("attempts", routed.attempts), zap.Bool("relayed", routed.IsRelayed), zap.Uint64("revision", g.state.Revision().StoreRevision()))
 }
 
 // logEnd logs the end of a request, counts it and records it for the error budget.
--- a/internal/cwgate/sync.go
+++ b/internal/cwgate/sync.go
@@ -24,7 +24,7 @@
 // coldPeriod is the time until which an endpoint is cold according to one revision of its
 // published entry. A cold endpoint takes only a low rate of requests.
 type coldPeriod struct {
-	revision uint64
+	revision cwpublished.Revision
 	until    time.Time
 }
 
--- a/internal/cwpeer/client.go
+++ b/internal/cwpeer/client.go
@@ -68,20 +68,20 @@
 
 // FetchPublished fetches the changes of the published state after a revision from the
 // peer.
-func (c *Client) FetchPublished(ctx context.Context, address string, after uint64) (cwpublished.Delta, error) {
+func (c *Client) FetchPublished(ctx context.Context, address string, after cwpublished.Revision) (cwpublished.Delta, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	resp, err := c.peerAt(address).FetchPublished(ctx, &cwproto.FetchPublishedRequest{After: after})
+	resp, err := c.peerAt(address).FetchPublished(ctx, &cwproto.FetchPublishedRequest{After: uint64(after)})
 	if err != nil {
 		return cwpublished.Delta{}, fmt.Errorf("fetch published state from %s: %w", address, err)
 	}
-	d := cwpublished.Delta{Revision: resp.GetCurrent(), IsFull: resp.GetWhole()}
+	d := cwpublished.Delta{Revision: cwpublished.Revision(resp.GetCurrent()), IsFull: resp.GetWhole()}
 	if resp.GetTroubled() {
 		d.StoreUnreachableAt = time.Now().Add(-time.Duration(resp.GetTroubleAgeMillis()) * time.Millisecond)
 	}
 	for _, item := range resp.GetItems() {
 		d.Items = append(d.Items, cwpublished.Item{
-			Key: item.GetKey(), Value: item.GetValue(), Revision: item.GetRevision(), IsRemoved: item.GetRemoved(),
+			Key: item.GetKey(), Value: item.GetValue(), Revision: cwpublished.Revision(item.GetRevision()), IsRemoved: item.GetRemoved(),
 		})
 	}
 	return d, nil
--- a/internal/cwpeer/server.go
+++ b/internal/cwpeer/server.go
@@ -37,7 +37,7 @@
 type PublishedSource interface {
 	// ChangesSince returns the changes after the revision, or all items if the source no
 	// longer has the changes or the revision is 0.
-	ChangesSince(after uint64) cwpublished.Delta
+	ChangesSince(after cwpublished.Revision) cwpublished.Delta
 }
 
 // ManifestSource provides the manifests of configurations, byte for byte as published.
@@ -125,14 +125,14 @@
 	if s.sources.Published == nil {
 		return &cwproto.FetchPublishedResponse{}, nil
 	}
-	d := s.sources.Published.ChangesSince(req.GetAfter())
-	resp := &cwproto.FetchPublishedResponse{Current: d.Revision, Whole: d.IsFull}
+	d := s.sources.Published.ChangesSince(cwpublished.Revision(req.GetAfter()))
+	resp := &cwproto.FetchPublishedResponse{Current: uint64(d.Revision), Whole: d.IsFull}
 	if !d.StoreUnreachableAt.IsZero() {
 		resp.Troubled, resp.TroubleAgeMillis = true, uint32(max(time.Since(d.StoreUnreachableAt), 0).Milliseconds())
 	}
 	for _, item := range d.Items {
 		resp.Items = append(resp.Items, &cwproto.PublishedItem{
-			Key: item.Key, Value: item.Value, Revision: item.Revision, Removed: item.IsRemoved,
+			Key: item.Key, Value: item.Value, Revision: uint64(item.Revision), Removed: item.IsRemoved,
 		})
 	}
 	return resp, nil
--- a/internal/cwpublished/follower.go
+++ b/internal/cwpublished/follower.go
@@ -71,9 +71,10 @@
 		if ctx.Err() != nil {
 			break
 		}
-		if errors.Is(err, ErrCompacted) {
-			f.Log.Info("store has compacted its history; reading all items", zap.Uint64("revision", f.state.Revision()))
+		if errors.Is(err, ErrCompacted) || errors.Is(err, ErrRestored) {
+			f.Log.Info("store has compacted its history; reading all items", zap.Uint64("revision", f.state.Revision().StoreRevision()), zap.Error(err))
 			f.hasAllItems = false
+			cwcommon.Sleep(ctx, minRetryPause/2+rand.N(minRetryPause))
 			continue
 		}
 		f.state.SetStoreUnreachable(true)
@@ -154,7 +155,7 @@
 // starts from the revision of the first page, and newer items replace older ones.
 func (f *Follower) readAll(ctx context.Context) error {
 	var items []Item
-	firstRevision, afterKey := uint64(0), ""
+	firstRevision, afterKey := Revision(0), ""
 	for range maxPages {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeoutMargin)
 		page, err := f.store.Range(callCtx, afterKey)
@@ -166,6 +167,9 @@
 		if firstRevision == 0 {
 			firstRevision = page.Revision
 		}
+		if page.Revision.Era() != firstRevision.Era() {
+			return fmt.Errorf("read page after %q: %w", afterKey, ErrRestored)
+		}
 		items = append(items, page.Items...)
 		if !page.HasMore || len(page.Items) == 0 {
 			f.state.SetStoreUnreachable(false)
--- a/internal/cwpublished/interpreter.go
+++ b/internal/cwpublished/interpreter.go
@@ -17,9 +17,10 @@
 // is reachable again.
 type interpreter struct {
 	decode Decoder
-	// config is the configuration with the highest version.
-	config    *cwroute.Config
-	endpoints map[string]Registration
+	// config is the configuration with the highest version, and configItem its item.
+	config     *cwroute.Config
+	configItem Item
+	endpoints  map[string]Registration
 	// missingSince holds, for endpoints whose entry was removed, the time of the removal.
 	missingSince map[string]time.Time
 	// nameByKey holds the endpoint or the evacuated domain of each item, by key.
@@ -32,6 +33,33 @@
 	// reach the store; zero if that never happened.
 	storeUnreachableAt time.Time
 	isStoreUnreachable bool
+	// isRestoring is set while items of a restored store are applied.
+	isRestoring bool
+	// removed are the incarnations that were dropped, with the time. The entry of one in a
+	// copy of the store is out of date.
+	removed map[incarnation]time.Time
+	// lostEntries are the endpoints in missingSince whose entry a copy of the store does not
+	// have. They have not been removed.
+	lostEntries map[string]bool
+	// lostEvacuations holds, for evacuations that a copy of the store does not have, until
+	// when they are kept.
+	lostEvacuations map[string]time.Time
+}
+
+const (
+	// operatorRewriteTime is how long an evacuation that a restored store has lost is kept.
+	// By then the operator has written again what is still wanted.
+	operatorRewriteTime = 10 * time.Second
+	// removedRetention is how long dropped incarnations are kept. A copy of the store is some
+	// seconds old.
+	removedRetention = 2 * time.Minute
+)
+
+// beginEra prepares for the items of a store that was restored from a copy: what it has lost
+// is written again, as after an outage.
+func (in *interpreter) beginEra(now time.Time) {
+	in.isRestoring = true
+	in.storeUnreachableAt = now
 }
 
 // incarnation identifies an endpoint from one start to the next.
@@ -48,6 +76,9 @@
 		nameByKey:        make(map[string]string),
 		evacuatedDomains: make(map[string]bool),
 		draining:         make(map[incarnation]bool),
+		removed:          make(map[incarnation]time.Time),
+		lostEntries:      make(map[string]bool),
+		lostEvacuations:  make(map[string]time.Time),
 	}
 }
 
@@ -68,11 +99,12 @@
 	case record == nil:
 	case record.Config != nil:
 		if in.config == nil || record.Config.Version >= in.config.Version {
-			in.config = record.Config
+			in.config, in.configItem = record.Config, item
 		}
 	case record.Evacuation != nil:
 		in.nameByKey[item.Key] = record.Evacuation.Domain
 		in.evacuatedDomains[record.Evacuation.Domain] = true
+		delete(in.lostEvacuations, record.Evacuation.Domain)
 	case record.Endpoint != nil:
 		in.register(item, *record.Endpoint, now)
 	}
@@ -84,12 +116,28 @@
 	if e.IsDraining {
 		in.draining[current] = true
 	}
+	known, isKnown := in.endpoints[e.ID]
+	if in.isRestoring && (in.isRemoved(current) || isKnown && e.StartedAtMillis < known.StartedAtMillis) {
+		return
+	}
+	delete(in.removed, current)
+	if isKnown && known.StartedAtMillis != e.StartedAtMillis {
+		in.removed[incarnation{id: e.ID, startedAtMillis: known.StartedAtMillis}] = now
+	}
 	e.IsDraining = in.draining[current]
 	in.nameByKey[item.Key] = e.ID
 	delete(in.missingSince, e.ID)
+	delete(in.lostEntries, e.ID)
 	in.endpoints[e.ID] = Registration{Endpoint: e, ReadAt: now, Revision: item.Revision}
 }
 
+// isRemoved reports whether the entry of an incarnation was removed.
+func (in *interpreter) isRemoved(i incarnation) bool {
+	_, isMissing := in.missingSince[i.id]
+	_, isDropped := in.removed[i]
+	return isMissing && !in.lostEntries[i.id] && in.endpoints[i.id].StartedAtMillis == i.startedAtMillis || isDropped
+}
+
 // remove removes the endpoint or the evacuation of a key. A removed configuration stays in
 // force.
 func (in *interpreter) remove(key string, now time.Time) {
@@ -99,11 +147,18 @@
 	}
 	delete(in.nameByKey, key)
 	if in.evacuatedDomains[name] {
+		if in.isRestoring {
+			in.lostEvacuations[name] = now.Add(operatorRewriteTime)
+			return
+		}
 		delete(in.evacuatedDomains, name)
 		return
 	}
 	if _, isKnown := in.endpoints[name]; isKnown {
 		in.missingSince[name] = now
+		if in.isRestoring {
+			in.lostEntries[name] = true
+		}
 	}
 }
 
@@ -126,6 +181,36 @@
 // dropMissing drops the endpoints without an entry, unless they may still register
 // again. It returns when to call it again; zero if no such endpoint is left.
 func (in *interpreter) dropMissing(now time.Time) time.Time {
+	recheckAt := in.dropLostEvacuations(now)
+	if endpointsAt := in.dropMissingEndpoints(now); recheckAt.IsZero() || !endpointsAt.IsZero() && endpointsAt.Before(recheckAt) {
+		return endpointsAt
+	}
+	return recheckAt
+}
+
+// dropLostEvacuations ends the evacuations that were not written again in time. It returns
+// when to call it again; zero if none is left.
+func (in *interpreter) dropLostEvacuations(now time.Time) time.Time {
+	var recheckAt time.Time
+	for domain, until := range in.lostEvacuations {
+		if !now.Before(until) {
+			delete(in.lostEvacuations, domain)
+			delete(in.evacuatedDomains, domain)
+		} else if recheckAt.IsZero() || until.Before(recheckAt) {
+			recheckAt = until
+		}
+	}
+	return recheckAt
+}
+
+// dropMissingEndpoints drops the endpoints without an entry. It returns when to call it again;
+// zero if no such endpoint is left.
+func (in *interpreter) dropMissingEndpoints(now time.Time) time.Time {
+	for i, at := range in.removed {
+		if now.Sub(at) > removedRetention {
+			delete(in.removed, i)
+		}
+	}
 	if len(in.missingSince) == 0 {
 		return time.Time{}
 	}
@@ -138,15 +223,18 @@
 	}
 	for id := range in.missingSince {
 		e := in.endpoints[id]
-		delete(in.draining, incarnation{id: id, startedAtMillis: e.StartedAtMillis})
+		dropped := incarnation{id: id, startedAtMillis: e.StartedAtMillis}
+		delete(in.draining, dropped)
+		in.removed[dropped] = now
 		delete(in.endpoints, id)
 	}
 	clear(in.missingSince)
+	clear(in.lostEntries)
 	return time.Time{}
 }
 
 // view returns a view of all items that are applied so far.
-func (in *interpreter) view(generation, revision uint64) *View {
+func (in *interpreter) view(generation uint64, revision Revision) *View {
 	return &View{
 		Generation:       generation,
 		Revision:         revision,
--- a/internal/cwpublished/item.go
+++ b/internal/cwpublished/item.go
@@ -11,7 +11,7 @@
 	// Value is the published value; nil for a removal.
 	Value []byte
 	// Revision is the revision of the change; it orders the changes of all items.
-	Revision uint64
+	Revision Revision
 	// IsRemoved is set if the item was removed at the revision.
 	IsRemoved bool
 }
--- a/internal/cwpublished/item_set.go
+++ b/internal/cwpublished/item_set.go
@@ -16,8 +16,8 @@
 	// tombstones are those of the latest removals, at most maxTombstones.
 	tombstones []Item
 	// compactedRevision is the revision up to which tombstones may be missing.
-	compactedRevision uint64
-	revision          uint64
+	compactedRevision Revision
+	revision          Revision
 }
 
 // NewItemSet returns an empty set.
@@ -27,7 +27,7 @@
 
 // Revision returns the revision up to which the set is complete; 0 until changes
 // are applied.
-func (s *ItemSet) Revision() uint64 {
+func (s *ItemSet) Revision() Revision {
 	return s.revision
 }
 
@@ -38,7 +38,7 @@
 
 // Apply applies changes that are complete up to the revision. It returns the items that
 // changed the set.
-func (s *ItemSet) Apply(items []Item, revision uint64) []Item {
+func (s *ItemSet) Apply(items []Item, revision Revision) []Item {
 	var changed []Item
 	for _, item := range items {
 		if s.put(item) {
@@ -52,7 +52,7 @@
 // Replace replaces all items with those read at the revision or later. Items of the set
 // that are missing in the new ones and not newer than the revision are removed. It
 // returns the items that changed the set.
-func (s *ItemSet) Replace(items []Item, revision uint64) []Item {
+func (s *ItemSet) Replace(items []Item, revision Revision) []Item {
 	changed := s.Apply(items, revision)
 	seen := make(map[string]bool, len(items))
 	for _, item := range items {
@@ -87,7 +87,7 @@
 
 // removalRevision returns the revision of the latest tombstone of the key, 0 if there
 // is none.
-func (s *ItemSet) removalRevision(key string) uint64 {
+func (s *ItemSet) removalRevision(key string) Revision {
 	for i := len(s.tombstones) - 1; i >= 0; i-- {
 		if s.tombstones[i].Key == key {
 			return s.tombstones[i].Revision
@@ -104,9 +104,14 @@
 	}
 }
 
+// Keep sets the value of an item without a change in the store.
+func (s *ItemSet) Keep(item Item) {
+	s.items[item.Key] = item
+}
+
 // ChangesSince returns the changes after the revision, for a peer. If isFull is set, the
 // items are all published items instead.
-func (s *ItemSet) ChangesSince(after uint64) (items []Item, isFull bool) {
+func (s *ItemSet) ChangesSince(after Revision) (items []Item, isFull bool) {
 	isFull = after < s.compactedRevision || after == 0
 	for _, item := range s.items {
 		if isFull || item.Revision > after {
--- a/internal/cwpublished/state.go
+++ b/internal/cwpublished/state.go
@@ -15,7 +15,7 @@
 	*cwcommon.Common
 	// OnApply is called after each Apply with the revision of the state. Like
 	// OnStoreContact it must be set before the state is used.
-	OnApply func(revision uint64)
+	OnApply func(revision Revision)
 	// OnStoreContact is called when the store becomes unreachable or reachable again.
 	OnStoreContact func(isUnreachable bool)
 
@@ -47,7 +47,7 @@
 }
 
 // Revision returns the revision up to which the state is complete.
-func (s *State) Revision() uint64 {
+func (s *State) Revision() Revision {
 	return s.View().Revision
 }
 
@@ -64,6 +64,11 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	previousRevision := s.items.Revision()
+	isRestored := previousRevision > 0 && d.Revision.Era() > previousRevision.Era()
+	if isRestored && !d.IsFull {
+		// The changes of the new era don't state what the store has lost.
+		return
+	}
 	var changed []Item
 	if d.IsFull {
 		changed = s.items.Replace(d.Items, d.Revision)
@@ -71,18 +76,44 @@
 		changed = s.items.Apply(d.Items, d.Revision)
 	}
 	s.interpreter.recordStoreUnreachableAt(d.StoreUnreachableAt)
+	if isRestored {
+		s.beginEra(previousRevision, now)
+	}
 	for _, item := range changed {
 		if err := s.interpreter.apply(item, now); err != nil {
-			s.Log.Warn("published item could not be decoded", zap.String("key", item.Key), zap.Uint64("revision", item.Revision), zap.Error(err))
+			s.Log.Warn("published item could not be decoded", zap.String("key", item.Key), zap.Uint64("revision", item.Revision.StoreRevision()), zap.Error(err))
 		}
 	}
+	if isRestored {
+		s.interpreter.isRestoring = false
+		s.keepConfig()
+	}
 	if len(changed) > 0 || previousRevision == 0 {
 		s.Log.Info("published state changed", zap.String("source", source), zap.Int("changes", len(changed)),
-			zap.Uint64("revision", s.items.Revision()), zap.Uint64("before", previousRevision))
+			zap.Uint64("revision", s.items.Revision().StoreRevision()), zap.Uint64("before", previousRevision.StoreRevision()), zap.Uint64("era", s.items.Revision().Era()))
 	}
 	s.updateView(now)
 }
 
+// beginEra prepares for the items of a store that was restored from a copy. The caller holds
+// mu.
+func (s *State) beginEra(previous Revision, now time.Time) {
+	s.Metrics.Counter("store_restores").Inc(1)
+	s.Log.Warn("store was restored from a copy", zap.Uint64("era", s.items.Revision().Era()), zap.Uint64("revision", s.items.Revision().StoreRevision()),
+		zap.Uint64("eraBefore", previous.Era()), zap.Uint64("before", previous.StoreRevision()))
+	s.interpreter.beginEra(now)
+}
+
+// keepConfig puts the configuration in force back into the items if the copy has an older
+// one, so that peers get it too. The caller holds mu.
+func (s *State) keepConfig() {
+	if item := s.interpreter.configItem; s.items.Items()[item.Key].Revision != item.Revision && item.Key != "" {
+		item.Revision = s.items.Revision()
+		s.items.Keep(item)
+		s.interpreter.configItem = item
+	}
+}
+
 // SetStoreUnreachable records whether the store is unreachable for this instance, and
 // calls OnStoreContact if that is a change.
 func (s *State) SetStoreUnreachable(isUnreachable bool) {
@@ -106,7 +137,7 @@
 	now := time.Now()
 	changed := isUnreachable != s.interpreter.isStoreUnreachable
 	if changed {
-		s.Log.Info("store contact changed", zap.Bool("away", isUnreachable), zap.Uint64("revision", s.items.Revision()))
+		s.Log.Info("store contact changed", zap.Bool("away", isUnreachable), zap.Uint64("revision", s.items.Revision().StoreRevision()))
 	}
 	s.interpreter.setStoreUnreachable(isUnreachable, now)
 	if !isUnreachable {
@@ -116,7 +147,7 @@
 }
 
 // ChangesSince returns the changes after the revision, for a peer.
-func (s *State) ChangesSince(after uint64) Delta {
+func (s *State) ChangesSince(after Revision) Delta {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	items, isFull := s.items.ChangesSince(after)
--- a/internal/cwpublished/store.go
+++ b/internal/cwpublished/store.go
@@ -9,12 +9,16 @@
 // ErrCompacted means that the store no longer has the requested changes.
 var ErrCompacted = errors.New("the store has compacted the requested revisions")
 
+// ErrRestored means that the store was restored from a copy, so that changes since a
+// revision of an earlier era are unknown.
+var ErrRestored = errors.New("the store was restored from a copy")
+
 // Page is one page of the list of all items.
 type Page struct {
 	// Items are ordered by key.
 	Items []Item
 	// Revision is the store's revision when the page was read.
-	Revision uint64
+	Revision Revision
 	// HasMore is set if further pages follow.
 	HasMore bool
 }
@@ -24,7 +28,7 @@
 	// Items are the changed and removed items.
 	Items []Item
 	// Revision is the revision up to which the changes are complete.
-	Revision uint64
+	Revision Revision
 }
 
 // Store reads the published state. The platform's adapter implements it.
@@ -33,6 +37,7 @@
 	// afterKey is empty.
 	Range(ctx context.Context, afterKey string) (Page, error)
 	// Watch returns the changes after the revision. If there are none, it waits for one, at
-	// most for the given time. It returns ErrCompacted if the store no longer has them.
-	Watch(ctx context.Context, after uint64, wait time.Duration) (Changes, error)
+	// most for the given time. It returns ErrCompacted if the store no longer has them, and
+	// ErrRestored if the store is in another era than the revision.
+	Watch(ctx context.Context, after Revision, wait time.Duration) (Changes, error)
 }
--- a/internal/cwpublished/view.go
+++ b/internal/cwpublished/view.go
@@ -11,7 +11,7 @@
 	// Generation increases with every view.
 	Generation uint64
 	// Revision is the store's revision up to which the view is complete.
-	Revision uint64
+	Revision Revision
 	// Config is the configuration in force; nil until there is one.
 	Config *cwroute.Config
 	// Endpoints are the registered endpoints, by identifier.
@@ -26,5 +26,5 @@
 	// ReadAt is when this instance read the entry.
 	ReadAt time.Time
 	// Revision is the revision of the entry.
-	Revision uint64
+	Revision Revision
 }
--- a/internal/cwscene/routed_scene.go
+++ b/internal/cwscene/routed_scene.go
@@ -49,6 +49,7 @@
 
 	t             testing.TB
 	configVersion int
+	config        map[string]any
 	requestCount  atomic.Int64
 	servers       []*http.Server
 	instances     []*RoutedInstance
@@ -107,7 +108,18 @@
 	if services == nil {
 		services = []map[string]any{cwstandin.NewPublishedPlainService(routedService)}
 	}
-	s.Store.PutJSON(cwstandin.ConfigKey, cwstandin.NewPublishedConfig(s.configVersion, services, routes))
+	s.config = cwstandin.NewPublishedConfig(s.configVersion, services, routes)
+	s.RepublishConfig()
+}
+
+// RepublishConfig writes the latest configuration to the store again, with the same version.
+func (s *RoutedScene) RepublishConfig() {
+	s.Store.PutJSON(cwstandin.ConfigKey, s.config)
+}
+
+// ConfigVersion returns the version of the latest configuration.
+func (s *RoutedScene) ConfigVersion() int {
+	return s.configVersion
 }
 
 // NewEngineService returns the service "app" as an engine service that accepts a
--- a/internal/cwsoak/soak_test.go
+++ b/internal/cwsoak/soak_test.go
@@ -149,6 +149,11 @@
 // change and one named after the version, by which waitUntilServing detects it.
 func (s *soakRun) publishConfig() {
 	s.configVersion++
+	s.writeConfig()
+}
+
+// writeConfig writes the current configuration version to the store.
+func (s *soakRun) writeConfig() {
 	var routes []map[string]any
 	for _, r := range []struct{ name, kind string }{{"safe", "safe"}, {"once", "unsafe"}, {"flow", "streaming"}, {fmt.Sprint("v", s.configVersion), "safe"}} {
 		routes = append(routes, map[string]any{
@@ -163,6 +168,25 @@
 	})
 }
 
+// restoreStore takes the store away and brings it back from a copy of before the latest
+// configuration. The operator and the workers then write again what it has lost.
+func (s *soakRun) restoreStore(rng *rand.Rand) {
+	copied := s.store.Copy()
+	for range 1 + rng.IntN(3) {
+		s.publishConfig()
+		<-time.After(time.Duration(rng.IntN(400)) * time.Millisecond)
+	}
+	s.storeProxy.setMode(modeReset)
+	<-time.After(time.Duration(rng.IntN(400)) * time.Millisecond)
+	s.store.Restore(copied)
+	s.storeProxy.setMode(modePass)
+	<-time.After(time.Duration(rng.IntN(1000)) * time.Millisecond)
+	for n := range s.workers {
+		s.registerWorker(n, s.observers[n].domain)
+	}
+	s.writeConfig()
+}
+
 func (s *soakRun) run() {
 	s.waitUntilServing()
 	ctx, stop := context.WithCancel(context.Background())
@@ -177,7 +201,11 @@
 	}
 	s.runPlannedWork(rand.New(rand.NewPCG(s.seed, 8)))
 	s.runRateLimits(rand.New(rand.NewPCG(s.seed, 9)))
+	restoreRNG := rand.New(rand.NewPCG(s.seed, 10))
 	for end := time.Now().Add(*faultPeriod); time.Now().Before(end); {
+		if restoreRNG.IntN(12) == 0 {
+			s.restoreStore(restoreRNG)
+		}
 		s.injectFault()
 		<-time.After(time.Duration(50+s.rng.IntN(300)) * time.Millisecond)
 	}
--- a/internal/cwstandin/store.go
+++ b/internal/cwstandin/store.go
@@ -27,10 +27,12 @@
 	history           []storeItem
 	compactedRevision uint64
 	revision          uint64
-	changed           chan struct{}
-	shouldRefuse      func(remote string) bool
-	isHanging         bool
-	calls             int
+	// era is the number of calls of Restore.
+	era          uint64
+	changed      chan struct{}
+	shouldRefuse func(remote string) bool
+	isHanging    bool
+	calls        int
 }
 
 type storeItem struct {
@@ -136,6 +138,7 @@
 		s.mu.Lock()
 		s.calls++
 		refused := s.shouldRefuse(r.RemoteAddr)
+		w.Header().Set(eraHeader, s.formatEra())
 		s.mu.Unlock()
 		if refused {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -171,6 +174,7 @@
 		}
 	}
 	current := s.revision
+	w.Header().Set(eraHeader, s.formatEra())
 	s.mu.Unlock()
 	slices.SortFunc(items, func(a, b storeItem) int { return cmp.Compare(a.Key, b.Key) })
 	truncated := len(items) > maxRangeItems
@@ -184,6 +188,7 @@
 	for {
 		s.mu.Lock()
 		changed, compacted, current := s.changed, s.compactedRevision, s.revision
+		w.Header().Set(eraHeader, s.formatEra())
 		events := []storeItem{}
 		for _, item := range s.history {
 			if item.Revision > after {
@@ -191,7 +196,7 @@
 			}
 		}
 		s.mu.Unlock()
-		if after < compacted {
+		if after < compacted || after > current {
 			w.WriteHeader(http.StatusGone)
 			return
 		}
--- a/internal/cwsync/published_puller.go
+++ b/internal/cwsync/published_puller.go
@@ -36,23 +36,23 @@
 }
 
 // Pull fetches the published state of the peer at the address if this instance is behind
-// the offered version, whose number is a revision of the store. If this instance watches
+// the offered version, whose number is a revision of the published state. If this instance watches
 // the store, it first waits for its own watch to deliver the revision.
 func (p *PublishedPuller) Pull(ctx context.Context, address string, offered cwconfig.Version) {
-	if !p.beginPull(offered.Number) {
+	if !p.beginPull(cwpublished.Revision(offered.Number)) {
 		return
 	}
 	defer p.endPull()
 	if p.expectsFromWatch() {
 		cwcommon.Sleep(ctx, watchGracePeriod)
-		if p.state.Revision() >= offered.Number {
+		if p.state.Revision() >= cwpublished.Revision(offered.Number) {
 			return
 		}
 	}
 	before := p.state.Revision()
 	delta, err := p.client.FetchPublished(ctx, address, before)
 	if err != nil {
-		p.Log.Warn("published state not pulled", zap.String("peer", address), zap.Uint64("revision", before), zap.Error(err))
+		p.Log.Warn("published state not pulled", zap.String("peer", address), zap.Uint64("revision", before.StoreRevision()), zap.Error(err))
 		return
 	}
 	if delta.Revision <= before {
@@ -73,7 +73,7 @@
 
 // beginPull marks a pull as in progress. It returns false, and marks nothing, if one
 // already is in progress or if this instance is not behind the offered revision.
-func (p *PublishedPuller) beginPull(offered uint64) bool {
+func (p *PublishedPuller) beginPull(offered cwpublished.Revision) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.isPulling || offered <= p.state.Revision() {
--- a/internal/cwsync/published_puller_test.go
+++ b/internal/cwsync/published_puller_test.go
@@ -64,7 +64,7 @@
 				puller := cwsync.NewPublishedPuller(common, state, cwpeer.NewClient(common.Net, cwpeer.NewAuth("")), follower)
 				start := time.Now()
 				puller.Pull(t.Context(), peerAddress, cwconfig.Version{Number: 7})
-				is.Equal(state.Revision(), uint64(7))
+				is.Equal(state.Revision(), cwpublished.Revision(7))
 				is.True(time.Since(start) <= c.maxDuration)
 			})
 		})
