An endpoint whose entry lapses keeps its rate limit

Cause: read through the change: an endpoint that is dropped when its entry lapses, and registers again without a restart, came back without the limit that it still names; every instance would send until it is told again. Measured: TestRateLimitOutlivesLapsedEntry red without the line that restores the limit, green with it; the package's tests green.

--- a/internal/cwplacement/pool.go
+++ b/internal/cwplacement/pool.go
@@ -47,8 +47,9 @@
 	// sorted holds the same endpoints ordered by identifier.
 	sorted []*Endpoint
 	// relayed is the work relayed to other domains, by domain.
-	relayed map[string]relayedWork
-	rng     *rand.Rand
+	relayed       map[string]relayedWork
+	rng           *rand.Rand
+	droppedLimits droppedLimits
 	// arrivals is the rate of requests to be placed at this instance.
 	arrivals cwpolicy.ArrivalRate
 	// limitedReturnAt is the time for which the latest caller was told to return that was
@@ -67,7 +68,7 @@
 
 // NewPool returns a pool without endpoints.
 func NewPool(service cwroute.Service, domain string, rng *rand.Rand) *Pool {
-	return &Pool{Service: service, Domain: domain, endpoints: make(map[string]*Endpoint), relayed: make(map[string]relayedWork), rng: rng}
+	return &Pool{Service: service, Domain: domain, endpoints: make(map[string]*Endpoint), relayed: make(map[string]relayedWork), droppedLimits: make(droppedLimits), rng: rng}
 }
 
 // Endpoints returns the endpoints by identifier. The caller must not change the map.
@@ -90,6 +91,7 @@
 	e := p.endpoints[entry.ID]
 	if e == nil || e.StartedAtMillis != entry.StartedAtMillis || e.Address != entry.Address {
 		e = newEndpoint(entry, p.Service, p.meanPromptSpeed())
+		p.droppedLimits.restore(e, readAt)
 		p.endpoints[entry.ID] = e
 		p.rebuildSorted()
 	}
@@ -102,8 +104,9 @@
 
 // Retain drops the endpoints for which keep returns false.
 func (p *Pool) Retain(keep func(id string) bool) {
-	for id := range p.endpoints {
+	for id, e := range p.endpoints {
 		if !keep(id) {
+			p.droppedLimits.add(e)
 			delete(p.endpoints, id)
 		}
 	}
