--- a/internal/cwgate/attempt.go
+++ b/internal/cwgate/attempt.go
@@ -76,7 +76,7 @@
 			return result{notSent: true, notRun: true, err: fmt.Errorf("no usable instance in domain %s", d.Domain)}
 		}
 	} else {
-		a.address = d.Placement.Endpoint.Address
+		a.address = d.Placement.Address
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -176,7 +176,7 @@
 		params.IsRelayed, params.Elapsed = true, routed.Elapsed+time.Since(routed.ArrivedAt)
 		params.Timeout -= a.relayMargin(params.Timeout)
 	} else {
-		params.Endpoint = a.placement.Endpoint.ID
+		params.Endpoint = a.placement.EndpointID
 		params.Timeout = max(params.Timeout-endpointResponseMargin, 0)
 	}
 	return params
--- a/internal/cwgate/attempt_failure.go
+++ b/internal/cwgate/attempt_failure.go
@@ -55,7 +55,7 @@
 		if err == nil || errors.Is(err, cwconn.ErrConnLimit) {
 			return
 		}
-		a.Log.Warn("endpoint lost", zap.String("endpoint", endpoint.ID), zap.Error(err))
+		a.Log.Warn("endpoint lost", zap.String("endpoint", a.placement.EndpointID), zap.Error(err))
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		endpoint.MarkUnreachable(time.Now())
--- a/internal/cwgate/attempt_overdue.go
+++ b/internal/cwgate/attempt_overdue.go
@@ -61,7 +61,7 @@
 // placeName returns the endpoint's identifier, or the domain of a relayed request.
 func (a *attempt) placeName() string {
 	if a.placement != nil {
-		return a.placement.Endpoint.ID
+		return a.placement.EndpointID
 	}
 	return a.exitDomain
 }
--- a/internal/cwgate/attempt_rate_limit.go
+++ b/internal/cwgate/attempt_rate_limit.go
@@ -15,7 +15,7 @@
 	}
 	e := a.placement.Endpoint
 	if head.RateLimit.Err != nil {
-		a.Log.Warn("endpoint rate limit could not be decoded", zap.String("endpoint", e.ID), zap.Error(head.RateLimit.Err))
+		a.Log.Warn("endpoint rate limit could not be decoded", zap.String("endpoint", a.placement.EndpointID), zap.Error(head.RateLimit.Err))
 		return
 	}
 	a.mu.Lock()
--- a/internal/cwgate/log.go
+++ b/internal/cwgate/log.go
@@ -23,12 +23,12 @@
 	}
 	if r.done && routed.attempts == 1 && d.Action == cwplacement.ActionSend {
 		// The log entry of the request's end contains the place.
-		routed.responder.place = d.Placement.Endpoint.ID
+		routed.responder.place = d.Placement.EndpointID
 		return
 	}
 	place := d.Domain
 	if d.Placement != nil {
-		place = d.Placement.Endpoint.ID
+		place = d.Placement.EndpointID
 	}
 	routed.responder.place = place
 	g.Log.Info("attempt", zap.String("request", routed.ID), zap.String("route", routed.route.Name), zap.String("place", place),
