A slow response does not cancel the next request of its connection

When the body has been read, net/http already waits for the next request; if the response then takes longer to write (a paused process, a slow reader), that wait ends with a time-out, which cancels the context of the connection and of all its further requests. Ruled out: the reading of pipelined requests (no deadline is set while a request is served), a fault of the instance near the request, a closing peer (the log line would be missing). Change: the limit is set only if the handler has left a part of the body.

--- a/internal/cwserver/server.go
+++ b/internal/cwserver/server.go
@@ -100,26 +100,22 @@
 	if s.isKeepAliveOff.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	switch {
-	case r.ContentLength == 0:
+	if r.ContentLength == 0 {
 		s.handler.ServeHTTP(w, r)
-	case r.Close:
-		s.handleLast(w, r)
-	default:
-		s.handler.ServeHTTP(w, r)
-		limitBodyDiscard(w)
+		return
 	}
-}
-
-// handleLast serves a request with a body that asks to close the connection. net/http may
-// leave the rest of such a body unread, and closing the connection then would reset it before
-// the peer has read the response.
-func (s *Server) handleLast(w http.ResponseWriter, r *http.Request) {
 	body := &trackedBody{ReadCloser: r.Body}
 	r.Body = body
 	s.handler.ServeHTTP(w, r)
+	if body.hasEnded {
+		// From here on net/http waits for the next request. A time limit would end that, and
+		// cancel all further requests of the connection, if the response takes long to write.
+		return
+	}
 	limitBodyDiscard(w)
-	if !body.hasEnded {
+	if r.Close {
+		// net/http may leave the rest of the body unread, and closing the connection then would
+		// reset it before the peer has read the response.
 		r.Context().Value(connKey{}).(*conn).lingerOnClose()
 	}
 }
