--- a/internal/cwapp/routed_config_change_test.go
+++ b/internal/cwapp/routed_config_change_test.go
@@ -52,3 +52,27 @@
 		})
 	}
 }
+
+// TestServiceGetsEngineDuringRequest guards against an instance whose process ends as it looks
+// for another endpoint for an overdue request, after the service has got an engine.
+func TestServiceGetsEngineDuringRequest(t *testing.T) {
+	inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+		route := cwscene.NewRoute("r", "safe", nil)
+		s.Publish(newPlainService(), route)
+		workers := []*cwstandin.Worker{s.AddWorker("north-a", "10.1.1.1"), s.AddWorker("north-a", "10.1.1.2")}
+		i := s.AddInstance("10.1.0.1", "north-a")
+		s.AwaitReady()
+		cwstandin.SetFirstRequestFault(workers, cwstandin.FaultHang)
+		responses := make(chan cwscene.RoutedResponse, 1)
+		go func() {
+			responses <- s.Do(t.Context(), i, cwscene.RoutedRequest{Path: "/r/x", Header: newPromptHeader()})
+		}()
+		s.Await(func() bool { return len(collectRuns(workers)) == 1 })
+		s.Publish(cwscene.NewEngineService(0), route)
+		awaitConfig(s, i)
+		resp := <-responses
+		is.NoErr(resp.Err)
+		is.Equal(resp.Status, http.StatusOK)
+		is.Equal(len(collectRuns(workers)), 2)
+	})
+}
--- a/internal/cwplacement/endpoint.go
+++ b/internal/cwplacement/endpoint.go
@@ -65,8 +65,7 @@
 	// isColdOwner is set if this instance is the one that may use the endpoint while it
 	// is cold.
 	isColdOwner bool
-	// cache models the engine's prompt cache; nil if the service had no engine when the
-	// endpoint was added.
+	// cache models the engine's prompt cache; nil exactly if engine is.
 	cache *promptCache
 	// recent holds the parts that are reported to the other instances.
 	recent recentParts
@@ -86,13 +85,26 @@
 
 // newEndpoint returns an endpoint without measurements, with an initial prompt speed.
 func newEndpoint(entry cwroute.Endpoint, service cwroute.Service, promptSpeed float64) *Endpoint {
-	e := &Endpoint{Endpoint: entry, idHash: xxhash.Sum64String(entry.ID), engine: service.Engine, coldRate: service.ColdRate, promptSpeed: newMeter(promptSpeed, promptSpeedBaselineSeconds), eventRate: newMeter(initialEventsPerSecond, eventRateBaselineSeconds), serviceTimeSeconds: initialServiceTime.Seconds()}
-	if service.Engine != nil {
-		e.cache = newPromptCache(int(promptCacheShare * float64(service.Engine.MemoryTokens)))
-	}
+	e := &Endpoint{Endpoint: entry, idHash: xxhash.Sum64String(entry.ID), promptSpeed: newMeter(promptSpeed, promptSpeedBaselineSeconds), eventRate: newMeter(initialEventsPerSecond, eventRateBaselineSeconds), serviceTimeSeconds: initialServiceTime.Seconds()}
+	e.setService(service)
 	return e
 }
 
+// setService applies the configuration of the endpoint's service. A later configuration may
+// add an engine, change its memory or remove it.
+func (e *Endpoint) setService(service cwroute.Service) {
+	e.coldRate, e.engine = service.ColdRate, service.Engine
+	if e.engine == nil {
+		e.cache = nil
+		return
+	}
+	capacity := int(promptCacheShare * float64(e.engine.MemoryTokens))
+	if e.cache == nil {
+		e.cache = newPromptCache(capacity)
+	}
+	e.cache.setCapacity(capacity)
+}
+
 // OwnWork returns the work of this instance at the endpoint.
 func (e *Endpoint) OwnWork() Work {
 	return e.ownWork
--- a/internal/cwplacement/pool.go
+++ b/internal/cwplacement/pool.go
@@ -96,7 +96,7 @@
 		p.rebuildSorted()
 	}
 	e.Endpoint, e.Region, e.isColdOwner = entry, region, isColdOwner
-	e.coldRate, e.engine = p.Service.ColdRate, p.Service.Engine
+	e.setService(p.Service)
 	e.readAt, e.ColdUntil = readAt, coldUntil
 	e.HasStartedDraining = e.HasStartedDraining || entry.IsDraining
 	return e
--- a/internal/cwplacement/prompt_cache.go
+++ b/internal/cwplacement/prompt_cache.go
@@ -40,6 +40,17 @@
 		c.entries[parts[i].ID] = c.lru.PushFront(parts[i])
 		c.used += parts[i].Tokens
 	}
+	c.evictExcess()
+}
+
+// setCapacity changes the size of the cache.
+func (c *promptCache) setCapacity(capacity int) {
+	c.capacity = capacity
+	c.evictExcess()
+}
+
+// evictExcess evicts the least recently used parts that exceed the capacity.
+func (c *promptCache) evictExcess() {
 	for c.used > c.capacity && c.lru.Len() > 0 {
 		oldest := c.lru.Back()
 		p := c.lru.Remove(oldest).(PromptPart)
