--- a/internal/cwplacement/retry_budget.go
+++ b/internal/cwplacement/retry_budget.go
@@ -26,7 +26,7 @@
 
 // NewRetryBudget returns a budget for one instance.
 func NewRetryBudget(ratio, slack float64, window time.Duration, now time.Time) *RetryBudget {
-	return &RetryBudget{ratio: ratio, slack: slack, bucketLength: window / retryBucketCount, start: now}
+	return &RetryBudget{ratio: ratio, slack: slack, bucketLength: max(window/retryBucketCount, 1), start: now}
 }
 
 // SetBounds changes the ratio and the slack; the window stays the same.
--- a/internal/cwplacement/retry_budget_test.go
+++ b/internal/cwplacement/retry_budget_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	"github.com/clementinewell/clementinewell/internal/cwplacement"
@@ -53,3 +54,25 @@
 	}
 	return n
 }
+
+// TestRetryBudgetWithoutWindow guards against a request that ends in a division by zero because
+// the settings give the budget no window, or one that is shorter than its buckets can be. The
+// retries of one moment stay bounded.
+func TestRetryBudgetWithoutWindow(t *testing.T) {
+	for _, window := range []time.Duration{0, 1, 9, -time.Second} {
+		t.Run(window.String(), func(t *testing.T) {
+			is := is.New(t)
+			start := time.Unix(1000, 0)
+			b := cwplacement.NewRetryBudget(0.2, 10, window, start)
+			for step := range 3 {
+				now := start.Add(time.Duration(step) * time.Second)
+				b.CountRequest(now)
+				retries := 0
+				for retries <= 100 && b.TrySpend(1, now) {
+					retries++
+				}
+				is.True(retries <= 10) // at most the ratio of one request plus the slack
+			}
+		})
+	}
+}
