--- a/internal/cwapp/routed_change_during_request_test.go
+++ b/internal/cwapp/routed_change_during_request_test.go
@@ -92,6 +92,16 @@
 		{"endpoints moved to another region", entries(map[string]any{"zone": "west-a"}), leavesNoPlace},
 		{"endpoints started again", entries(map[string]any{"born": 2}), leavesPlaces},
 		{"domain evacuated", func(c *changeScene) { c.Store.PutJSON("op/evacuate/"+c.domain, map[string]any{}) }, leavesNoPlace},
+		{"service removed and domain evacuated", func(c *changeScene) {
+			c.services = c.services[1:]
+			c.publishRoutes(cwscene.RoutedRoute{"service": "other"})
+			c.Store.PutJSON("op/evacuate/"+c.domain, map[string]any{})
+		}, leavesNoPlace},
+		{"service removed and endpoints draining", func(c *changeScene) {
+			c.services = c.services[1:]
+			c.publishRoutes(cwscene.RoutedRoute{"service": "other"})
+			c.register(map[string]any{"state": "draining"})
+		}, leavesNoPlace},
 		{"settings with other bounds", settings(func(site *cwsite.Site) { site.Bounds = cwsite.Bounds{RetryRatio: 1, RetrySlack: 100} }), leavesPlaces},
 		{"settings with other seeds", settings(func(site *cwsite.Site) { site.SeedPeers = []string{"10.9.9.9:8003"} }), leavesPlaces},
 		{"settings that can't be read", func(c *changeScene) { c.reload(nil) }, leavesPlaces},
--- a/internal/cwgate/sync.go
+++ b/internal/cwgate/sync.go
@@ -71,17 +71,10 @@
 		if !g.isInRegion(r) {
 			continue
 		}
-		service, known := g.service(r.Service)
-		if !known {
-			continue
-		}
-		p := g.pools[r.Service]
+		p := g.configuredPool(r.Service)
 		if p == nil {
-			p = cwplacement.NewPool(service, g.site.Domain, g.rng)
-			g.pools[r.Service] = p
+			continue
 		}
-		service.ColdRate = g.coldRate(service.ColdRate)
-		p.Service = service
 		e := p.Register(r.Endpoint, g.site.Region, g.ownsCold(id, r.Domain, now), r.ReadAt, g.coldUntil(id, r))
 		e.IsEvacuated = g.view.EvacuatedDomains[r.Domain]
 	}
@@ -95,6 +88,26 @@
 	}
 }
 
+// configuredPool returns the pool of a service with the service's configuration. A service
+// that was removed keeps its last one for the requests that began before; nil if there was none.
+func (g *Gate) configuredPool(name string) *cwplacement.Pool {
+	p := g.pools[name]
+	service, known := g.service(name)
+	if !known {
+		if p == nil || p.Service.Name == "" {
+			return nil
+		}
+		return p
+	}
+	if p == nil {
+		p = cwplacement.NewPool(service, g.site.Domain, g.rng)
+		g.pools[name] = p
+	}
+	service.ColdRate = g.coldRate(service.ColdRate)
+	p.Service = service
+	return p
+}
+
 // isInRegion reports whether an endpoint is in the region of this instance.
 func (g *Gate) isInRegion(r cwpublished.Registration) bool {
 	return g.site.RegionByDomain[r.Domain] == g.site.Region
