--- a/internal/cwapp/routed_app.go
+++ b/internal/cwapp/routed_app.go
@@ -59,6 +59,9 @@
 		cwserver.NewServer(r.Common, "caller", site.CallerAddress, cwwire.NewFrontHandler(r.gate), cwserver.Limits{Conns: settings.MaxConnections, Times: r.callerTimeLimits}),
 		cwserver.NewServer(r.Common, "relay", site.RelayAddress, cwwire.NewRelayHandler(r.gate), cwserver.Limits{}),
 	}
+	for _, s := range r.forwardingServers {
+		s.RequestID = cwwire.RequestID
+	}
 	r.lookupServers = []*cwserver.Server{
 		cwserver.NewServer(r.Common, "ready", site.ReadyAddress, cwwire.NewReadyHandler(r.IsReady), cwserver.Limits{}),
 		cwserver.NewServer(r.Common, "directory", site.DirectoryAddress, cwwire.NewDirectoryHandler(r), cwserver.Limits{}),
--- a/internal/cwlog/logs_page_test.go
+++ b/internal/cwlog/logs_page_test.go
@@ -14,7 +14,7 @@
 )
 
 // TestEveryLineIsInTheLogsPage guards against log messages without documentation. It
-// collects the messages of Log.Info and Log.Warn calls in the source of the packages
+// collects the messages of Log.Info, Log.Warn and Log.Error calls in the source of the packages
 // that serve routed requests, and looks up each of them in docs/LOGS.md.
 func TestEveryLineIsInTheLogsPage(t *testing.T) {
 	is := is.New(t)
@@ -52,7 +52,7 @@
 		return "", false
 	}
 	method, ok := call.Fun.(*ast.SelectorExpr)
-	if !ok || method.Sel.Name != "Info" && method.Sel.Name != "Warn" {
+	if !ok || method.Sel.Name != "Info" && method.Sel.Name != "Warn" && method.Sel.Name != "Error" {
 		return "", false
 	}
 	receiver, ok := method.X.(*ast.SelectorExpr)
--- a/internal/cwnet/idle_conn.go
+++ b/internal/cwnet/idle_conn.go
@@ -11,19 +11,35 @@
 // data. It does not block. A connection that does not implement syscall.Conn counts as
 // usable.
 func IsIdleConnUsable(conn net.Conn) bool {
+	_, isSupported, err := peek(conn)
+	return !isSupported || err == unix.EAGAIN || err == unix.EINTR
+}
+
+// HasUnreadBytes reports whether the connection has received bytes that were not read. It does
+// not block. It returns false if the connection does not implement syscall.Conn.
+func HasUnreadBytes(conn net.Conn) bool {
+	n, isSupported, err := peek(conn)
+	return isSupported && err == nil && n > 0
+}
+
+// peek looks for a received byte without taking it. It returns false if the connection does
+// not implement syscall.Conn.
+func peek(conn net.Conn) (n int, isSupported bool, err error) {
 	syscallConn, ok := conn.(syscall.Conn)
 	if !ok {
-		return true
+		return 0, false, nil
 	}
 	raw, err := syscallConn.SyscallConn()
 	if err != nil {
-		return false
+		return 0, true, err
 	}
-	isUsable := false
+	var peekErr error
 	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		isUsable = err == unix.EAGAIN || err == unix.EINTR
+		n, _, peekErr = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
-	return err == nil && isUsable
+	if err != nil {
+		return 0, true, err
+	}
+	return n, true, peekErr
 }
--- a/internal/cwserver/conn.go
+++ b/internal/cwserver/conn.go
@@ -42,8 +42,16 @@
 	// unread are bytes of the next request that were read from the socket together with the
 	// request in progress.
 	unread []byte
-	// isPeerGone is set if a read failed, other than by its deadline, and isClosed by Close.
+	// isPeerGone is set if a read or write failed, other than by its deadline, with the first
+	// error in peerErr. isClosed is set by Close.
 	isPeerGone, isClosed bool
+	peerErr              error
+	// isInHandler is set while a handler has a request, and after it has panicked. requestID
+	// identifies the request, if known.
+	isInHandler bool
+	requestID   string
+	// endReason is why the connection is about to end without a complete response, if known.
+	endReason endReason
 	// isClosing is set by closeWhenUnused, and isReadAborted if it set the deadline of a
 	// waiting read to the past.
 	isClosing, isReadAborted bool
@@ -131,8 +139,12 @@
 		c.requestBytes += n
 		c.hasEnded = isEnd
 	}
-	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-		c.isPeerGone = true
+	switch {
+	case err == nil:
+	case !errors.Is(err, os.ErrDeadlineExceeded):
+		c.recordPeerGone(err)
+	case c.state != http.StateActive && c.requestBytes > 0:
+		c.endReason = endHeaderTimeout
 	}
 	if n > 0 && c.isReadAborted {
 		// The bytes arrived before the read was aborted. The rest of the request must not
@@ -143,6 +155,29 @@
 	return n
 }
 
+// recordPeerGone records that a read or write failed. The caller holds mu.
+func (c *conn) recordPeerGone(err error) {
+	if c.isPeerGone || c.isClosed {
+		return
+	}
+	c.isPeerGone, c.peerErr = true, err
+}
+
+// beginRequest records that a handler has a request. The identifier may be empty.
+func (c *conn) beginRequest(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requestID, c.isInHandler = id, true
+}
+
+// endRequest records that the handler has returned or, if a reason is given, that the
+// connection will be closed because of it.
+func (c *conn) endRequest(reason endReason) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isInHandler, c.endReason = reason != "", reason
+}
+
 // closeWhenUnused makes net/http close the connection once no request is in progress. A
 // waiting read is aborted, unless a request has arrived.
 func (c *conn) closeWhenUnused() {
@@ -163,7 +198,13 @@
 	c.mu.Lock()
 	c.hasResponded = c.hasResponded || !bytes.HasPrefix(p, continueLine)
 	c.mu.Unlock()
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.mu.Lock()
+		c.recordPeerGone(err)
+		c.mu.Unlock()
+	}
+	return n, err
 }
 
 // CloseWrite closes the writing side of the connection. net/http uses it so that a peer
@@ -183,29 +224,73 @@
 	c.lingers = true
 }
 
-// Close closes the connection. It logs the connection if the peer is owed a response and
-// has not closed it.
+// Close closes the connection. It counts and logs the connection if the peer is owed a
+// response, or the rest of one.
 func (c *conn) Close() error {
 	c.mu.Lock()
 	lingers := c.lingers && !c.isClosed && !c.isPeerGone && !c.server.isClosed.Load()
-	isUnanswered := !c.isClosed && !c.isPeerGone && c.requestBytes > 0 && !c.hasResponded
-	c.isClosed = true
-	fields := []zap.Field{
-		zap.String("server", c.server.name), zap.Stringer("remote", c.RemoteAddr()), zap.Stringer("state", c.state),
-		zap.Duration("open", time.Since(c.openedAt)), zap.Int("responses", c.responseCount),
-		zap.Int("bytes", c.requestBytes), zap.Duration("firstByteAge", time.Since(c.requestAt)),
+	if !c.isClosed {
+		c.recordEnd()
 	}
+	c.isClosed = true
 	c.mu.Unlock()
-	if isUnanswered {
-		c.server.unanswered.Inc(1)
-		c.server.Log.Warn("connection closed without a response", append(fields, zap.Bool("listening", c.server.isListening.Load()))...)
-	}
 	if lingers {
 		c.linger()
 	}
 	return c.Conn.Close()
 }
 
+// recordEnd counts and logs the end of the connection if a response is missing or incomplete.
+// The caller holds mu.
+func (c *conn) recordEnd() {
+	reason := c.reasonOfEnd()
+	hasUnread := c.state != http.StateActive && c.requestBytes == 0 && (len(c.unread) > 0 || cwnet.HasUnreadBytes(c.Conn))
+	fields := []zap.Field{
+		zap.String("server", c.server.name), zap.String("reason", string(reason)), zap.String("request", c.requestID),
+		zap.Stringer("remote", c.RemoteAddr()), zap.Stringer("state", c.state), zap.Duration("open", time.Since(c.openedAt)),
+		zap.Int("responses", c.responseCount), zap.Int("bytes", c.requestBytes),
+		zap.Bool("listening", c.server.isListening.Load()), zap.NamedError("error", c.peerErr),
+	}
+	if c.requestBytes > 0 {
+		fields = append(fields, zap.Duration("firstByteAge", time.Since(c.requestAt)))
+	}
+	isOwed := c.requestBytes > 0 && !c.hasResponded || reason == endConnLimit
+	isBrokenOff := c.isInHandler && c.hasResponded
+	switch {
+	case isOwed && reason == endCallerLeft:
+		c.server.countEnd("connections_unanswered", reason)
+		c.server.Log.Info("caller left without a response", fields...)
+	case isOwed:
+		c.server.countEnd("connections_unanswered", reason)
+		c.server.Log.Warn("connection closed without a response", fields...)
+	case hasUnread:
+		c.server.countEnd("connections_unanswered", reason)
+		c.server.Log.Warn("connection closed with an unread request", fields...)
+	case isBrokenOff && reason == endCallerLeft:
+		c.server.countEnd("responses_broken_off", reason)
+	case isBrokenOff:
+		c.server.countEnd("responses_broken_off", reason)
+		c.server.Log.Warn("response broken off", fields...)
+	}
+}
+
+// reasonOfEnd returns why the connection ends now. The caller holds mu.
+func (c *conn) reasonOfEnd() endReason {
+	switch {
+	case c.isPeerGone:
+		return endCallerLeft
+	case c.endReason != "":
+		return c.endReason
+	case c.server.isGraceOver.Load():
+		return endGraceOver
+	case c.server.isClosed.Load():
+		return endServerClosed
+	case c.state != http.StateActive && c.requestBytes == 0:
+		return endUnread
+	}
+	return endUnknown
+}
+
 // linger reads and discards until the peer closes the connection, for lingerTimeout at most.
 func (c *conn) linger() {
 	// Without a half-close, as on an in-memory network, the peer sees the end later.
@@ -239,5 +324,6 @@
 		// before.
 		c.requestBytes, c.requestAt = c.nextBytes, c.idleSince
 		c.nextBytes, c.hasEnded, c.hasResponded = 0, false, false
+		c.requestID = ""
 	}
 }
--- a/internal/cwserver/server.go
+++ b/internal/cwserver/server.go
@@ -5,13 +5,15 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"log"
 	"net"
 	"net/http"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"github.com/clementinewell/clementinewell/internal/cwcommon"
@@ -25,17 +27,21 @@
 // connection that was accepted before the call and used for the first time after it.
 type Server struct {
 	*cwcommon.Common
+	// RequestID returns the identifier of a request from its header, for the log. It may be
+	// nil, and is set before Serve.
+	RequestID     func(h http.Header) string
 	name, address string
 	handler       http.Handler
 	limits        Limits
 	http          *http.Server
-	unanswered    tally.Counter
 	// serving counts the running calls of Serve.
 	serving sync.WaitGroup
 	// isKeepAliveOff is set if responses announce that the connection will be closed.
 	isKeepAliveOff atomic.Bool
 	isListening    atomic.Bool
 	isClosed       atomic.Bool
+	// isGraceOver is set if the time for a drain was over before all connections were closed.
+	isGraceOver atomic.Bool
 
 	// connClosed has a value after a connection was closed.
 	connClosed chan struct{}
@@ -55,7 +61,6 @@
 		address:    address,
 		handler:    handler,
 		limits:     limits,
-		unanswered: common.Metrics.Tagged(map[string]string{"server": name}).Counter("connections_unanswered"),
 		conns:      make(map[*conn]bool),
 		connClosed: make(chan struct{}, 1),
 	}
@@ -64,8 +69,7 @@
 		ConnContext:    func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 		Handler:        http.HandlerFunc(s.handle),
 		MaxHeaderBytes: common.Settings.MaxHeaderBytes,
-		// NewStdLog logs at level info, so the messages of net/http are dropped.
-		ErrorLog: zap.NewStdLog(common.Log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+		ErrorLog:       log.New(errorLog{server: s}, "", 0),
 	}
 	return s
 }
@@ -95,8 +99,48 @@
 	return err
 }
 
-// handle serves one request.
+// handle serves one request. It logs a panic of the handler, and then aborts the connection.
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
+	c := r.Context().Value(connKey{}).(*conn)
+	id := ""
+	if s.RequestID != nil {
+		id = s.RequestID(r.Header)
+	}
+	c.beginRequest(id)
+	defer func() {
+		switch p := recover(); p {
+		case nil:
+			c.endRequest("")
+		case http.ErrAbortHandler:
+			c.endRequest(endAborted)
+			panic(p)
+		default:
+			s.logPanic(id, p)
+			c.endRequest(endPanicked)
+			panic(http.ErrAbortHandler)
+		}
+	}()
+	s.serve(c, w, r)
+}
+
+// maxStackBytes and maxPanicBytes limit what is logged of a panic's stack and value.
+const (
+	maxStackBytes = 4 << 10
+	maxPanicBytes = 512
+)
+
+// logPanic logs the panic of a handler. It runs in the deferred function, so that the stack is
+// that of the panic.
+func (s *Server) logPanic(requestID string, value any) {
+	text := fmt.Sprint(value)
+	stack := make([]byte, maxStackBytes)
+	stack = stack[:runtime.Stack(stack, false)]
+	s.Log.Error("handler panicked", zap.String("server", s.name), zap.String("request", requestID),
+		zap.String("panic", text[:min(len(text), maxPanicBytes)]), zap.ByteString("stack", stack))
+}
+
+// serve passes the request to the handler and limits what happens to the rest of its body.
+func (s *Server) serve(c *conn, w http.ResponseWriter, r *http.Request) {
 	if s.isKeepAliveOff.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -116,7 +160,7 @@
 	if r.Close {
 		// net/http may leave the rest of the body unread, and closing the connection then would
 		// reset it before the peer has read the response.
-		r.Context().Value(connKey{}).(*conn).lingerOnClose()
+		c.lingerOnClose()
 	}
 }
 
@@ -149,7 +193,11 @@
 		c.closeWhenUnused()
 	}
 	s.mu.Unlock()
-	return s.waitUntilUnconnected(ctx)
+	err := s.waitUntilUnconnected(ctx)
+	if err != nil {
+		s.isGraceOver.Store(true)
+	}
+	return err
 }
 
 // waitUntilUnconnected waits until all connections are closed, or returns the error of ctx
@@ -214,6 +262,11 @@
 	return len(s.conns)
 }
 
+// countEnd counts by reason a connection that ended too early.
+func (s *Server) countEnd(counter string, reason endReason) {
+	s.Metrics.Tagged(map[string]string{"server": s.name, "reason": string(reason)}).Counter(counter).Inc(1)
+}
+
 // handleState is called by net/http for each change of a connection's state.
 func (s *Server) handleState(raw net.Conn, state http.ConnState) {
 	c := raw.(*conn)
@@ -224,6 +277,7 @@
 		defer s.mu.Unlock()
 		s.conns[c] = true
 		if s.limits.Conns > 0 && len(s.conns) > s.limits.Conns {
+			c.endRequest(endConnLimit)
 			_ = c.Close()
 		}
 	case http.StateClosed, http.StateHijacked:
--- a/internal/cwserver/server_test.go
+++ b/internal/cwserver/server_test.go
@@ -29,7 +29,7 @@
 	serverIP       = "10.1.0.1"
 	serverAddress  = serverIP + ":8001"
 	arrivalTimeout = 400 * time.Millisecond
-	request        = "GET / HTTP/1.1\r\nHost: app.example\r\n\r\n"
+	request        = "GET / HTTP/1.1\r\nHost: app.example\r\nRequest-Id: r1\r\n\r\n"
 )
 
 // testServer is a running server on an in-memory network.
@@ -60,6 +60,7 @@
 			Server: cwserver.NewServer(common, "caller", serverAddress, handler, cwserver.Limits{}),
 			t:      t, is: is.New(t), network: network, logs: logs, served: make(chan error, 1),
 		}
+		s.RequestID = func(h http.Header) string { return h.Get("Request-Id") }
 		l, err := common.Net.Listen(t.Context(), serverAddress)
 		s.is.NoErr(err)
 		go func() { s.served <- s.Serve(l) }()
