--- a/internal/cwserver/server.go
+++ b/internal/cwserver/server.go
@@ -99,7 +99,8 @@
 	return err
 }
 
-// handle serves one request. It logs a panic of the handler, and then aborts the connection.
+// handle serves one request. It logs a panic of the handler and responds with status 500, or
+// aborts the connection if a response has begun.
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
 	c := r.Context().Value(connKey{}).(*conn)
 	id := ""
@@ -107,6 +108,12 @@
 		id = s.RequestID(r.Header)
 	}
 	c.beginRequest(id)
+	tracked := &trackedWriter{ResponseWriter: w}
+	var body *trackedBody
+	if r.ContentLength != 0 {
+		body = &trackedBody{ReadCloser: r.Body}
+		r.Body = body
+	}
 	defer func() {
 		switch p := recover(); p {
 		case nil:
@@ -116,11 +123,28 @@
 			panic(p)
 		default:
 			s.logPanic(id, p)
-			c.endRequest(endPanicked)
-			panic(http.ErrAbortHandler)
+			if tracked.hasBegun {
+				c.endRequest(endPanicked)
+				panic(http.ErrAbortHandler)
+			}
+			writeInternalError(w)
+			endBody(c, w, r, body)
+			c.endRequest("")
 		}
 	}()
-	s.serve(c, w, r)
+	if s.isKeepAliveOff.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	s.handler.ServeHTTP(tracked, r)
+	endBody(c, w, r, body)
+}
+
+// writeInternalError responds that the request failed. It removes what the handler has set:
+// the response states nothing else about the request.
+func writeInternalError(w http.ResponseWriter) {
+	clear(w.Header())
+	w.Header().Set("Connection", "close")
+	http.Error(w, "internal error", http.StatusInternalServerError)
 }
 
 // maxStackBytes and maxPanicBytes limit what is logged of a panic's stack and value.
@@ -129,9 +153,10 @@
 	maxPanicBytes = 512
 )
 
-// logPanic logs the panic of a handler. It runs in the deferred function, so that the stack is
+// logPanic counts and logs the panic of a handler. It runs in the deferred function, so that the stack is
 // that of the panic.
 func (s *Server) logPanic(requestID string, value any) {
+	s.Metrics.Tagged(map[string]string{"server": s.name}).Counter("handler_panics").Inc(1)
 	text := fmt.Sprint(value)
 	stack := make([]byte, maxStackBytes)
 	stack = stack[:runtime.Stack(stack, false)]
@@ -139,19 +164,10 @@
 		zap.String("panic", text[:min(len(text), maxPanicBytes)]), zap.ByteString("stack", stack))
 }
 
-// serve passes the request to the handler and limits what happens to the rest of its body.
-func (s *Server) serve(c *conn, w http.ResponseWriter, r *http.Request) {
-	if s.isKeepAliveOff.Load() {
-		w.Header().Set("Connection", "close")
-	}
-	if r.ContentLength == 0 {
-		s.handler.ServeHTTP(w, r)
-		return
-	}
-	body := &trackedBody{ReadCloser: r.Body}
-	r.Body = body
-	s.handler.ServeHTTP(w, r)
-	if body.hasEnded {
+// endBody limits the time for what the handler has left of the request's body, which is nil if
+// there is none.
+func endBody(c *conn, w http.ResponseWriter, r *http.Request, body *trackedBody) {
+	if body == nil || body.hasEnded {
 		// From here on net/http waits for the next request. A time limit would end that, and
 		// cancel all further requests of the connection, if the response takes long to write.
 		return
