--- a/internal/cwserver/conn.go
+++ b/internal/cwserver/conn.go
@@ -55,7 +55,7 @@
 	// isClosing is set by closeWhenUnused, and isReadAborted if it set the deadline of a
 	// waiting read to the past.
 	isClosing, isReadAborted bool
-	// lingers is set by lingerOnClose.
+	// lingers is set by lingerOnClose, for the request in progress.
 	lingers bool
 }
 
@@ -324,6 +324,6 @@
 		// before.
 		c.requestBytes, c.requestAt = c.nextBytes, c.idleSince
 		c.nextBytes, c.hasEnded, c.hasResponded = 0, false, false
-		c.requestID = ""
+		c.requestID, c.lingers = "", false
 	}
 }
--- a/internal/cwserver/server.go
+++ b/internal/cwserver/server.go
@@ -128,7 +128,7 @@
 				panic(http.ErrAbortHandler)
 			}
 			writeInternalError(w)
-			endBody(c, w, r, body)
+			endBody(c, w, body)
 			c.endRequest("")
 		}
 	}()
@@ -136,7 +136,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	s.handler.ServeHTTP(tracked, r)
-	endBody(c, w, r, body)
+	endBody(c, w, body)
 }
 
 // writeInternalError responds that the request failed. It removes what the handler has set:
@@ -166,18 +166,16 @@
 
 // endBody limits the time for what the handler has left of the request's body, which is nil if
 // there is none.
-func endBody(c *conn, w http.ResponseWriter, r *http.Request, body *trackedBody) {
+func endBody(c *conn, w http.ResponseWriter, body *trackedBody) {
 	if body == nil || body.hasEnded {
 		// From here on net/http waits for the next request. A time limit would end that, and
 		// cancel all further requests of the connection, if the response takes long to write.
 		return
 	}
 	limitBodyDiscard(w)
-	if r.Close {
-		// net/http may leave the rest of the body unread, and closing the connection then would
-		// reset it before the peer has read the response.
-		c.lingerOnClose()
-	}
+	// net/http leaves the rest of the body unread if it is long or the connection is to be closed.
+	// Closing the connection then would reset it before the peer has read the response.
+	c.lingerOnClose()
 }
 
 // limitBodyDiscard limits the time for which net/http reads what a handler has left of the
--- a/internal/cwserver/server_test.go
+++ b/internal/cwserver/server_test.go
@@ -167,6 +167,39 @@
 	})
 }
 
+// TestResponseReachesPeerThatSendsFirst guards against a response that is lost because the server
+// resets a connection whose peer sends its whole body before it reads.
+func TestResponseReachesPeerThatSendsFirst(t *testing.T) {
+	for name, isLeaving := range map[string]bool{"kept connection": false, "shutdown": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			common, _ := newCommon(cwnet.NewTCP())
+			s := cwserver.NewServer(common, "caller", "127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				http.Error(w, "too large", http.StatusRequestEntityTooLarge)
+			}), cwserver.Limits{})
+			l, err := common.Net.Listen(t.Context(), s.Address())
+			is.NoErr(err)
+			served := make(chan error, 1)
+			go func() { served <- s.Serve(l) }()
+			if isLeaving {
+				s.DisableKeepAlives()
+			}
+			c, err := net.Dial("tcp", l.Addr().String())
+			is.NoErr(err)
+			_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: app.example\r\nContent-Length: 8000000\r\n\r\n")
+			is.NoErr(err)
+			_, err = io.WriteString(c, strings.Repeat("x", 8_000_000))
+			is.NoErr(err)
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, http.StatusRequestEntityTooLarge)
+			is.NoErr(c.Close())
+			is.NoErr(s.Close())
+			is.NoErr(<-served)
+		})
+	}
+}
+
 // TestBodyThatIsNeverSentIsNotAwaited checks that a connection whose peer does not send the
 // rest of its body is closed.
 func TestBodyThatIsNeverSentIsNotAwaited(t *testing.T) {
