--- a/internal/cwserver/server.go
+++ b/internal/cwserver/server.go
@@ -47,7 +47,7 @@
 	connClosed chan struct{}
 	// mu guards the fields below.
 	mu         sync.Mutex
-	listener   net.Listener
+	listener   *listener
 	isDraining bool
 	conns      map[*conn]bool
 }
@@ -87,12 +87,13 @@
 		s.mu.Unlock()
 		return l.Close()
 	}
-	s.listener = l
+	accepting := &listener{Listener: l, server: s}
+	s.listener = accepting
 	s.serving.Add(1)
 	s.isListening.Store(true)
 	s.mu.Unlock()
 	defer s.serving.Done()
-	err := s.http.Serve(&listener{Listener: l, server: s})
+	err := s.http.Serve(accepting)
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) && !s.isListening.Load() {
 		return nil
 	}
@@ -234,20 +235,22 @@
 	return s.http.Close()
 }
 
-// closeListener closes the listener, and returns once all connections that it accepted are
-// in conns. It logs their number by state.
+// closeListener accepts the connections that wait, closes the listener, and returns once all
+// connections that it accepted are in conns. It logs their number by state.
 func (s *Server) closeListener() {
 	s.mu.Lock()
 	s.isDraining = true
 	l := s.listener
 	s.mu.Unlock()
 	s.isListening.Store(false)
+	lateCount := int64(0)
 	if l != nil {
-		if err := l.Close(); err != nil {
+		if err := l.stop(); err != nil {
 			s.Log.Warn("listener not closed", zap.String("server", s.name), zap.Error(err))
 		}
+		s.serving.Wait()
+		lateCount = l.lateCount.Load()
 	}
-	s.serving.Wait()
 	counts := make(map[http.ConnState]int)
 	s.mu.Lock()
 	for c := range s.conns {
@@ -255,7 +258,8 @@
 	}
 	s.mu.Unlock()
 	s.Log.Info("listener closed", zap.String("server", s.name), zap.Int("new", counts[http.StateNew]),
-		zap.Int("idle", counts[http.StateIdle]), zap.Int("active", counts[http.StateActive]))
+		zap.Int("idle", counts[http.StateIdle]), zap.Int("active", counts[http.StateActive]),
+		zap.Int64("late", lateCount))
 }
 
 // timeLimits returns the time limits in force: for a head, and for the first byte of the first
