--- a/internal/cwserver/conn.go
+++ b/internal/cwserver/conn.go
@@ -55,6 +55,8 @@
 	// isClosing is set by closeWhenUnused, and isReadAborted if it set the deadline of a
 	// waiting read to the past.
 	isClosing, isReadAborted bool
+	// isExcess is set if there were too many connections when this one was accepted.
+	isExcess bool
 	// lingers is set by lingerOnClose, for the request in progress.
 	lingers bool
 }
@@ -98,6 +100,8 @@
 	switch {
 	case c.requestBytes > 0:
 		return c.requestAt.Add(header), true
+	case c.isExcess:
+		return c.openedAt.Add(excessTimeout), true
 	case c.state == http.StateNew:
 		return c.openedAt.Add(first), true
 	}
@@ -178,6 +182,22 @@
 	c.isInHandler, c.endReason = reason != "", reason
 }
 
+// setExcess marks a new connection as in excess of the limit, until its first request.
+func (c *conn) setExcess() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isExcess = true
+}
+
+// takeExcess reports whether the connection was marked, and removes the mark.
+func (c *conn) takeExcess() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	wasExcess := c.isExcess
+	c.isExcess = false
+	return wasExcess
+}
+
 // closeWhenUnused makes net/http close the connection once no request is in progress. A
 // waiting read is aborted, unless a request has arrived.
 func (c *conn) closeWhenUnused() {
@@ -254,9 +274,13 @@
 	if c.requestBytes > 0 {
 		fields = append(fields, zap.Duration("firstByteAge", time.Since(c.requestAt)))
 	}
-	isOwed := c.requestBytes > 0 && !c.hasResponded || reason == endConnLimit
+	isOwed := c.requestBytes > 0 && !c.hasResponded
 	isBrokenOff := c.isInHandler && c.hasResponded
 	switch {
+	case reason == endConnLimit:
+		// There may be very many of these lines, so they must not displace warnings.
+		c.server.countEnd("connections_unanswered", reason)
+		c.server.Log.Info("connection closed at the connection limit", fields...)
 	case isOwed && reason == endCallerLeft:
 		c.server.countEnd("connections_unanswered", reason)
 		c.server.Log.Info("caller left without a response", fields...)
--- a/internal/cwserver/limits.go
+++ b/internal/cwserver/limits.go
@@ -7,12 +7,19 @@
 	keepAliveTimeout = time.Minute
 	// lingerTimeout limits how long the rest of a body is read that no handler wants.
 	lingerTimeout = 500 * time.Millisecond
+	// maxExcessConns is the number of connections above Limits.Conns that are kept open to refuse
+	// their request, and excessTimeout how long each of them may take to begin it.
+	maxExcessConns = 128
+	excessTimeout  = time.Second
+	// excessRetryAfterSeconds is the time after which a refused peer should retry.
+	excessRetryAfterSeconds = "1"
 )
 
 // Limits bound the use of a server.
 type Limits struct {
-	// Conns is the largest number of open connections; 0 means no limit. Connections in
-	// excess of it are closed.
+	// Conns is the largest number of open connections; 0 means no limit. A request on a
+	// connection in excess of it is refused with status 503, and not run. Connections above
+	// maxExcessConns of these are closed.
 	Conns int
 	// Times returns how long peers may take to send a head and how long a connection may
 	// have no request. The server allows at least the header timeout of its settings for a
--- a/internal/cwserver/server.go
+++ b/internal/cwserver/server.go
@@ -136,10 +136,23 @@
 	if s.isKeepAliveOff.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	s.handler.ServeHTTP(tracked, r)
+	if c.takeExcess() && s.countConns() > s.limits.Conns {
+		s.refuseExcess(tracked, id)
+	} else {
+		s.handler.ServeHTTP(tracked, r)
+	}
 	endBody(c, w, body)
 }
 
+// refuseExcess responds that the request was not run because there are too many connections.
+func (s *Server) refuseExcess(w http.ResponseWriter, requestID string) {
+	s.Metrics.Tagged(map[string]string{"server": s.name}).Counter("connections_refused").Inc(1)
+	s.Log.Info("request refused at the connection limit", zap.String("server", s.name), zap.String("request", requestID))
+	w.Header().Set("Connection", "close")
+	w.Header().Set("Retry-After", excessRetryAfterSeconds)
+	http.Error(w, "too many connections", http.StatusServiceUnavailable)
+}
+
 // writeInternalError responds that the request failed. It removes what the handler has set:
 // the response states nothing else about the request.
 func writeInternalError(w http.ResponseWriter) {
@@ -295,6 +308,9 @@
 		defer s.mu.Unlock()
 		s.conns[c] = true
 		if s.limits.Conns > 0 && len(s.conns) > s.limits.Conns {
+			c.setExcess()
+		}
+		if s.limits.Conns > 0 && len(s.conns) > s.limits.Conns+maxExcessConns {
 			c.endRequest(endConnLimit)
 			_ = c.Close()
 		}
--- a/internal/cwserver/server_test.go
+++ b/internal/cwserver/server_test.go
@@ -96,6 +96,18 @@
 	return string(body)
 }
 
+// readStatusAndBody reads one response. It returns an empty text if the connection ends without
+// one.
+func (s *testServer) readStatusAndBody(c net.Conn) string {
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return ""
+	}
+	body, err := io.ReadAll(resp.Body)
+	s.is.NoErr(err)
+	return resp.Status + ": " + string(body)
+}
+
 // startDrain drains the server in the background and returns once its listener is closed.
 func (s *testServer) startDrain(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
--- a/internal/cwsetting/settings.go
+++ b/internal/cwsetting/settings.go
@@ -31,7 +31,7 @@
 	FallbackInterval  time.Duration `name:"fallback-interval" default:"60s" check:"positive" help:"Time between configuration reads of an instance that is not a reader of its domain, before jitter."`
 	MaxBodyBytes      int           `name:"max-body-bytes" default:"16777216" check:"positive" help:"Largest request body."`
 	MaxHeaderBytes    int           `name:"max-header-bytes" default:"32768" check:"positive" help:"Largest request header."`
-	MaxConnections    int           `name:"max-connections" default:"4096" check:"positive" help:"Largest number of open caller connections."`
+	MaxConnections    int           `name:"max-connections" default:"4096" check:"positive" help:"Largest number of open caller connections; requests on more of them are refused."`
 	HeaderTimeout     time.Duration `name:"header-timeout" default:"5s" check:"positive" help:"Time for a header from its first byte, and for the first request on a connection; a routed configuration may allow callers more."`
 	IdleTimeout       time.Duration `name:"idle-timeout" default:"15s" check:"positive" help:"Time without a byte from an endpoint or peer after which an attempt is given up."`
 	MetricsInterval   time.Duration `name:"metrics-interval" default:"1s" check:"positive" help:"Time between two updates of the metrics."`
