--- a/internal/cwapp/routed_app.go
+++ b/internal/cwapp/routed_app.go
@@ -149,7 +149,9 @@
 
 // shutdown stops the instance gracefully: peers and callers are notified first, requests
 // that still arrive are served for acceptDuration, and requests in flight get the rest of
-// the shutdown grace. Those that take longer are aborted. The directory, the ready check and
+// the shutdown grace. Meanwhile connections that callers have kept stay open; a request on one
+// is served if it will be finished in time, and refused otherwise. Requests in flight that take
+// longer are aborted. The directory, the ready check and
 // the interfaces for peers and operators are closed last.
 func (r *RoutedApp) shutdown(ctx context.Context) {
 	graceEnd := time.Now().Add(r.site.Bounds.ShutdownGrace)
@@ -168,6 +170,7 @@
 	case <-ctx.Done():
 	case <-time.After(acceptDuration):
 	}
+	r.gate.SetEnd(graceEnd.Add(-shutdownMargin))
 	if err := drainServers(ctx, r.forwardingServers, requestArrivalTimeout); err != nil {
 		r.Log.Warn("shutdown grace expired with requests in flight", zap.Int("inFlight", r.gate.InFlight()), zap.Error(err))
 		closeServers(r.forwardingServers)
--- a/internal/cwgate/gate.go
+++ b/internal/cwgate/gate.go
@@ -51,6 +51,8 @@
 	snapshot  *cwcontrol.Snapshot
 	startedAt time.Time
 	inFlight  atomic.Int64
+	// endsAt is when the instance ends; nil unless it stops.
+	endsAt atomic.Pointer[time.Time]
 }
 
 // NewGate returns a Gate. The seed and the instance's incarnation determine its random
--- a/internal/cwgate/serve.go
+++ b/internal/cwgate/serve.go
@@ -149,6 +149,12 @@
 func (g *Gate) runAttempts(ctx context.Context, routed *routedRequest) {
 	g.assignService(routed)
 	d := g.decidePlacement(routed)
+	if g.isTooLate(routed, d) {
+		g.releasePlacement(&d)
+		routed.responder.Header().Set("Connection", "close")
+		g.refuseUnrouted(routed.Request, routed.responder, newNotRunRefusal("leaving", leavingRetryAfter))
+		return
+	}
 	for {
 		if d.Action == cwplacement.ActionRefuse {
 			g.refuseUnplaced(ctx, routed, d)
--- a/internal/cwserver/conn.go
+++ b/internal/cwserver/conn.go
@@ -116,6 +116,13 @@
 	return c.isClosing && c.isUnused()
 }
 
+// isKept reports whether the connection had a request before and has none now.
+func (c *conn) isKept() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state == http.StateIdle && c.requestBytes == 0 && !c.isClosing
+}
+
 // isUnused reports whether the peer has sent no request since the last response. After a
 // request whose end the framer can't find, bytes of the next one may have been read together
 // with it, so that requestBytes does not include them. The caller holds mu.
--- a/internal/cwserver/server.go
+++ b/internal/cwserver/server.go
@@ -43,8 +43,8 @@
 	// isGraceOver is set if the time for a drain was over before all connections were closed.
 	isGraceOver atomic.Bool
 
-	// connClosed has a value after a connection was closed.
-	connClosed chan struct{}
+	// connChanged has a value after a connection has changed its state.
+	connChanged chan struct{}
 	// mu guards the fields below.
 	mu         sync.Mutex
 	listener   *listener
@@ -56,13 +56,13 @@
 // metrics.
 func NewServer(common *cwcommon.Common, name, address string, handler http.Handler, limits Limits) *Server {
 	s := &Server{
-		Common:     common,
-		name:       name,
-		address:    address,
-		handler:    handler,
-		limits:     limits,
-		conns:      make(map[*conn]bool),
-		connClosed: make(chan struct{}, 1),
+		Common:      common,
+		name:        name,
+		address:     address,
+		handler:     handler,
+		limits:      limits,
+		conns:       make(map[*conn]bool),
+		connChanged: make(chan struct{}, 1),
 	}
 	s.http = &http.Server{
 		ConnState:      s.handleState,
@@ -136,7 +136,7 @@
 	if s.isKeepAliveOff.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	if c.takeExcess() && s.countConns() > s.limits.Conns {
+	if c.takeExcess() && s.isFull() {
 		s.refuseExcess(tracked, id)
 	} else {
 		s.handler.ServeHTTP(tracked, r)
@@ -206,34 +206,52 @@
 
 // Drain closes the listener and returns once all connections are closed, or with the error
 // of ctx when it ends. Until then each request that is read gets its response. A connection
-// without a request is closed after arrivalTimeout, so that a request that is already under
-// way is served.
+// that had no request yet is closed after arrivalTimeout, so that a request that is already
+// under way is served. One that had a request before was not told that it will be closed, so it
+// stays open as long as there is a request on another one.
 func (s *Server) Drain(ctx context.Context, arrivalTimeout time.Duration) error {
 	s.DisableKeepAlives()
 	s.closeListener()
+	err := s.drainConns(ctx, arrivalTimeout)
+	if err != nil {
+		s.isGraceOver.Store(true)
+	}
+	return err
+}
+
+func (s *Server) drainConns(ctx context.Context, arrivalTimeout time.Duration) error {
 	arrivalCtx, cancel := context.WithTimeout(ctx, arrivalTimeout)
 	defer cancel()
-	if s.waitUntilUnconnected(arrivalCtx) == nil {
+	noneOpen := func() bool { return s.countConns(func(*conn) bool { return true }) == 0 }
+	if s.awaitConns(arrivalCtx, noneOpen) == nil {
 		return nil
 	}
+	s.closeUnused(func(c *conn) bool { return c.currentState() == http.StateNew })
+	noneInUse := func() bool { return s.countConns(func(c *conn) bool { return !c.isKept() }) == 0 }
+	if err := s.awaitConns(ctx, noneInUse); err != nil {
+		return err
+	}
+	s.closeUnused(func(*conn) bool { return true })
+	return s.awaitConns(ctx, noneOpen)
+}
+
+// closeUnused closes the connections that match and have no request.
+func (s *Server) closeUnused(matches func(c *conn) bool) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	for c := range s.conns {
-		c.closeWhenUnused()
-	}
-	s.mu.Unlock()
-	err := s.waitUntilUnconnected(ctx)
-	if err != nil {
-		s.isGraceOver.Store(true)
+		if matches(c) {
+			c.closeWhenUnused()
+		}
 	}
-	return err
 }
 
-// waitUntilUnconnected waits until all connections are closed, or returns the error of ctx
-// when it ends.
-func (s *Server) waitUntilUnconnected(ctx context.Context) error {
-	for s.countConns() > 0 {
+// awaitConns waits until isDone returns true, and calls it each time a connection is closed
+// or changes its state. It returns the error of ctx when that ends.
+func (s *Server) awaitConns(ctx context.Context, isDone func() bool) error {
+	for !isDone() {
 		select {
-		case <-s.connClosed:
+		case <-s.connChanged:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -287,10 +305,24 @@
 	return header, first, idle
 }
 
-func (s *Server) countConns() int {
+// countConns returns the number of open connections that match.
+func (s *Server) countConns(matches func(c *conn) bool) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.conns)
+	n := 0
+	for c := range s.conns {
+		if matches(c) {
+			n++
+		}
+	}
+	return n
+}
+
+// isFull reports whether there are more connections than allowed.
+func (s *Server) isFull() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.limits.Conns > 0 && len(s.conns) > s.limits.Conns
 }
 
 // countEnd counts by reason a connection that ended too early.
@@ -304,23 +336,28 @@
 	c.setState(state)
 	switch state {
 	case http.StateNew:
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.conns[c] = true
-		if s.limits.Conns > 0 && len(s.conns) > s.limits.Conns {
-			c.setExcess()
-		}
-		if s.limits.Conns > 0 && len(s.conns) > s.limits.Conns+maxExcessConns {
-			c.endRequest(endConnLimit)
-			_ = c.Close()
-		}
+		s.addConn(c)
 	case http.StateClosed, http.StateHijacked:
 		s.mu.Lock()
-		defer s.mu.Unlock()
 		delete(s.conns, c)
-		select {
-		case s.connClosed <- struct{}{}:
-		default:
-		}
+		s.mu.Unlock()
+	}
+	select {
+	case s.connChanged <- struct{}{}:
+	default:
+	}
+}
+
+// addConn adds a connection that was accepted. It marks or closes one in excess of the limit.
+func (s *Server) addConn(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = true
+	if s.limits.Conns > 0 && len(s.conns) > s.limits.Conns {
+		c.setExcess()
+	}
+	if s.limits.Conns > 0 && len(s.conns) > s.limits.Conns+maxExcessConns {
+		c.endRequest(endConnLimit)
+		_ = c.Close()
 	}
 }
--- a/internal/cwserver/server_test.go
+++ b/internal/cwserver/server_test.go
@@ -280,6 +280,46 @@
 	})
 }
 
+// TestDrainKeepsIdleConnectionsWhileItWaits guards against a request that crosses the close of
+// a kept connection: its peer was not told that the server stops, and the server runs on for the
+// sake of other requests.
+func TestDrainKeepsIdleConnectionsWhileItWaits(t *testing.T) {
+	respond := func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/slow":
+			time.Sleep(5 * time.Second)
+		case "/stream":
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(2 * time.Second)
+		}
+		respondOK(w, r)
+	}
+	withServer(t, respond, func(s *testServer) {
+		kept, unused, streaming, busy := s.dial(), s.dial(), s.dial(), s.dial()
+		for _, c := range []net.Conn{kept, unused} {
+			s.send(c, request)
+			s.is.Equal(s.readBody(c), "ok")
+		}
+		s.send(busy, "GET /slow HTTP/1.1\r\nHost: a\r\n\r\n")
+		s.send(streaming, "GET /stream HTTP/1.1\r\nHost: a\r\n\r\n")
+		start := time.Now()
+		done := s.startDrain(s.t.Context())
+		s.is.Equal(s.readBody(streaming), "ok") // its head was sent before, so it was not told either
+		time.Sleep(2 * time.Second)
+		for _, c := range []net.Conn{kept, streaming} {
+			s.send(c, request)
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			s.is.NoErr(err)
+			s.is.Equal(resp.StatusCode, http.StatusOK)
+			s.is.True(resp.Close) // told before the end
+		}
+		s.is.Equal(s.readBody(busy), "ok")
+		s.is.NoErr(<-done) // nobody waits for a request on the last one
+		s.is.Equal(time.Since(start), 5*time.Second)
+		s.is.Equal(s.countUnanswered(), 0)
+	})
+}
+
 // TestDrainEndsWithItsContext checks that a request without a response at the end of the
 // grace is logged when its connection is closed.
 func TestDrainEndsWithItsContext(t *testing.T) {
