--- a/internal/cwserver/server.go
+++ b/internal/cwserver/server.go
@@ -5,13 +5,15 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"log"
 	"net"
 	"net/http"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"github.com/clementinewell/clementinewell/internal/cwcommon"
@@ -25,23 +27,27 @@
 // connection that was accepted before the call and used for the first time after it.
 type Server struct {
 	*cwcommon.Common
+	// RequestID returns the identifier of a request from its header, for the log. It may be
+	// nil, and is set before Serve.
+	RequestID     func(h http.Header) string
 	name, address string
 	handler       http.Handler
 	limits        Limits
 	http          *http.Server
-	unanswered    tally.Counter
 	// serving counts the running calls of Serve.
 	serving sync.WaitGroup
 	// isKeepAliveOff is set if responses announce that the connection will be closed.
 	isKeepAliveOff atomic.Bool
 	isListening    atomic.Bool
 	isClosed       atomic.Bool
+	// isGraceOver is set if the time for a drain was over before all connections were closed.
+	isGraceOver atomic.Bool
 
-	// connClosed has a value after a connection was closed.
-	connClosed chan struct{}
+	// connChanged has a value after a connection has changed its state.
+	connChanged chan struct{}
 	// mu guards the fields below.
 	mu         sync.Mutex
-	listener   net.Listener
+	listener   *listener
 	isDraining bool
 	conns      map[*conn]bool
 }
@@ -50,22 +56,20 @@
 // metrics.
 func NewServer(common *cwcommon.Common, name, address string, handler http.Handler, limits Limits) *Server {
 	s := &Server{
-		Common:     common,
-		name:       name,
-		address:    address,
-		handler:    handler,
-		limits:     limits,
-		unanswered: common.Metrics.Tagged(map[string]string{"server": name}).Counter("connections_unanswered"),
-		conns:      make(map[*conn]bool),
-		connClosed: make(chan struct{}, 1),
+		Common:      common,
+		name:        name,
+		address:     address,
+		handler:     handler,
+		limits:      limits,
+		conns:       make(map[*conn]bool),
+		connChanged: make(chan struct{}, 1),
 	}
 	s.http = &http.Server{
 		ConnState:      s.handleState,
 		ConnContext:    func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 		Handler:        http.HandlerFunc(s.handle),
 		MaxHeaderBytes: common.Settings.MaxHeaderBytes,
-		// NewStdLog logs at level info, so the messages of net/http are dropped.
-		ErrorLog: zap.NewStdLog(common.Log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+		ErrorLog:       log.New(errorLog{server: s}, "", 0),
 	}
 	return s
 }
@@ -83,41 +87,109 @@
 		s.mu.Unlock()
 		return l.Close()
 	}
-	s.listener = l
+	accepting := &listener{Listener: l, server: s}
+	s.listener = accepting
 	s.serving.Add(1)
 	s.isListening.Store(true)
 	s.mu.Unlock()
 	defer s.serving.Done()
-	err := s.http.Serve(&listener{Listener: l, server: s})
+	err := s.http.Serve(accepting)
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) && !s.isListening.Load() {
 		return nil
 	}
 	return err
 }
 
-// handle serves one request.
+// handle serves one request. It logs a panic of the handler and responds with status 500, or
+// aborts the connection if a response has begun.
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
+	c := r.Context().Value(connKey{}).(*conn)
+	id := ""
+	if s.RequestID != nil {
+		id = s.RequestID(r.Header)
+	}
+	c.beginRequest(id)
+	tracked := &trackedWriter{ResponseWriter: w}
+	var body *trackedBody
+	if r.ContentLength != 0 {
+		body = &trackedBody{ReadCloser: r.Body}
+		r.Body = body
+	}
+	defer func() {
+		switch p := recover(); p {
+		case nil:
+			c.endRequest("")
+		case http.ErrAbortHandler:
+			c.endRequest(endAborted)
+			panic(p)
+		default:
+			s.logPanic(id, p)
+			if tracked.hasBegun {
+				c.endRequest(endPanicked)
+				panic(http.ErrAbortHandler)
+			}
+			writeInternalError(w)
+			endBody(c, w, body)
+			c.endRequest("")
+		}
+	}()
 	if s.isKeepAliveOff.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	if r.ContentLength == 0 {
-		s.handler.ServeHTTP(w, r)
-		return
+	if c.takeExcess() && s.isFull() {
+		s.refuseExcess(tracked, id)
+	} else {
+		s.handler.ServeHTTP(tracked, r)
 	}
-	body := &trackedBody{ReadCloser: r.Body}
-	r.Body = body
-	s.handler.ServeHTTP(w, r)
-	if body.hasEnded {
+	endBody(c, w, body)
+}
+
+// refuseExcess responds that the request was not run because there are too many connections.
+func (s *Server) refuseExcess(w http.ResponseWriter, requestID string) {
+	s.Metrics.Tagged(map[string]string{"server": s.name}).Counter("connections_refused").Inc(1)
+	s.Log.Info("request refused at the connection limit", zap.String("server", s.name), zap.String("request", requestID))
+	w.Header().Set("Connection", "close")
+	w.Header().Set("Retry-After", excessRetryAfterSeconds)
+	http.Error(w, "too many connections", http.StatusServiceUnavailable)
+}
+
+// writeInternalError responds that the request failed. It removes what the handler has set:
+// the response states nothing else about the request.
+func writeInternalError(w http.ResponseWriter) {
+	clear(w.Header())
+	w.Header().Set("Connection", "close")
+	http.Error(w, "internal error", http.StatusInternalServerError)
+}
+
+// maxStackBytes and maxPanicBytes limit what is logged of a panic's stack and value.
+const (
+	maxStackBytes = 4 << 10
+	maxPanicBytes = 512
+)
+
+// logPanic counts and logs the panic of a handler. It runs in the deferred function, so that the stack is
+// that of the panic.
+func (s *Server) logPanic(requestID string, value any) {
+	s.Metrics.Tagged(map[string]string{"server": s.name}).Counter("handler_panics").Inc(1)
+	text := fmt.Sprint(value)
+	stack := make([]byte, maxStackBytes)
+	stack = stack[:runtime.Stack(stack, false)]
+	s.Log.Error("handler panicked", zap.String("server", s.name), zap.String("request", requestID),
+		zap.String("panic", text[:min(len(text), maxPanicBytes)]), zap.ByteString("stack", stack))
+}
+
+// endBody limits the time for what the handler has left of the request's body, which is nil if
+// there is none.
+func endBody(c *conn, w http.ResponseWriter, body *trackedBody) {
+	if body == nil || body.hasEnded {
 		// From here on net/http waits for the next request. A time limit would end that, and
 		// cancel all further requests of the connection, if the response takes long to write.
 		return
 	}
 	limitBodyDiscard(w)
-	if r.Close {
-		// net/http may leave the rest of the body unread, and closing the connection then would
-		// reset it before the peer has read the response.
-		r.Context().Value(connKey{}).(*conn).lingerOnClose()
-	}
+	// net/http leaves the rest of the body unread if it is long or the connection is to be closed.
+	// Closing the connection then would reset it before the peer has read the response.
+	c.lingerOnClose()
 }
 
 // limitBodyDiscard limits the time for which net/http reads what a handler has left of the
@@ -134,30 +206,52 @@
 
 // Drain closes the listener and returns once all connections are closed, or with the error
 // of ctx when it ends. Until then each request that is read gets its response. A connection
-// without a request is closed after arrivalTimeout, so that a request that is already under
-// way is served.
+// that had no request yet is closed after arrivalTimeout, so that a request that is already
+// under way is served. One that had a request before was not told that it will be closed, so it
+// stays open as long as there is a request on another one.
 func (s *Server) Drain(ctx context.Context, arrivalTimeout time.Duration) error {
 	s.DisableKeepAlives()
 	s.closeListener()
+	err := s.drainConns(ctx, arrivalTimeout)
+	if err != nil {
+		s.isGraceOver.Store(true)
+	}
+	return err
+}
+
+func (s *Server) drainConns(ctx context.Context, arrivalTimeout time.Duration) error {
 	arrivalCtx, cancel := context.WithTimeout(ctx, arrivalTimeout)
 	defer cancel()
-	if s.waitUntilUnconnected(arrivalCtx) == nil {
+	noneOpen := func() bool { return s.countConns(func(*conn) bool { return true }) == 0 }
+	if s.awaitConns(arrivalCtx, noneOpen) == nil {
 		return nil
 	}
+	s.closeUnused(func(c *conn) bool { return c.currentState() == http.StateNew })
+	noneInUse := func() bool { return s.countConns(func(c *conn) bool { return !c.isKept() }) == 0 }
+	if err := s.awaitConns(ctx, noneInUse); err != nil {
+		return err
+	}
+	s.closeUnused(func(*conn) bool { return true })
+	return s.awaitConns(ctx, noneOpen)
+}
+
+// closeUnused closes the connections that match and have no request.
+func (s *Server) closeUnused(matches func(c *conn) bool) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	for c := range s.conns {
-		c.closeWhenUnused()
+		if matches(c) {
+			c.closeWhenUnused()
+		}
 	}
-	s.mu.Unlock()
-	return s.waitUntilUnconnected(ctx)
 }
 
-// waitUntilUnconnected waits until all connections are closed, or returns the error of ctx
-// when it ends.
-func (s *Server) waitUntilUnconnected(ctx context.Context) error {
-	for s.countConns() > 0 {
+// awaitConns waits until isDone returns true, and calls it each time a connection is closed
+// or changes its state. It returns the error of ctx when that ends.
+func (s *Server) awaitConns(ctx context.Context, isDone func() bool) error {
+	for !isDone() {
 		select {
-		case <-s.connClosed:
+		case <-s.connChanged:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -172,20 +266,22 @@
 	return s.http.Close()
 }
 
-// closeListener closes the listener, and returns once all connections that it accepted are
-// in conns. It logs their number by state.
+// closeListener accepts the connections that wait, closes the listener, and returns once all
+// connections that it accepted are in conns. It logs their number by state.
 func (s *Server) closeListener() {
 	s.mu.Lock()
 	s.isDraining = true
 	l := s.listener
 	s.mu.Unlock()
 	s.isListening.Store(false)
+	lateCount := int64(0)
 	if l != nil {
-		if err := l.Close(); err != nil {
+		if err := l.stop(); err != nil {
 			s.Log.Warn("listener not closed", zap.String("server", s.name), zap.Error(err))
 		}
+		s.serving.Wait()
+		lateCount = l.lateCount.Load()
 	}
-	s.serving.Wait()
 	counts := make(map[http.ConnState]int)
 	s.mu.Lock()
 	for c := range s.conns {
@@ -193,7 +289,8 @@
 	}
 	s.mu.Unlock()
 	s.Log.Info("listener closed", zap.String("server", s.name), zap.Int("new", counts[http.StateNew]),
-		zap.Int("idle", counts[http.StateIdle]), zap.Int("active", counts[http.StateActive]))
+		zap.Int("idle", counts[http.StateIdle]), zap.Int("active", counts[http.StateActive]),
+		zap.Int64("late", lateCount))
 }
 
 // timeLimits returns the time limits in force: for a head, and for the first byte of the first
@@ -208,10 +305,29 @@
 	return header, first, idle
 }
 
-func (s *Server) countConns() int {
+// countConns returns the number of open connections that match.
+func (s *Server) countConns(matches func(c *conn) bool) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for c := range s.conns {
+		if matches(c) {
+			n++
+		}
+	}
+	return n
+}
+
+// isFull reports whether there are more connections than allowed.
+func (s *Server) isFull() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.conns)
+	return s.limits.Conns > 0 && len(s.conns) > s.limits.Conns
+}
+
+// countEnd counts by reason a connection that ended too early.
+func (s *Server) countEnd(counter string, reason endReason) {
+	s.Metrics.Tagged(map[string]string{"server": s.name, "reason": string(reason)}).Counter(counter).Inc(1)
 }
 
 // handleState is called by net/http for each change of a connection's state.
@@ -220,19 +336,28 @@
 	c.setState(state)
 	switch state {
 	case http.StateNew:
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.conns[c] = true
-		if s.limits.Conns > 0 && len(s.conns) > s.limits.Conns {
-			_ = c.Close()
-		}
+		s.addConn(c)
 	case http.StateClosed, http.StateHijacked:
 		s.mu.Lock()
-		defer s.mu.Unlock()
 		delete(s.conns, c)
-		select {
-		case s.connClosed <- struct{}{}:
-		default:
-		}
+		s.mu.Unlock()
+	}
+	select {
+	case s.connChanged <- struct{}{}:
+	default:
+	}
+}
+
+// addConn adds a connection that was accepted. It marks or closes one in excess of the limit.
+func (s *Server) addConn(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = true
+	if s.limits.Conns > 0 && len(s.conns) > s.limits.Conns {
+		c.setExcess()
+	}
+	if s.limits.Conns > 0 && len(s.conns) > s.limits.Conns+maxExcessConns {
+		c.endRequest(endConnLimit)
+		_ = c.Close()
 	}
 }
--- a/internal/cwserver/server_test.go
+++ b/internal/cwserver/server_test.go
@@ -29,7 +29,7 @@
 	serverIP       = "10.1.0.1"
 	serverAddress  = serverIP + ":8001"
 	arrivalTimeout = 400 * time.Millisecond
-	request        = "GET / HTTP/1.1\r\nHost: app.example\r\n\r\n"
+	request        = "GET / HTTP/1.1\r\nHost: app.example\r\nRequest-Id: r1\r\n\r\n"
 )
 
 // testServer is a running server on an in-memory network.
@@ -60,6 +60,7 @@
 			Server: cwserver.NewServer(common, "caller", serverAddress, handler, cwserver.Limits{}),
 			t:      t, is: is.New(t), network: network, logs: logs, served: make(chan error, 1),
 		}
+		s.RequestID = func(h http.Header) string { return h.Get("Request-Id") }
 		l, err := common.Net.Listen(t.Context(), serverAddress)
 		s.is.NoErr(err)
 		go func() { s.served <- s.Serve(l) }()
@@ -95,6 +96,18 @@
 	return string(body)
 }
 
+// readStatusAndBody reads one response. It returns an empty text if the connection ends without
+// one.
+func (s *testServer) readStatusAndBody(c net.Conn) string {
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return ""
+	}
+	body, err := io.ReadAll(resp.Body)
+	s.is.NoErr(err)
+	return resp.Status + ": " + string(body)
+}
+
 // startDrain drains the server in the background and returns once its listener is closed.
 func (s *testServer) startDrain(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
@@ -166,6 +179,39 @@
 	})
 }
 
+// TestResponseReachesPeerThatSendsFirst guards against a response that is lost because the server
+// resets a connection whose peer sends its whole body before it reads.
+func TestResponseReachesPeerThatSendsFirst(t *testing.T) {
+	for name, isLeaving := range map[string]bool{"kept connection": false, "shutdown": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			common, _ := newCommon(cwnet.NewTCP())
+			s := cwserver.NewServer(common, "caller", "127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				http.Error(w, "too large", http.StatusRequestEntityTooLarge)
+			}), cwserver.Limits{})
+			l, err := common.Net.Listen(t.Context(), s.Address())
+			is.NoErr(err)
+			served := make(chan error, 1)
+			go func() { served <- s.Serve(l) }()
+			if isLeaving {
+				s.DisableKeepAlives()
+			}
+			c, err := net.Dial("tcp", l.Addr().String())
+			is.NoErr(err)
+			_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: app.example\r\nContent-Length: 8000000\r\n\r\n")
+			is.NoErr(err)
+			_, err = io.WriteString(c, strings.Repeat("x", 8_000_000))
+			is.NoErr(err)
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, http.StatusRequestEntityTooLarge)
+			is.NoErr(c.Close())
+			is.NoErr(s.Close())
+			is.NoErr(<-served)
+		})
+	}
+}
+
 // TestBodyThatIsNeverSentIsNotAwaited checks that a connection whose peer does not send the
 // rest of its body is closed.
 func TestBodyThatIsNeverSentIsNotAwaited(t *testing.T) {
@@ -234,6 +280,46 @@
 	})
 }
 
+// TestDrainKeepsIdleConnectionsWhileItWaits guards against a request that crosses the close of
+// a kept connection: its peer was not told that the server stops, and the server runs on for the
+// sake of other requests.
+func TestDrainKeepsIdleConnectionsWhileItWaits(t *testing.T) {
+	respond := func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/slow":
+			time.Sleep(5 * time.Second)
+		case "/stream":
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(2 * time.Second)
+		}
+		respondOK(w, r)
+	}
+	withServer(t, respond, func(s *testServer) {
+		kept, unused, streaming, busy := s.dial(), s.dial(), s.dial(), s.dial()
+		for _, c := range []net.Conn{kept, unused} {
+			s.send(c, request)
+			s.is.Equal(s.readBody(c), "ok")
+		}
+		s.send(busy, "GET /slow HTTP/1.1\r\nHost: a\r\n\r\n")
+		s.send(streaming, "GET /stream HTTP/1.1\r\nHost: a\r\n\r\n")
+		start := time.Now()
+		done := s.startDrain(s.t.Context())
+		s.is.Equal(s.readBody(streaming), "ok") // its head was sent before, so it was not told either
+		time.Sleep(2 * time.Second)
+		for _, c := range []net.Conn{kept, streaming} {
+			s.send(c, request)
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			s.is.NoErr(err)
+			s.is.Equal(resp.StatusCode, http.StatusOK)
+			s.is.True(resp.Close) // told before the end
+		}
+		s.is.Equal(s.readBody(busy), "ok")
+		s.is.NoErr(<-done) // nobody waits for a request on the last one
+		s.is.Equal(time.Since(start), 5*time.Second)
+		s.is.Equal(s.countUnanswered(), 0)
+	})
+}
+
 // TestDrainEndsWithItsContext checks that a request without a response at the end of the
 // grace is logged when its connection is closed.
 func TestDrainEndsWithItsContext(t *testing.T) {
