--- a/internal/cwgate/serve.go
+++ b/internal/cwgate/serve.go
@@ -35,8 +35,7 @@
 var errDeadline = errors.New("request deadline exceeded")
 
 // Serve responds to one request. It panics with http.ErrAbortHandler, which closes the
-// connection, if a response that has begun can't be completed or the caller has
-// disconnected.
+// connection, if a response that has begun can't be completed.
 func (g *Gate) Serve(ctx context.Context, w http.ResponseWriter, r *Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
@@ -273,9 +272,7 @@
 func (g *Gate) finishFailed(ctx context.Context, routed *routedRequest, r result) {
 	switch {
 	case errors.Is(context.Cause(ctx), context.Canceled):
-		// The caller has disconnected, so no response is written.
-		g.logEnd(routed, "callerGone", r.err)
-		panic(http.ErrAbortHandler)
+		g.finishCancelled(routed, r)
 	case routed.responder.hasBegun:
 		g.abort(routed, "streamBroken")
 	case routed.errorResponse != nil:
@@ -292,6 +289,24 @@
 	}
 }
 
+// finishCancelled ends a request whose context was cancelled. net/http does that when a read of
+// the caller's connection fails: at its end, which may be a half-close. A caller that can still
+// read gets a response which states whether the request may have run.
+func (g *Gate) finishCancelled(routed *routedRequest, r result) {
+	if routed.responder.hasBegun {
+		g.logEnd(routed, "callerGone", r.err)
+		panic(http.ErrAbortHandler)
+	}
+	// All further requests of the connection would be cancelled too.
+	routed.responder.Header().Set("Connection", "close")
+	refusal := Refusal{Status: http.StatusBadGateway, Reason: "cancelled"}
+	if routed.isNotRun() {
+		refusal = newNotRunRefusal("cancelled", cwplacement.RetryAfter(0, g.randomFloat()))
+	}
+	routed.responder.writeRefusal(refusal)
+	g.logEnd(routed, "callerGone", r.err)
+}
+
 // randomFloat returns a random number in [0, 1).
 func (g *Gate) randomFloat() float64 {
 	g.mu.Lock()
--- a/internal/cwscene/routed_scene.go
+++ b/internal/cwscene/routed_scene.go
@@ -17,6 +17,7 @@
 
 	"github.com/clementinewell/clementinewell/internal/cwapp"
 	"github.com/clementinewell/clementinewell/internal/cwmemnet"
+	"github.com/clementinewell/clementinewell/internal/cwnet"
 	"github.com/clementinewell/clementinewell/internal/cwsetting"
 	"github.com/clementinewell/clementinewell/internal/cwsite"
 	"github.com/clementinewell/clementinewell/internal/cwstandin"
@@ -46,6 +47,8 @@
 	// an instance contacts first.
 	RegionByDomain map[string]string
 	SeedPeers      []string
+	// WrapNet, if set, changes the network of the instances that are added.
+	WrapNet func(n cwnet.Net) cwnet.Net
 
 	t             testing.TB
 	configVersion int
@@ -171,8 +174,12 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
+	host := cwnet.Net(s.Net.Host(ip))
+	if s.WrapNet != nil {
+		host = s.WrapNet(host)
+	}
 	ctx, stop := context.WithCancel(context.Background())
-	i := &RoutedInstance{RoutedApp: cwapp.NewRoutedApp(settings, site, newLogger(), s.Net.Host(ip)), IP: ip, stop: stop, done: make(chan struct{})}
+	i := &RoutedInstance{RoutedApp: cwapp.NewRoutedApp(settings, site, newLogger(), host), IP: ip, stop: stop, done: make(chan struct{})}
 	s.instances = append(s.instances, i)
 	go func() {
 		defer close(i.done)
