--- a/internal/cwapp/routed_app.go
+++ b/internal/cwapp/routed_app.go
@@ -143,6 +143,9 @@
 	acceptDuration = 2500 * time.Millisecond
 	// shutdownMargin is what remains of the shutdown grace when the last streams are aborted.
 	shutdownMargin = 400 * time.Millisecond
+	// endMargin is what remains of it when their connections are closed: meanwhile requests
+	// without a response get one.
+	endMargin = 300 * time.Millisecond
 	// closeMargin is what remains of the shutdown grace when the other servers are closed.
 	closeMargin = 200 * time.Millisecond
 )
@@ -151,12 +154,14 @@
 // that still arrive are served for acceptDuration, and requests in flight get the rest of
 // the shutdown grace. Meanwhile connections that callers have kept stay open; a request on one
 // is served if it will be finished in time, and refused otherwise. Requests in flight that take
-// longer are aborted. The directory, the ready check and
+// longer get a response or, if it has begun, are broken off. The directory, the ready check and
 // the interfaces for peers and operators are closed last.
 func (r *RoutedApp) shutdown(ctx context.Context) {
 	graceEnd := time.Now().Add(r.site.Bounds.ShutdownGrace)
 	closeCtx, cancelClose := context.WithDeadline(ctx, graceEnd.Add(-closeMargin))
 	defer cancelClose()
+	endCtx, cancelEnd := context.WithDeadline(ctx, graceEnd.Add(-endMargin))
+	defer cancelEnd()
 	ctx, cancel := context.WithDeadline(ctx, graceEnd.Add(-shutdownMargin))
 	defer cancel()
 	r.Log.Info("shutdown begins", zap.Int("inFlight", r.gate.InFlight()))
@@ -171,13 +176,18 @@
 	case <-time.After(acceptDuration):
 	}
 	r.gate.SetEnd(graceEnd.Add(-shutdownMargin))
-	if err := drainServers(ctx, r.forwardingServers, requestArrivalTimeout); err != nil {
-		r.Log.Warn("shutdown grace expired with requests in flight", zap.Int("inFlight", r.gate.InFlight()), zap.Error(err))
+	stopEnd := context.AfterFunc(ctx, func() {
+		r.Log.Warn("shutdown grace expired with requests in flight", zap.Int("inFlight", r.gate.InFlight()), zap.Error(ctx.Err()))
+		r.gate.End()
+	})
+	err := drainServers(endCtx, r.forwardingServers, requestArrivalTimeout)
+	stopEnd()
+	if err != nil {
 		closeServers(r.forwardingServers)
 	}
 	// After an expired grace the time for requests on their way is short.
 	lookupArrivalTimeout := min(requestArrivalTimeout, time.Until(graceEnd.Add(-closeMargin))/2)
-	err := errors.Join(drainServers(closeCtx, r.lookupServers, lookupArrivalTimeout), drainServers(closeCtx, r.controlServers, 0))
+	err = errors.Join(drainServers(closeCtx, r.lookupServers, lookupArrivalTimeout), drainServers(closeCtx, r.controlServers, 0))
 	if err != nil {
 		r.Log.Warn("control connections closed with requests in progress", zap.Error(err))
 	}
--- a/internal/cwgate/gate.go
+++ b/internal/cwgate/gate.go
@@ -3,6 +3,7 @@
 package cwgate
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -53,12 +54,18 @@
 	inFlight  atomic.Int64
 	// endsAt is when the instance ends; nil unless it stops.
 	endsAt atomic.Pointer[time.Time]
+	// ended is done when the instance ends, by a call of end.
+	ended context.Context
+	end   context.CancelCauseFunc
 }
 
 // NewGate returns a Gate. The seed and the instance's incarnation determine its random
 // choices.
 func NewGate(common *cwcommon.Common, site *cwsite.Site, control *cwcontrol.Control, state *cwpublished.State, codec Codec, seed uint64) *Gate {
+	ended, end := context.WithCancelCause(context.Background())
 	return &Gate{
+		ended:         ended,
+		end:           end,
 		Common:        common,
 		Burn:          cwburn.NewRecorder(time.Now()),
 		site:          site,
--- a/internal/cwgate/leaving.go
+++ b/internal/cwgate/leaving.go
@@ -1,6 +1,7 @@
 package cwgate
 
 import (
+	"errors"
 	"time"
 
 	"github.com/clementinewell/clementinewell/internal/cwplacement"
@@ -15,6 +16,15 @@
 	lateDurationFactor = 1.5
 )
 
+// errEnded is the cause of requests that were in progress when the instance ended.
+var errEnded = errors.New("instance ends")
+
+// End ends all requests in progress: streams that have begun are broken off, others get a
+// response.
+func (g *Gate) End() {
+	g.end(errEnded)
+}
+
 // SetEnd states that the instance stops accepting connections and when it ends. Requests that
 // still arrive, on connections that callers have kept, are refused unless they will be finished
 // by then.
--- a/internal/cwgate/serve.go
+++ b/internal/cwgate/serve.go
@@ -39,6 +39,9 @@
 func (g *Gate) Serve(ctx context.Context, w http.ResponseWriter, r *Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
+	ctx, cancelRequest := context.WithCancelCause(ctx)
+	defer cancelRequest(nil)
+	defer context.AfterFunc(g.ended, func() { cancelRequest(errEnded) })()
 	responder := newResponder(w)
 	if r.IsRelayed {
 		responder.relay = &cwevent.RelayWriter{}
@@ -252,7 +255,7 @@
 // refuseUnplaced ends a request for which no place is left.
 func (g *Gate) refuseUnplaced(ctx context.Context, routed *routedRequest, d cwplacement.Decision) {
 	if routed.responder.hasBegun {
-		g.abort(routed, d.Reason)
+		g.abort(routed, d.Reason, nil)
 		return
 	}
 	if routed.errorResponse != nil {
@@ -274,12 +277,15 @@
 	case errors.Is(context.Cause(ctx), context.Canceled):
 		g.finishCancelled(routed, r)
 	case routed.responder.hasBegun:
-		g.abort(routed, "streamBroken")
+		g.abort(routed, "streamBroken", r.err)
 	case routed.errorResponse != nil:
 		g.forwardErrorResponse(routed)
 	case routed.isNotRun():
 		routed.responder.writeRefusal(newNotRunRefusal("noRoom", cwplacement.RetryAfter(0, g.randomFloat())))
 		g.logEnd(routed, "noRoom", r.err)
+	case errors.Is(context.Cause(ctx), errEnded):
+		routed.responder.writeRefusal(Refusal{Status: http.StatusBadGateway, Reason: "leaving"})
+		g.logEnd(routed, "attemptFailed", errors.Join(errEnded, r.err))
 	case ctx.Err() != nil:
 		routed.responder.writeRefusal(Refusal{Status: http.StatusGatewayTimeout, Reason: "deadline"})
 		g.logEnd(routed, "deadline", r.err)
@@ -322,7 +328,7 @@
 
 // abort closes the caller's connection during a response that has begun, so that the
 // response can't be taken for complete.
-func (g *Gate) abort(routed *routedRequest, reason string) {
-	g.logEnd(routed, reason, nil)
+func (g *Gate) abort(routed *routedRequest, reason string, err error) {
+	g.logEnd(routed, reason, err)
 	panic(http.ErrAbortHandler)
 }
