--- a/internal/cwserver/conn.go
+++ b/internal/cwserver/conn.go
@@ -64,19 +64,32 @@
 // Read reads from the connection and records the bytes as part of a request. It returns
 // io.EOF instead of waiting for another request if the connection is to be closed.
 func (c *conn) Read(p []byte) (int, error) {
-	if deadline, ok := c.requestDeadline(); ok {
-		// If it fails, the read fails too.
-		_ = c.Conn.SetReadDeadline(deadline)
+	for {
+		deadline, hasDeadline := c.requestDeadline()
+		if hasDeadline {
+			// If it fails, the read fails too.
+			_ = c.Conn.SetReadDeadline(deadline)
+		}
+		// The deadline just set may have replaced that of closeWhenUnused.
+		if c.isDone() {
+			return 0, io.EOF
+		}
+		n, err := c.readUnread(p), error(nil)
+		if n == 0 {
+			n, err = c.Conn.Read(p)
+		}
+		if hasDeadline && n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isExtended(deadline) {
+			continue
+		}
+		return c.recordRead(p[:n], err), err
 	}
-	// The deadline just set may have replaced that of closeWhenUnused.
-	if c.isDone() {
-		return 0, io.EOF
-	}
-	n, err := c.readUnread(p), error(nil)
-	if n == 0 {
-		n, err = c.Conn.Read(p)
-	}
-	return c.recordRead(p[:n], err), err
+}
+
+// isExtended reports whether the deadline of a waiting read has become later, because the
+// configuration has changed meanwhile.
+func (c *conn) isExtended(deadline time.Time) bool {
+	current, ok := c.requestDeadline()
+	return ok && current.After(deadline) && time.Now().Before(current)
 }
 
 // readUnread moves bytes from unread to p and returns their number.
--- a/internal/cwserver/conn_limit_test.go
+++ b/internal/cwserver/conn_limit_test.go
@@ -3,14 +3,10 @@
 import (
 	"io"
 	"net"
-	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/matryer/is"
-
-	"github.com/clementinewell/clementinewell/internal/cwmemnet"
 	"github.com/clementinewell/clementinewell/internal/cwserver"
 )
 
@@ -36,21 +32,7 @@
 		{name: "far above the limit", more: 129, sent: request, message: "connection closed at the connection limit"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				network := cwmemnet.NewNetwork()
-				common, logs := newCommon(network.Host(serverIP))
-				s := &testServer{
-					Server: cwserver.NewServer(common, "caller", serverAddress, http.HandlerFunc(respondOK), cwserver.Limits{Conns: limit}),
-					t:      t, is: is.New(t), network: network, logs: logs, served: make(chan error, 1),
-				}
-				l, err := common.Net.Listen(t.Context(), serverAddress)
-				s.is.NoErr(err)
-				go func() { s.served <- s.Serve(l) }()
-				defer func() {
-					_ = s.Close()
-					s.is.NoErr(<-s.served)
-					network.Close()
-				}()
+			withLimits(t, respondOK, cwserver.Limits{Conns: limit}, func(s *testServer) {
 				conns := make([]net.Conn, 0, limit+test.more)
 				for range limit + test.more {
 					conns = append(conns, s.dial())
@@ -63,7 +45,7 @@
 				_, _ = io.WriteString(last, test.sent)
 				s.is.Equal(s.readStatusAndBody(last), test.want)
 				if test.message != "" {
-					s.is.Equal(logs.FilterMessage(test.message).Len(), 1)
+					s.is.Equal(s.logs.FilterMessage(test.message).Len(), 1)
 				}
 				if test.more > 0 && test.closed == 0 {
 					// A connection above the limit has no request for a second at most.
--- a/internal/cwserver/server.go
+++ b/internal/cwserver/server.go
@@ -42,6 +42,8 @@
 	isClosed       atomic.Bool
 	// isGraceOver is set if the time for a drain was over before all connections were closed.
 	isGraceOver atomic.Bool
+	// headerLimit and idleLimit are the time limits that the configuration allows peers.
+	headerLimit, idleLimit heldLimit
 
 	// connChanged has a value after a connection has changed its state.
 	connChanged chan struct{}
@@ -296,13 +298,14 @@
 // timeLimits returns the time limits in force: for a head, and for the first byte of the first
 // and of any other request on a connection.
 func (s *Server) timeLimits() (header, first, idle time.Duration) {
-	header = s.Settings.HeaderTimeout
-	first, idle = header, keepAliveTimeout
+	allowedHeader, allowedIdle := time.Duration(0), time.Duration(0)
 	if s.limits.Times != nil {
-		allowedHeader, allowedIdle := s.limits.Times()
-		header, first, idle = max(header, allowedHeader), max(first, allowedIdle), max(idle, allowedIdle)
+		allowedHeader, allowedIdle = s.limits.Times()
 	}
-	return header, first, idle
+	now := time.Now()
+	header = s.headerLimit.update(max(s.Settings.HeaderTimeout, allowedHeader), now)
+	idle = s.idleLimit.update(max(keepAliveTimeout, allowedIdle), now)
+	return header, max(s.Settings.HeaderTimeout, allowedIdle), idle
 }
 
 // countConns returns the number of open connections that match.
--- a/internal/cwserver/server_test.go
+++ b/internal/cwserver/server_test.go
@@ -52,12 +52,17 @@
 
 // withServer runs a test against a server in a synctest bubble.
 func withServer(t *testing.T, handler http.HandlerFunc, run func(s *testServer)) {
+	t.Helper()
+	withLimits(t, handler, cwserver.Limits{}, run)
+}
+
+func withLimits(t *testing.T, handler http.HandlerFunc, limits cwserver.Limits, run func(s *testServer)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		network := cwmemnet.NewNetwork()
 		common, logs := newCommon(network.Host(serverIP))
 		s := &testServer{
-			Server: cwserver.NewServer(common, "caller", serverAddress, handler, cwserver.Limits{}),
+			Server: cwserver.NewServer(common, "caller", serverAddress, handler, limits),
 			t:      t, is: is.New(t), network: network, logs: logs, served: make(chan error, 1),
 		}
 		s.RequestID = func(h http.Header) string { return h.Get("Request-Id") }
