--- a/internal/cwserver/conn.go
+++ b/internal/cwserver/conn.go
@@ -55,6 +55,8 @@
 	// isClosing is set by closeWhenUnused, and isReadAborted if it set the deadline of a
 	// waiting read to the past.
 	isClosing, isReadAborted bool
+	// isRefused is set if the connection has sent a response of its own, as the last one.
+	isRefused bool
 	// isExcess is set if there were too many connections when this one was accepted.
 	isExcess bool
 	// lingers is set by lingerOnClose, for the request in progress.
@@ -81,8 +83,37 @@
 		if hasDeadline && n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isExtended(deadline) {
 			continue
 		}
-		return c.recordRead(p[:n], err), err
+		n = c.recordRead(p[:n], err)
+		if hasDeadline && errors.Is(err, os.ErrDeadlineExceeded) {
+			c.refuseLateHead()
+		}
+		return n, err
+	}
+}
+
+// lateHeadResponse states that a request was not run because its head was not sent in time.
+const lateHeadResponse = "HTTP/1.1 408 Request Timeout\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: 9\r\nConnection: close\r\n\r\nlateHead\n"
+
+// refuseLateHead responds to a request whose head is incomplete. It does nothing if no request
+// has begun. net/http responds to some of these with status 400, which the peer does not get.
+func (c *conn) refuseLateHead() {
+	c.mu.Lock()
+	isLate := c.requestBytes > 0 && !c.hasResponded
+	c.isRefused = c.isRefused || isLate
+	c.hasResponded = c.hasResponded || isLate
+	fields := []zap.Field{
+		zap.String("server", c.server.name), zap.Stringer("remote", c.RemoteAddr()), zap.Int("bytes", c.requestBytes),
+		zap.Int("responses", c.responseCount), zap.Duration("open", time.Since(c.openedAt)),
+	}
+	c.mu.Unlock()
+	if !isLate {
+		return
 	}
+	c.server.Metrics.Tagged(map[string]string{"server": c.server.name}).Counter("heads_late").Inc(1)
+	c.server.Log.Info("head not received in time", fields...)
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(lingerTimeout))
+	// The peer may be gone; the connection is closed next.
+	_, _ = io.WriteString(c.Conn, lateHeadResponse)
 }
 
 // isExtended reports whether the deadline of a waiting read has become later, because the
@@ -163,12 +194,8 @@
 		c.requestBytes += n
 		c.hasEnded = isEnd
 	}
-	switch {
-	case err == nil:
-	case !errors.Is(err, os.ErrDeadlineExceeded):
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.recordPeerGone(err)
-	case c.state != http.StateActive && c.requestBytes > 0:
-		c.endReason = endHeaderTimeout
 	}
 	if n > 0 && c.isReadAborted {
 		// The bytes arrived before the read was aborted. The rest of the request must not
@@ -237,7 +264,11 @@
 func (c *conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
 	c.hasResponded = c.hasResponded || !bytes.HasPrefix(p, continueLine)
+	isRefused := c.isRefused
 	c.mu.Unlock()
+	if isRefused {
+		return len(p), nil
+	}
 	n, err := c.Conn.Write(p)
 	if err != nil {
 		c.mu.Lock()
--- a/internal/cwserver/end_reason.go
+++ b/internal/cwserver/end_reason.go
@@ -9,8 +9,6 @@
 	endAborted  endReason = "aborted"
 	// endCallerLeft: the peer closed the connection, or it broke.
 	endCallerLeft endReason = "callerLeft"
-	// endHeaderTimeout: the rest of a head did not arrive in time.
-	endHeaderTimeout endReason = "headerTimeout"
 	// endConnLimit: there were too many connections.
 	endConnLimit endReason = "connectionLimit"
 	// endGraceOver: the time for a drain was over. endServerClosed: the server was closed
