--- a/internal/cwapp/routed_app.go
+++ b/internal/cwapp/routed_app.go
@@ -9,7 +9,6 @@
 	"go.uber.org/zap"
 
 	"github.com/clementinewell/clementinewell/internal/cwadmin"
-	"github.com/clementinewell/clementinewell/internal/cwcommon"
 	"github.com/clementinewell/clementinewell/internal/cwcontrol"
 	"github.com/clementinewell/clementinewell/internal/cwgate"
 	"github.com/clementinewell/clementinewell/internal/cwnet"
@@ -105,7 +104,7 @@
 		members = s.Members
 	}
 	ttl := min(cwpolicy.DirectoryResponseTTL, r.site.Bounds.MaxResponseAge)
-	query := cwpolicy.DirectoryQuery{Region: region, Domain: domain, Takeover: r.takeover()}
+	query := cwpolicy.DirectoryQuery{Region: region, Domain: domain}
 	if config := r.State.View().Config; config != nil {
 		query.HomeRegions = config.HomesOf(host)
 	}
@@ -151,40 +150,6 @@
 	closeMargin = 200 * time.Millisecond
 )
 
-// lastRequestMargin is what remains of the shutdown grace when the last instance of a region
-// stops accepting connections, for the requests that it has accepted.
-const lastRequestMargin = 1500 * time.Millisecond
-
-func (r *RoutedApp) takeover() cwpolicy.RegionTakeover {
-	return cwpolicy.RegionTakeover{Acceptance: r.site.Bounds.ShutdownGrace - shutdownMargin - lastRequestMargin}
-}
-
-// takeoverCheckInterval is how often a leaving instance checks whether another one has taken
-// over its region.
-const takeoverCheckInterval = 100 * time.Millisecond
-
-// acceptUntilTakeover returns once no more connections are to be accepted: after
-// acceptDuration, or later if the region has no other instance yet. Callers may keep the
-// address of this one for DirectoryResponseTTL after another one has become usable. Requests
-// that arrive after acceptDuration must end by the given time.
-func (r *RoutedApp) acceptUntilTakeover(ctx context.Context, end time.Time) {
-	takeover, begin := r.takeover(), time.Now()
-	lastRequiredAt := time.Time{}
-	for ctx.Err() == nil {
-		s, now := r.Control.Snapshot(), time.Now()
-		if takeover.MustAccept(&s.Self, s.Members, now) {
-			lastRequiredAt = now
-		}
-		if now.Sub(begin) >= acceptDuration {
-			r.gate.SetEnd(end)
-			if now.Sub(begin) >= takeover.Acceptance || now.Sub(lastRequiredAt) >= cwpolicy.DirectoryResponseTTL {
-				return
-			}
-		}
-		cwcommon.Sleep(ctx, takeoverCheckInterval)
-	}
-}
-
 // shutdown stops the instance gracefully: peers and callers are notified first, requests
 // that still arrive are served for acceptDuration, and requests in flight get the rest of
 // the shutdown grace. Meanwhile connections that callers have kept stay open; a request on one
@@ -206,7 +171,11 @@
 		s.DisableKeepAlives()
 	}
 	go r.exchanger.Announce(ctx)
-	r.acceptUntilTakeover(ctx, graceEnd.Add(-shutdownMargin))
+	select {
+	case <-ctx.Done():
+	case <-time.After(acceptDuration):
+	}
+	r.gate.SetEnd(graceEnd.Add(-shutdownMargin))
 	stopEnd := context.AfterFunc(ctx, func() {
 		r.Log.Warn("shutdown grace expired with requests in flight", zap.Int("inFlight", r.gate.InFlight()), zap.Error(ctx.Err()))
 		r.gate.End()
--- a/internal/cwcontrol/list_events.go
+++ b/internal/cwcontrol/list_events.go
@@ -49,7 +49,7 @@
 		r.IsListed = true
 		r.Pool, r.Accelerators = entry.Pool, max(entry.Accelerators, 1)
 		if entry.IsLeaving {
-			r.MarkLeaving(0, now)
+			r.MarkLeaving(0)
 		}
 		s.markChanged(r)
 	}
--- a/internal/cwcontrol/self_events.go
+++ b/internal/cwcontrol/self_events.go
@@ -26,8 +26,8 @@
 // SelfLeaving is posted when this instance begins to shut down.
 type SelfLeaving struct{}
 
-func (SelfLeaving) apply(s *state, now time.Time) {
-	s.self.MarkLeaving(0, now)
+func (SelfLeaving) apply(s *state, _ time.Time) {
+	s.self.IsLeaving = true
 }
 
 // barrier is a channel that is closed once all events posted before it are in a
--- a/internal/cwpolicy/directory.go
+++ b/internal/cwpolicy/directory.go
@@ -24,25 +24,16 @@
 	// HomeRegions are the home regions of the requests that the query may be about, or
 	// of most of them; empty if these requests have none.
 	HomeRegions []string
-	// Takeover names the instances of a region that are leaving and still accept connections.
-	Takeover RegionTakeover
 }
 
 // SelectDirectoryAddresses returns the addresses that a caller should use: those
 // in its domain, else in its region, else in the home regions of its requests,
-// else all. Members that are unresponsive, not yet contacted, without a caller address or much
-// smaller than the others are omitted, and leaving ones too, unless they are the last of the
-// caller's region and still accept connections.
+// else all. Members that are leaving, unresponsive, not yet contacted, without a caller
+// address or much smaller than the others are omitted.
 func SelectDirectoryAddresses(members []Member, query DirectoryQuery, now time.Time) []string {
-	var inDomain, inRegion, leaving, atHome, all []Member
+	var inDomain, inRegion, atHome, all []Member
 	for _, m := range members {
-		if m.CallerAddress == "" || m.Incarnation == 0 {
-			continue
-		}
-		if m.IsLeaving && m.Region == query.Region {
-			leaving = append(leaving, m)
-		}
-		if !m.IsUsable(now, MemberContactTimeout) {
+		if !m.IsUsable(now, MemberContactTimeout) || m.CallerAddress == "" || m.Incarnation == 0 {
 			continue
 		}
 		all = append(all, m)
@@ -61,11 +52,6 @@
 		return listCallerAddresses(inDomain)
 	case len(inRegion) > 0:
 		return listCallerAddresses(inRegion)
-	}
-	last := query.Takeover.LastLeaving(leaving, DirectoryResponseTTL, now)
-	switch {
-	case len(last) > 0:
-		return listCallerAddresses(last)
 	case len(atHome) > 0:
 		return listCallerAddresses(atHome)
 	}
--- a/internal/cwpolicy/directory_test.go
+++ b/internal/cwpolicy/directory_test.go
@@ -31,17 +31,6 @@
 		}
 		return list
 	}
-	leavingFor := func(periods map[string]time.Duration) []cwpolicy.Member {
-		list := leaving()
-		for i := range list {
-			if period, ok := periods[list[i].PeerAddress]; ok {
-				list[i].MarkLeaving(1, now.Add(-period))
-			}
-		}
-		return list
-	}
-	takeover := cwpolicy.RegionTakeover{Acceptance: 6 * time.Second}
-	north := cwpolicy.DirectoryQuery{Region: "north", Domain: "north-a", HomeRegions: []string{"south"}, Takeover: takeover}
 	for _, c := range []struct {
 		name    string
 		members []cwpolicy.Member
@@ -54,10 +43,6 @@
 		{"small instances are omitted", all, cwpolicy.DirectoryQuery{Region: "west", Domain: "west-a"}, []string{"w1"}},
 		{"no usable instance in the region, home regions first", leaving("s1"), cwpolicy.DirectoryQuery{Region: "south", Domain: "south-a", HomeRegions: []string{"south", "north"}}, []string{"n1", "n2", "n3"}},
 		{"no usable instance in the region, no home regions", leaving("s1", "w1", "w2"), cwpolicy.DirectoryQuery{Region: "south", Domain: "south-a"}, []string{"n1", "n2", "n3"}},
-		{"the last of the region that leaves", leavingFor(map[string]time.Duration{"n1": 3 * time.Second, "n2": time.Second, "n3": 5 * time.Second}), north, []string{"n2"}},
-		{"a usable one before those that leave", leavingFor(map[string]time.Duration{"n1": 3 * time.Second, "n2": time.Second}), north, []string{"n3"}},
-		{"none that stops accepting before the response expires", leavingFor(map[string]time.Duration{"n1": 5 * time.Second, "n2": 4 * time.Second, "n3": 7 * time.Second}), north, []string{"s1"}},
-		{"none whose leaving was not observed", leaving("n1", "n2", "n3"), north, []string{"s1"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is.New(t).Equal(cwpolicy.SelectDirectoryAddresses(c.members, c.query, now), c.want)
--- a/internal/cwpolicy/liveness.go
+++ b/internal/cwpolicy/liveness.go
@@ -10,9 +10,6 @@
 	// IsLeaving is set once the incarnation is reported to be leaving. It is never
 	// cleared for that incarnation.
 	IsLeaving bool
-	// LeavingSince is when IsLeaving was set for an incarnation that was known before; zero
-	// otherwise.
-	LeavingSince time.Time
 	// IsListed is set while the platform's list contains the address.
 	IsListed bool
 	// LastContactAt is when the instance or endpoint itself last responded, or when it
@@ -33,24 +30,21 @@
 		return false
 	}
 	if incarnation != l.Incarnation {
-		l.IsLeaving, l.LeavingSince = isLeaving, time.Time{}
+		l.IsLeaving = false
 	}
 	l.Incarnation = incarnation
-	if isLeaving {
-		l.MarkLeaving(incarnation, now)
-	}
+	l.IsLeaving = l.IsLeaving || isLeaving
 	l.LastContactAt = now
 	l.ContactFailedAt = time.Time{}
 	return true
 }
 
-// MarkLeaving records that an incarnation is leaving. Incarnation 0 stands for the current
-// one.
-func (l *Liveness) MarkLeaving(incarnation uint64, now time.Time) {
-	if l.IsLeaving || incarnation != 0 && incarnation != l.Incarnation {
-		return
+// MarkLeaving records a third-party report that an incarnation is leaving.
+// Incarnation 0 stands for the current one.
+func (l *Liveness) MarkLeaving(incarnation uint64) {
+	if incarnation == 0 || incarnation == l.Incarnation {
+		l.IsLeaving = true
 	}
-	l.IsLeaving, l.LeavingSince = true, now
 }
 
 // RecordContactFailure records a failed attempt to contact the instance or endpoint.
--- a/internal/cwpolicy/membership.go
+++ b/internal/cwpolicy/membership.go
@@ -71,7 +71,7 @@
 		member.Size = instance.Size
 	}
 	if instance.IsLeaving {
-		member.MarkLeaving(0, now)
+		member.MarkLeaving(0)
 	}
 }
 
@@ -116,10 +116,10 @@
 		member.Size = report.Size
 	}
 	if report.Incarnation > member.Incarnation {
-		member.Incarnation, member.IsLeaving, member.LeavingSince = report.Incarnation, report.IsLeaving, time.Time{}
+		member.Incarnation, member.IsLeaving = report.Incarnation, report.IsLeaving
 	}
 	if report.IsLeaving {
-		member.MarkLeaving(report.Incarnation, now)
+		member.MarkLeaving(report.Incarnation)
 	}
 	return member.Liveness != before
 }
