--- a/internal/cwapp/routed_kept_conn_test.go
+++ b/internal/cwapp/routed_kept_conn_test.go
@@ -23,10 +23,12 @@
 		name     string
 		route    string
 		deadline time.Duration
+		header   string
 		status   int
 	}{
 		{name: "ends before the grace by its deadline", route: "r", deadline: 2 * time.Second, status: http.StatusOK},
 		{name: "is predicted to end before the grace", route: "r", deadline: time.Minute, status: http.StatusOK},
+		{name: "stream of a length that is only predicted", route: "s", deadline: time.Minute, header: "Clementinewell-Token-Count: 90,6\r\n", status: http.StatusServiceUnavailable},
 		{name: "stream of unknown length", route: "s", deadline: time.Minute, status: http.StatusServiceUnavailable},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -39,9 +41,9 @@
 				is.NoErr(err)
 				defer func() { _ = c.Close() }()
 				reader := bufio.NewReader(c)
-				send := func(route, id string, deadline time.Duration) *http.Response {
-					_, err := fmt.Fprintf(c, "POST /%s/x HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nContent-Length: 5\r\n\r\norder",
-						route, cwscene.RouteHost, cwstandin.RequestIDHeader, id, cwstandin.DeadlineHeader, deadline.Milliseconds())
+				send := func(route, id string, deadline time.Duration, header string) *http.Response {
+					_, err := fmt.Fprintf(c, "POST /%s/x HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%sContent-Length: 5\r\n\r\norder",
+						route, cwscene.RouteHost, cwstandin.RequestIDHeader, id, cwstandin.DeadlineHeader, deadline.Milliseconds(), header)
 					is.NoErr(err)
 					resp, err := http.ReadResponse(reader, nil)
 					is.NoErr(err)
@@ -50,7 +52,7 @@
 					return resp
 				}
 				for n := range 20 { // until the service's pace is known
-					is.Equal(send("r", fmt.Sprint("first-", n), time.Second).StatusCode, http.StatusOK)
+					is.Equal(send("r", fmt.Sprint("first-", n), time.Second, "").StatusCode, http.StatusOK)
 				}
 				// Another request keeps the instance from ending.
 				w.QueueFaults(cwstandin.FaultHang)
@@ -58,7 +60,7 @@
 				synctest.Wait()
 				i.Stop()
 				time.Sleep(4 * time.Second)
-				resp := send(test.route, "late", test.deadline)
+				resp := send(test.route, "late", test.deadline, test.header)
 				is.Equal(resp.StatusCode, test.status)
 				is.True(resp.Close)
 				is.Equal(resp.Header.Get("Retry-After") != "", test.status == http.StatusServiceUnavailable)
--- a/internal/cwgate/leaving.go
+++ b/internal/cwgate/leaving.go
@@ -12,8 +12,9 @@
 	// leavingRetryAfter is the time after which a caller should retry at another instance.
 	leavingRetryAfter = 50 * time.Millisecond
 	// lateDurationFactor is the multiple of its predicted duration that a late request must have
-	// until the end of the instance.
-	lateDurationFactor = 1.5
+	// until the end of the instance, and minLateDuration what it must have at least.
+	lateDurationFactor = 3
+	minLateDuration    = time.Second
 )
 
 // errEnded is the cause of requests that were in progress when the instance ended.
@@ -33,16 +34,16 @@
 }
 
 // isTooLate reports whether the request, if placed as decided, may still be in progress when
-// the instance ends.
+// the instance ends. A stream is too late unless its deadline is before the end: the predicted
+// length of its output is often far off.
 func (g *Gate) isTooLate(routed *routedRequest, d cwplacement.Decision) bool {
 	endsAt := g.endsAt.Load()
 	if endsAt == nil || d.Action == cwplacement.ActionRefuse || !routed.deadline.After(*endsAt) {
 		return false
 	}
-	duration := d.LocalFirstByte + d.RestOfResponse
+	duration := d.LocalFirstByte
 	if d.Action == cwplacement.ActionRelay {
 		duration = d.RemoteFirstByte
 	}
-	hasUnknownRest := routed.route.Kind == cwroute.Stream && (d.Action == cwplacement.ActionRelay || routed.Prompt == nil)
-	return hasUnknownRest || duration < 0 || time.Duration(lateDurationFactor*float64(duration)) > time.Until(*endsAt)
+	return routed.route.Kind == cwroute.Stream || duration < 0 || max(lateDurationFactor*duration, minLateDuration) > time.Until(*endsAt)
 }
