--- a/internal/cwconn/conn.go
+++ b/internal/cwconn/conn.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/clementinewell/clementinewell/internal/cwlimit"
 	"github.com/clementinewell/clementinewell/internal/cwnet"
 )
 
@@ -34,8 +35,10 @@
 // conn is a connection. At most one call uses it at a time.
 type conn struct {
 	net.Conn
-	pool   *addressPool
-	reader *bufio.Reader
+	pool *addressPool
+	// headReader reads from the connection, and reader buffers what it reads.
+	headReader *cwlimit.HeadReader
+	reader     *bufio.Reader
 	// used is set after the first call.
 	used bool
 	// cancelCloseHook cancels the closing of the connection at the end of the call's
@@ -65,7 +68,7 @@
 	resp, err := c.readMatchingHead(call)
 	if err != nil {
 		c.finish(false, nil)
-		return nil, &CallError{Step: "read response from", Peer: call.Address, Sent: true, Reused: reused, Err: withContextCause(ctx, err)}
+		return nil, &CallError{Step: "read response from", Peer: call.Address, Sent: true, Reused: reused, Err: withContextCause(ctx, cwlimit.ShortenError(err))}
 	}
 	return &Response{Response: resp, Reused: reused, conn: c}, nil
 }
@@ -103,15 +106,22 @@
 			return resp, nil
 		}
 		c.hasSkippedResponse = true
-		if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBodyBytes)); err != nil || n == maxSkippedBodyBytes {
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBodyBytes))
+		if err != nil {
 			return nil, fmt.Errorf("skip response to another request: %w", err)
 		}
+		if n == maxSkippedBodyBytes {
+			return nil, &cwlimit.Error{Step: "skip response to another request", Peer: call.Address, LimitBytes: maxSkippedBodyBytes}
+		}
 	}
 	return nil, fmt.Errorf("received only responses to other requests")
 }
 
-// readFinalHead reads a response head and skips informational (1xx) ones.
+// readFinalHead reads a response head and skips informational (1xx) ones. Together they are
+// limited to cwlimit.MaxHeadBytes.
 func (c *conn) readFinalHead(req *http.Request) (*http.Response, error) {
+	c.headReader.BeginHead()
+	defer c.headReader.EndHead()
 	for {
 		resp, err := http.ReadResponse(c.reader, req)
 		if err != nil {
--- a/internal/cwconn/pool.go
+++ b/internal/cwconn/pool.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/clementinewell/clementinewell/internal/cwcommon"
+	"github.com/clementinewell/clementinewell/internal/cwlimit"
 	"github.com/clementinewell/clementinewell/internal/cwnet"
 )
 
@@ -129,5 +130,6 @@
 		pool.releaseConn()
 		return nil, withContextCause(ctx, err)
 	}
-	return &conn{Conn: raw, pool: pool, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	headReader := cwlimit.NewHeadReader(raw, call.Address)
+	return &conn{Conn: raw, pool: pool, headReader: headReader, reader: bufio.NewReaderSize(headReader, readBufferBytes)}, nil
 }
