--- a/internal/cwconn/endless_head_test.go
+++ b/internal/cwconn/endless_head_test.go
@@ -61,7 +61,9 @@
 func newCall(address string) *cwconn.Call {
 	return &cwconn.Call{
 		Address: address, Method: http.MethodGet,
-		EncodeHead: func() []byte { return []byte("GET / HTTP/1.1\r\nHost: h\r\n" + cwstandin.RequestIDHeader + ": 1\r\n\r\n") },
+		EncodeHead: func() []byte {
+			return []byte("GET / HTTP/1.1\r\nHost: h\r\n" + cwstandin.RequestIDHeader + ": 1\r\n\r\n")
+		},
 		MatchesResponse: func(_ int, field func(string) string) bool {
 			return field(cwstandin.RequestIDHeader) == "" || field(cwstandin.RequestIDHeader) == "1"
 		},
