--- a/internal/cwapp/app.go
+++ b/internal/cwapp/app.go
@@ -34,7 +34,7 @@
 
 // NewApp builds an instance without starting its servers and background loops.
 func NewApp(settings *cwsetting.Settings, log *zap.Logger, n cwnet.Net) *App {
-	a := &App{instance: newInstance(settings, log, n)}
+	a := &App{instance: newInstance(settings, log, n, 0)}
 	a.build(a.metricsHandler)
 	return a
 }
--- a/internal/cwapp/instance.go
+++ b/internal/cwapp/instance.go
@@ -17,6 +17,7 @@
 
 	"github.com/clementinewell/clementinewell/internal/cwcommon"
 	"github.com/clementinewell/clementinewell/internal/cwcontrol"
+	"github.com/clementinewell/clementinewell/internal/cwlimit"
 	"github.com/clementinewell/clementinewell/internal/cwnet"
 	"github.com/clementinewell/clementinewell/internal/cwpeer"
 	"github.com/clementinewell/clementinewell/internal/cwpolicy"
@@ -43,7 +44,9 @@
 // loop is a background task that runs until its context is done.
 type loop func(ctx context.Context) error
 
-func newInstance(settings *cwsetting.Settings, log *zap.Logger, n cwnet.Net) *instance {
+// newInstance builds the common parts. memoryBytes is the memory limit of the process, 0 if it
+// is not known.
+func newInstance(settings *cwsetting.Settings, log *zap.Logger, n cwnet.Net, memoryBytes int64) *instance {
 	registry := prometheus.NewRegistry()
 	reporter := tallyprom.NewReporter(tallyprom.Options{Registerer: registry, Gatherer: registry})
 	metrics, closer := tally.NewRootScope(tally.ScopeOptions{
@@ -59,6 +62,7 @@
 			Settings:    settings,
 			Metrics:     metrics,
 			Net:         n,
+			Budget:      cwlimit.NewBudget(memoryBytes),
 			Incarnation: newIncarnation(time.Now()),
 		},
 		auth:           cwpeer.NewAuth(settings.PeerKey),
--- a/internal/cwapp/routed_app.go
+++ b/internal/cwapp/routed_app.go
@@ -43,7 +43,7 @@
 
 // NewRoutedApp builds an instance without starting its servers and background loops.
 func NewRoutedApp(settings *cwsetting.Settings, site *cwsite.Site, log *zap.Logger, n cwnet.Net) *RoutedApp {
-	r := &RoutedApp{instance: newInstance(settings, log, n), site: site, seedPeers: site.SeedPeers}
+	r := &RoutedApp{instance: newInstance(settings, log, n, site.MemoryBytes), site: site, seedPeers: site.SeedPeers}
 	r.State = cwpublished.NewState(r.Common, cwwire.DecodeRecord)
 	r.State.OnApply = func(revision cwpublished.Revision) {
 		r.Control.TryPost(cwcontrol.PublishedApplied{Revision: uint64(revision)})
--- a/internal/cwcommon/common.go
+++ b/internal/cwcommon/common.go
@@ -6,6 +6,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/clementinewell/clementinewell/internal/cwlimit"
 	"github.com/clementinewell/clementinewell/internal/cwnet"
 	"github.com/clementinewell/clementinewell/internal/cwsetting"
 )
@@ -21,6 +22,8 @@
 	Metrics tally.Scope
 	// Net opens and accepts connections.
 	Net cwnet.Net
+	// Budget limits the memory of all responses that are in memory.
+	Budget *cwlimit.Budget
 	// Incarnation identifies this run of the process.
 	Incarnation uint64
 }
--- a/internal/cwconn/endless_head_test.go
+++ b/internal/cwconn/endless_head_test.go
@@ -80,7 +80,7 @@
 			pool := cwconn.NewPool(n)
 			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 			defer cancel()
-			address := servePeer(t, n, &response)
+			address := servePeer(t, n, response)
 			_, err := pool.Do(ctx, newCall(address))
 			var callErr *cwconn.CallError
 			is.True(errors.As(err, &callErr))
@@ -88,6 +88,7 @@
 			is.True(len(err.Error()) <= maxErrorText)
 			is.True(strings.Contains(err.Error(), address))
 			is.True(n.read.Load() <= cwlimit.MaxHeadBytes)
+			is.Equal(response.NotCutOff(), 0)
 			is.NoErr(ctx.Err()) // ended by the limit, not by its time
 		})
 	}
@@ -97,7 +98,7 @@
 // all of a malformed line: net/http quotes it in full.
 func TestErrorQuotesLittleOfResponse(t *testing.T) {
 	line := strings.Repeat("x", cwlimit.MaxHeadBytes/2) + "\r\n"
-	for _, response := range []cwstandin.EndlessResponse{
+	for _, response := range []*cwstandin.EndlessResponse{
 		{Name: "no HTTP", Start: line, Repeated: "x"},
 		{Name: "status", Start: "HTTP/1.1 " + line, Repeated: "x"},
 		{Name: "field", Start: "HTTP/1.1 200 OK\r\n" + line, Repeated: "x"},
@@ -107,7 +108,7 @@
 		t.Run(response.Name, func(t *testing.T) {
 			is := is.New(t)
 			n := cwnet.NewTCP()
-			_, err := cwconn.NewPool(n).Do(t.Context(), newCall(servePeer(t, n, &response)))
+			_, err := cwconn.NewPool(n).Do(t.Context(), newCall(servePeer(t, n, response)))
 			is.True(err != nil)
 			is.True(len(err.Error()) <= maxErrorText)
 		})
--- a/internal/cwgate/attempt.go
+++ b/internal/cwgate/attempt.go
@@ -15,8 +15,6 @@
 )
 
 const (
-	// maxResponseBytes is the limit for a response that is buffered before it is forwarded.
-	maxResponseBytes = 16 << 20
 	// endpointResponseMargin is subtracted from the timeout sent to an endpoint, so that
 	// its response arrives in time, also one which only states that the request was not
 	// run.
@@ -30,7 +28,6 @@
 	errUnexpectedResponse = errors.New("not a plain response of the endpoint")
 	errPartialEvent       = errors.New("stream ended within an event")
 	errNoEvent            = errors.New("stream ended without an event")
-	errResponseTooLarge   = errors.New("response exceeds the size limit")
 )
 
 // result is the result of one attempt.
@@ -260,6 +257,7 @@
 	if err != nil {
 		return a.failUnknown(ctx, err)
 	}
+	defer body.Release()
 	if a.req.responder.hasBegun {
 		return a.failUnknown(ctx, errUnexpectedResponse)
 	}
--- a/internal/cwgate/attempt_failure.go
+++ b/internal/cwgate/attempt_failure.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/clementinewell/clementinewell/internal/cwconn"
+	"github.com/clementinewell/clementinewell/internal/cwlimit"
 	"github.com/clementinewell/clementinewell/internal/cwplacement"
 	"github.com/clementinewell/clementinewell/pkg/cwanswer"
 )
@@ -93,18 +94,13 @@
 	a.excludePlace()
 	a.req.mergeOutcome(cwanswer.Ran)
 	a.recordEnd(ctx, cwplacement.Failed)
+	a.req.releaseErrorResponse()
 	a.req.errorResponse = &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
 	return result{err: fmt.Errorf("%s responded with status %d", a.address, response.StatusCode)}
 }
 
-// readBody reads the body of the response, up to maxResponseBytes.
-func (a *attempt) readBody(response *cwconn.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(response, maxResponseBytes+1))
-	if err != nil {
-		return nil, fmt.Errorf("read response from %s: %w", a.address, err)
-	}
-	if len(body) > maxResponseBytes {
-		return nil, errResponseTooLarge
-	}
-	return body, nil
+// readBody reads the body of the response, up to cwlimit.MaxResponseBytes and within the
+// budget of all responses. The caller must release it.
+func (a *attempt) readBody(response *cwconn.Response) (*cwlimit.Buffer, error) {
+	return a.Budget.ReadAll(response, a.address, response.ContentLength, cwlimit.MaxResponseBytes)
 }
--- a/internal/cwgate/responder.go
+++ b/internal/cwgate/responder.go
@@ -40,9 +40,9 @@
 // writeBuffered writes a response that is in memory.
 func (r *responder) writeBuffered(a *bufferedResponse) error {
 	r.prepareHead(a.status, a.header)
-	r.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	r.Header().Set("Content-Length", strconv.FormatInt(a.body.Len(), 10))
 	r.WriteHeader(a.status)
-	_, err := r.Write(a.body)
+	_, err := a.body.WriteTo(r)
 	return err
 }
 
--- a/internal/cwgate/routed_request.go
+++ b/internal/cwgate/routed_request.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/clementinewell/clementinewell/internal/cwlimit"
 	"github.com/clementinewell/clementinewell/internal/cwplacement"
 	"github.com/clementinewell/clementinewell/internal/cwroute"
 	"github.com/clementinewell/clementinewell/pkg/cwanswer"
@@ -45,7 +46,14 @@
 type bufferedResponse struct {
 	status int
 	header http.Header
-	body   []byte
+	body   *cwlimit.Buffer
+}
+
+// releaseErrorResponse releases the memory of the error response, if there is one.
+func (r *routedRequest) releaseErrorResponse() {
+	if r.errorResponse != nil {
+		r.errorResponse.body.Release()
+	}
 }
 
 // requirements returns the size and the time limits of the request for its placement.
--- a/internal/cwgate/serve.go
+++ b/internal/cwgate/serve.go
@@ -62,6 +62,7 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(ctx, routed.deadline, errDeadline)
 	defer cancel()
+	defer routed.releaseErrorResponse()
 	g.runAttempts(ctx, routed)
 }
 
--- a/internal/cwlimit/limits.go
+++ b/internal/cwlimit/limits.go
@@ -7,6 +7,9 @@
 	// MaxHeadBytes is the limit for the head of a response together with the interim (1xx)
 	// heads before it. It is four times the largest head that the platform's callers send.
 	MaxHeadBytes = 64 << 10
+	// MaxResponseBytes is the limit for one response that is buffered before it is
+	// forwarded.
+	MaxResponseBytes = 16 << 20
 	// maxErrorTextBytes is the limit for the text of an error that may quote a response.
 	maxErrorTextBytes = 300
 )
--- a/internal/cwsite/site.go
+++ b/internal/cwsite/site.go
@@ -26,6 +26,8 @@
 	StoreAddress string
 	// CapacityCores is the instance's share of the machine's processors, in cores.
 	CapacityCores float64
+	// MemoryBytes is the memory limit of the process; 0 if it is not known.
+	MemoryBytes int64
 	// MaxFiles is the maximum number of open file descriptors of the process.
 	MaxFiles int
 	// Bounds are the limits that the deployment sets.
