--- a/internal/cwconn/conn.go
+++ b/internal/cwconn/conn.go
@@ -46,6 +46,8 @@
 	cancelCloseHook func() bool
 	// hasSkippedResponse is set after a response to another request.
 	hasSkippedResponse bool
+	// hasReadDeadline is set if a time limit for reading must be removed before the next call.
+	hasReadDeadline bool
 	// idleUntil is when the idle timeout passes.
 	idleUntil time.Time
 }
@@ -139,6 +141,10 @@
 	stopped := c.cancelCloseHook == nil || c.cancelCloseHook()
 	c.cancelCloseHook = nil
 	if keep && stopped && !c.hasSkippedResponse && c.reader.Buffered() == 0 {
+		if c.hasReadDeadline {
+			_ = c.SetReadDeadline(time.Time{})
+			c.hasReadDeadline = false
+		}
 		c.idleUntil = time.Now().Add(parseIdleTimeout(header))
 		c.pool.putIdle(c)
 		return
--- a/internal/cwconn/response.go
+++ b/internal/cwconn/response.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 )
 
 // Response is a response whose head has been read.
@@ -26,6 +27,22 @@
 	return n, err
 }
 
+const (
+	// maxDiscardedBytes and maxDiscardTime limit how much of a body is discarded so that its
+	// connection can be used again. A new connection costs about as much.
+	maxDiscardedBytes = 64 << 10
+	maxDiscardTime    = 100 * time.Millisecond
+)
+
+// Discard reads the rest of the body and makes the connection available to the next call. It
+// closes the connection if the body is too long or takes too long.
+func (r *Response) Discard() {
+	_ = r.conn.SetReadDeadline(time.Now().Add(maxDiscardTime))
+	r.conn.hasReadDeadline = true
+	_, _ = io.Copy(io.Discard, io.LimitReader(r, maxDiscardedBytes))
+	r.Close()
+}
+
 func (r *Response) release() {
 	if r.released {
 		return
--- a/internal/cwgate/attempt_failure.go
+++ b/internal/cwgate/attempt_failure.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"time"
 
 	"go.uber.org/zap"
@@ -65,17 +64,13 @@
 
 // handleRejection handles a response which states that the request was not run.
 func (a *attempt) handleRejection(ctx context.Context, response *cwconn.Response) result {
-	_, _ = io.Copy(io.Discard, io.LimitReader(response, maxDiscardedBytes))
+	response.Discard()
 	a.excludePlace()
 	a.req.mergeOutcome(cwanswer.NotRun)
 	a.recordEnd(ctx, cwplacement.Rejected)
 	return result{notRun: true, err: fmt.Errorf("%s rejected the request with status %d", a.address, response.StatusCode)}
 }
 
-// maxDiscardedBytes is the most that is read and discarded of a rejection's body, so that
-// the connection can be reused.
-const maxDiscardedBytes = 64 << 10
-
 // failUnknown handles an attempt that may have run and has no usable response.
 func (a *attempt) failUnknown(ctx context.Context, err error) result {
 	a.excludePlace()
--- a/internal/cwstandin/endless_response.go
+++ b/internal/cwstandin/endless_response.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"time"
 )
 
 // maxEndlessBytes is where an endless response stops and its connection is closed, so that a
@@ -21,6 +22,8 @@
 	// PauseAfterBytes is the number of repeated bytes after which nothing more is sent, but
 	// the connection stays open; 0 means that there is no pause.
 	PauseAfterBytes int
+	// Interval is the time between two parts; 0 sends without pauses.
+	Interval time.Duration
 
 	// notCutOff counts the responses that the client has not cut off.
 	notCutOff atomic.Int64
@@ -60,6 +63,9 @@
 		return
 	}
 	part := []byte(strings.Repeat(e.Repeated, 32<<10/len(e.Repeated)))
+	if e.Interval > 0 {
+		part = []byte(e.Repeated)
+	}
 	for sent := 0; sent < maxEndlessBytes; sent += len(part) {
 		if e.PauseAfterBytes > 0 && sent >= e.PauseAfterBytes {
 			_, _ = io.Copy(io.Discard, conn)
@@ -68,6 +74,7 @@
 		if _, err := conn.Write(part); err != nil {
 			return
 		}
+		time.Sleep(e.Interval)
 	}
 	e.notCutOff.Add(1)
 }
@@ -104,6 +111,8 @@
 	return []*EndlessResponse{
 		{Name: "rejection", Start: start + "\r\n", Repeated: "abcdefgh"},
 		{Name: "rejection with a length", Start: start + "Content-Length: 1000000000000\r\n\r\n", Repeated: "abcdefgh"},
+		{Name: "slow rejection", Start: start + "\r\n", Repeated: "abcdefgh", Interval: 50 * time.Millisecond},
+		{Name: "slow rejection with a length", Start: start + "Content-Length: 1000\r\n\r\n", Repeated: "a", Interval: 50 * time.Millisecond},
 		{Name: "rejection in chunks", Start: start + "Transfer-Encoding: chunked\r\n\r\n", Repeated: "8\r\nabcdefgh\r\n"},
 	}
 }
