--- a/internal/cwapp/app.go
+++ b/internal/cwapp/app.go
@@ -44,7 +44,7 @@
 	endpointClient := cwendpoint.NewClient(a.Net)
 	a.dispatcher = cwdispatch.NewDispatcher(a.Common, a.Control, endpointClient, cwpeer.NewForwarder(a.Net, auth), newTicketKey(), newSeed())
 	a.burn = cwburn.NewRecorder(time.Now())
-	platformReader := cwplatform.NewReader(a.Settings.Platform, a.Net)
+	platformReader := cwplatform.NewReader(a.Settings.Platform, a.Net, a.Budget)
 	manifests := cwsync.NewManifestStore()
 	configFollower := cwsync.NewConfigFollower(a.Common, a.Control, platformReader, a.peerClient, manifests)
 	a.exchanger = cwpeer.NewExchanger(a.Common, a.Control, a.peerClient, a.dispatcher, configFollower)
--- a/internal/cwapp/instance.go
+++ b/internal/cwapp/instance.go
@@ -70,7 +70,7 @@
 		closers:        []func() error{closer.Close},
 	}
 	i.Control = cwcontrol.NewControl(i.Common, i.newSelfMember())
-	i.peerClient = cwpeer.NewClient(n, i.auth)
+	i.peerClient = cwpeer.NewClient(n, i.auth, i.Budget)
 	return i
 }
 
--- a/internal/cwapp/routed_app.go
+++ b/internal/cwapp/routed_app.go
@@ -49,7 +49,7 @@
 		r.Control.TryPost(cwcontrol.PublishedApplied{Revision: uint64(revision)})
 	}
 	r.State.OnStoreContact = func(unreachable bool) { r.Control.TryPost(cwcontrol.SelfStoreUnreachable{IsUnreachable: unreachable}) }
-	r.follower = cwpublished.NewFollower(r.Common, r.State, cwwire.NewStoreClient(site.StoreAddress, n), r.IsReader)
+	r.follower = cwpublished.NewFollower(r.Common, r.State, cwwire.NewStoreClient(site.StoreAddress, n, r.Budget), r.IsReader)
 	r.gate = cwgate.NewGate(r.Common, site, r.Control, r.State, cwwire.Codec{}, newSeed())
 	puller := cwsync.NewPublishedPuller(r.Common, r.State, r.peerClient, r.follower)
 	r.exchanger = cwpeer.NewExchanger(r.Common, r.Control, r.peerClient, r.gate, puller)
--- a/internal/cwendpoint/client.go
+++ b/internal/cwendpoint/client.go
@@ -12,6 +12,7 @@
 	"net/url"
 	"time"
 
+	"github.com/clementinewell/clementinewell/internal/cwlimit"
 	"github.com/clementinewell/clementinewell/internal/cwnet"
 	"github.com/clementinewell/clementinewell/internal/cwpolicy"
 	"github.com/clementinewell/clementinewell/pkg/cwanswer"
@@ -57,14 +58,14 @@
 		}
 		return &cwnet.CountingConn{Conn: conn}, nil
 	}
-	pooled := &http.Transport{
+	pooled := cwlimit.NewTransport(&http.Transport{
 		DialContext:         dial,
 		MaxConnsPerHost:     maxConnsPerEndpoint,
 		MaxIdleConnsPerHost: maxIdleConnsPerEndpoint,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
-	}
-	unpooled := &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}
+	}, nil, 0)
+	unpooled := cwlimit.NewTransport(&http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}, nil, 0)
 	return &Client{
 		pooled:   &http.Client{Transport: pooled, CheckRedirect: noRedirect},
 		unpooled: &http.Client{Transport: unpooled, CheckRedirect: noRedirect},
@@ -105,7 +106,7 @@
 	req.ContentLength = r.Length
 	resp, err := c.pooled.Do(req)
 	if err != nil {
-		return nil, fmt.Errorf("send request to %s: %w", r.Address, withoutURL(err))
+		return nil, fmt.Errorf("send request to %s: %w", r.Address, cwlimit.ShortenError(withoutURL(err)))
 	}
 	return resp, nil
 }
@@ -144,7 +145,7 @@
 	defer cancel()
 	body, status, err := fetch(ctx, c.pooled, address, LoadPath)
 	if err != nil {
-		return load, fmt.Errorf("fetch load of %s: %w", address, err)
+		return load, fmt.Errorf("fetch load of %s: %w", address, cwlimit.ShortenError(err))
 	}
 	if status != http.StatusOK {
 		// A plain service need not support load reports. Any response means that it is
@@ -152,7 +153,7 @@
 		return Load{Incarnation: unknownIncarnation}, nil
 	}
 	if err := json.Unmarshal(body, &load); err != nil {
-		return load, fmt.Errorf("fetch load of %s: %w", address, err)
+		return load, fmt.Errorf("fetch load of %s: %w", address, cwlimit.ShortenError(err))
 	}
 	return load, nil
 }
@@ -167,7 +168,7 @@
 	ctx, cancel := context.WithTimeout(ctx, controlRequestTimeout)
 	defer cancel()
 	if _, _, err := fetch(ctx, c.unpooled, address, path); err != nil {
-		return fmt.Errorf("probe %s: %w", address, err)
+		return fmt.Errorf("probe %s: %w", address, cwlimit.ShortenError(err))
 	}
 	return nil
 }
@@ -198,14 +199,14 @@
 func (c *Client) Resume(ctx context.Context, address, attemptID, lastEventID string) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+StreamsPath+attemptID, nil)
 	if err != nil {
-		return nil, fmt.Errorf("resume stream at %s: %w", address, err)
+		return nil, fmt.Errorf("resume stream at %s: %w", address, cwlimit.ShortenError(err))
 	}
 	if lastEventID != "" {
 		req.Header.Set("Last-Event-ID", lastEventID)
 	}
 	resp, err := c.unpooled.Do(req)
 	if err != nil {
-		return nil, fmt.Errorf("resume stream at %s: %w", address, err)
+		return nil, fmt.Errorf("resume stream at %s: %w", address, cwlimit.ShortenError(err))
 	}
 	if resp.StatusCode != http.StatusOK {
 		_ = resp.Body.Close()
@@ -245,11 +246,11 @@
 func (c *Client) send(ctx context.Context, method, address, path string, body []byte) error {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
-		return fmt.Errorf("%s %s at %s: %w", method, path, address, err)
+		return fmt.Errorf("%s %s at %s: %w", method, path, address, cwlimit.ShortenError(err))
 	}
 	resp, err := c.unpooled.Do(req)
 	if err != nil {
-		return fmt.Errorf("%s %s at %s: %w", method, path, address, err)
+		return fmt.Errorf("%s %s at %s: %w", method, path, address, cwlimit.ShortenError(err))
 	}
 	_ = resp.Body.Close()
 	if resp.StatusCode >= http.StatusBadRequest {
--- a/internal/cwendpoint/load.go
+++ b/internal/cwendpoint/load.go
@@ -54,17 +54,17 @@
 	l := Load{}
 	parts := strings.Fields(s)
 	if len(parts) < 8 || parts[0] != "1" {
-		return l, fmt.Errorf("parse load header: unsupported format %q", s)
+		return l, fmt.Errorf("parse load header: unsupported format %.100q", s)
 	}
 	incarnation, err := strconv.ParseUint(parts[1], 10, 64)
 	if err != nil {
-		return l, fmt.Errorf("parse load header: incarnation: %w", err)
+		return l, fmt.Errorf("parse load header: incarnation %.100q is not a number", parts[1])
 	}
 	l.Incarnation, l.IsLeaving = incarnation, parts[2] == "true"
 	for i, field := range []*int{&l.AgeMillis, &l.RunningRequests, &l.WaitingRequests, &l.Slots, &l.WaitingTokens} {
 		n, err := strconv.Atoi(parts[3+i])
 		if err != nil || n < 0 {
-			return l, fmt.Errorf("parse load header: invalid count %q", parts[3+i])
+			return l, fmt.Errorf("parse load header: invalid count %.100q", parts[3+i])
 		}
 		*field = n
 	}
--- a/internal/cwlimit/budget.go
+++ b/internal/cwlimit/budget.go
@@ -11,7 +11,8 @@
 	memoryShare = 4
 	// smallBytes is the size up to which a response may use the whole budget. What is larger
 	// may fill it only to largeShareNumerator/largeShareDenominator, so that large responses
-	// leave room for the small ones of other endpoints.
+	// leave room for the small ones of other endpoints and for those of the store and of other
+	// instances, whatever their size.
 	smallBytes            = 64 << 10
 	largeShareNumerator   = 3
 	largeShareDenominator = 4
@@ -42,14 +43,14 @@
 	return b.usedBytes
 }
 
-// reserve reserves n more bytes for a response that has held bytes so far. It returns false if
-// they don't fit.
-func (b *Budget) reserve(held, n int64) bool {
+// reserve reserves n more bytes within the whole budget or, if isLarge is set, within the part
+// for large responses. It returns false if they don't fit.
+func (b *Budget) reserve(n int64, isLarge bool) bool {
 	if b == nil {
 		return true
 	}
 	limit := b.limitBytes
-	if held+n > smallBytes {
+	if isLarge {
 		limit = limit / largeShareDenominator * largeShareNumerator
 	}
 	b.mu.Lock()
--- a/internal/cwlimit/limits.go
+++ b/internal/cwlimit/limits.go
@@ -10,6 +10,9 @@
 	// MaxResponseBytes is the limit for one response that is buffered before it is
 	// forwarded.
 	MaxResponseBytes = 16 << 20
+	// MaxControlBytes is the limit for one response of the store, the platform or another
+	// instance. All items of the store at twice the planned number of endpoints fit.
+	MaxControlBytes = 8 << 20
 	// maxErrorTextBytes is the limit for the text of an error that may quote a response.
 	maxErrorTextBytes = 300
 )
--- a/internal/cwlimit/reservation.go
+++ b/internal/cwlimit/reservation.go
@@ -5,6 +5,8 @@
 type Reservation struct {
 	budget *Budget
 	bytes  int64
+	// isControl is set for a response of the store, the platform or another instance.
+	isControl bool
 }
 
 // NewReservation returns a reservation of 0 bytes.
@@ -12,9 +14,14 @@
 	return &Reservation{budget: b}
 }
 
+// newControlReservation returns a reservation that may use the whole budget.
+func (b *Budget) newControlReservation() *Reservation {
+	return &Reservation{budget: b, isControl: true}
+}
+
 // Grow reserves n more bytes. It returns false if they don't fit.
 func (r *Reservation) Grow(n int64) bool {
-	if !r.budget.reserve(r.bytes, n) {
+	if !r.budget.reserve(n, !r.isControl && r.bytes+n > smallBytes) {
 		return false
 	}
 	r.bytes += n
--- a/internal/cwlimit/short_error.go
+++ b/internal/cwlimit/short_error.go
@@ -19,7 +19,15 @@
 	if len(text) <= maxErrorTextBytes {
 		return err
 	}
-	return &shortError{text: strings.ToValidUTF8(text[:maxErrorTextBytes], "") + "...", err: err}
+	return &shortError{text: ShortenText(text), err: err}
+}
+
+// ShortenText returns at most about maxErrorTextBytes of a text that a peer sent.
+func ShortenText(text string) string {
+	if len(text) <= maxErrorTextBytes {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxErrorTextBytes], "") + "..."
 }
 
 // Error returns the shortened text.
--- a/internal/cwpeer/client.go
+++ b/internal/cwpeer/client.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/clementinewell/clementinewell/internal/cwlimit"
 	"github.com/clementinewell/clementinewell/internal/cwnet"
 	"github.com/clementinewell/clementinewell/internal/cwpolicy"
 	"github.com/clementinewell/clementinewell/internal/cwproto"
@@ -26,14 +27,14 @@
 	http *signingClient
 }
 
-// NewClient returns a client that signs its calls with auth.
-func NewClient(n cwnet.Net, auth *Auth) *Client {
-	transport := &http.Transport{
+// NewClient returns a client that signs its calls with auth. Responses count in the budget.
+func NewClient(n cwnet.Net, auth *Auth, budget *cwlimit.Budget) *Client {
+	transport := cwlimit.NewTransport(&http.Transport{
 		DialContext:         n.DialContext,
 		MaxIdleConnsPerHost: maxIdleConnsPerPeer,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
-	}
+	}, budget, cwlimit.MaxControlBytes)
 	return &Client{http: &signingClient{auth: auth, client: &http.Client{Transport: transport}}}
 }
 
@@ -49,7 +50,7 @@
 	start := time.Now()
 	response, err := c.peerAt(address).Exchange(ctx, message)
 	if err != nil {
-		return nil, 0, fmt.Errorf("exchange with %s: %w", address, err)
+		return nil, 0, fmt.Errorf("exchange with %s: %w", address, cwlimit.ShortenError(err))
 	}
 	return response, time.Since(start), nil
 }
@@ -61,7 +62,7 @@
 	defer cancel()
 	resp, err := c.peerAt(address).FetchConfig(ctx, &cwproto.FetchConfigRequest{Keys: hashes})
 	if err != nil {
-		return nil, fmt.Errorf("fetch configuration from %s: %w", address, err)
+		return nil, fmt.Errorf("fetch configuration from %s: %w", address, cwlimit.ShortenError(err))
 	}
 	return resp.GetValues(), nil
 }
@@ -73,7 +74,7 @@
 	defer cancel()
 	resp, err := c.peerAt(address).FetchPublished(ctx, &cwproto.FetchPublishedRequest{After: uint64(after)})
 	if err != nil {
-		return cwpublished.Delta{}, fmt.Errorf("fetch published state from %s: %w", address, err)
+		return cwpublished.Delta{}, fmt.Errorf("fetch published state from %s: %w", address, cwlimit.ShortenError(err))
 	}
 	d := cwpublished.Delta{Revision: cwpublished.Revision(resp.GetCurrent()), IsFull: resp.GetWhole()}
 	if resp.GetTroubled() {
@@ -94,7 +95,7 @@
 	defer cancel()
 	resp, err := c.peerAt(address).TakeOver(ctx, protoHandovers(handovers))
 	if err != nil {
-		return 0, fmt.Errorf("hand over tickets to %s: %w", address, err)
+		return 0, fmt.Errorf("hand over tickets to %s: %w", address, cwlimit.ShortenError(err))
 	}
 	if !resp.GetAccepted() {
 		return 0, fmt.Errorf("hand over tickets to %s: the peer is leaving too", address)
--- a/internal/cwpeer/forwarder.go
+++ b/internal/cwpeer/forwarder.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/clementinewell/clementinewell/internal/cwframe"
+	"github.com/clementinewell/clementinewell/internal/cwlimit"
 	"github.com/clementinewell/clementinewell/internal/cwnet"
 	"github.com/clementinewell/clementinewell/pkg/cwanswer"
 )
@@ -32,7 +33,7 @@
 
 // NewForwarder returns a forwarder that signs requests with auth.
 func NewForwarder(n cwnet.Net, auth *Auth) *Forwarder {
-	transport := &http.Transport{
+	transport := cwlimit.NewTransport(&http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := n.DialContext(ctx, network, address)
 			if err != nil {
@@ -44,7 +45,7 @@
 		MaxIdleConnsPerHost: maxIdleForwardConnsPerPeer,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
-	}
+	}, nil, 0)
 	return &Forwarder{auth: auth, client: &http.Client{Transport: transport}}
 }
 
@@ -178,9 +179,10 @@
 	if err := json.Unmarshal(frame.Payload, p); err != nil || p.Status == 0 {
 		return forwardProblem(cwanswer.Unknown, address, errors.New("unreadable failure"))
 	}
+	p.Detail = cwlimit.ShortenText(p.Detail)
 	return p
 }
 
 func forwardProblem(outcome cwanswer.Outcome, address string, err error) *cwanswer.Problem {
-	return cwanswer.NewProblem(http.StatusBadGateway, "peer-failed", outcome, err.Error()).WithOrigin("forward", address)
+	return cwanswer.NewProblem(http.StatusBadGateway, "peer-failed", outcome, cwlimit.ShortenError(err).Error()).WithOrigin("forward", address)
 }
--- a/internal/cwplatform/reader.go
+++ b/internal/cwplatform/reader.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/clementinewell/clementinewell/internal/cwlimit"
 	"github.com/clementinewell/clementinewell/internal/cwnet"
 	"github.com/clementinewell/clementinewell/pkg/cwconfig"
 )
@@ -39,9 +40,9 @@
 	client  *http.Client
 }
 
-// NewReader returns a reader of the platform at the base URL.
-func NewReader(baseURL string, n cwnet.Net) *Reader {
-	transport := &http.Transport{DialContext: n.DialContext, MaxIdleConnsPerHost: 4}
+// NewReader returns a reader of the platform at the base URL. Responses count in the budget.
+func NewReader(baseURL string, n cwnet.Net, budget *cwlimit.Budget) *Reader {
+	transport := cwlimit.NewTransport(&http.Transport{DialContext: n.DialContext, MaxIdleConnsPerHost: 4}, budget, cwlimit.MaxControlBytes)
 	return &Reader{baseURL: baseURL, client: &http.Client{Transport: transport}}
 }
 
@@ -63,26 +64,26 @@
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, r.baseURL+"/v1/values/"+key+query, nil)
 	if err != nil {
-		return Value{}, fmt.Errorf("read %s from platform: %w", key, err)
+		return Value{}, fmt.Errorf("read %s from platform: %w", key, cwlimit.ShortenError(err))
 	}
 	resp, err := r.client.Do(req)
 	if err != nil {
-		return Value{}, fmt.Errorf("read %s from platform: %w", key, err)
+		return Value{}, fmt.Errorf("read %s from platform: %w", key, cwlimit.ShortenError(err))
 	}
 	defer resp.Body.Close()
 	if err := statusError(resp.StatusCode); err != nil {
-		return Value{}, fmt.Errorf("read %s from platform: %w", key, err)
+		return Value{}, fmt.Errorf("read %s from platform: %w", key, cwlimit.ShortenError(err))
 	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, cwconfig.MaxValueBytes+1))
 	if err != nil {
-		return Value{}, fmt.Errorf("read %s from platform: %w", key, err)
+		return Value{}, fmt.Errorf("read %s from platform: %w", key, cwlimit.ShortenError(err))
 	}
 	if len(data) > cwconfig.MaxValueBytes {
 		return Value{}, fmt.Errorf("read %s from platform: value is larger than %d bytes", key, cwconfig.MaxValueBytes)
 	}
 	revision, err := strconv.ParseUint(resp.Header.Get(RevisionHeader), 10, 64)
 	if err != nil {
-		return Value{}, fmt.Errorf("read %s from platform: invalid revision: %w", key, err)
+		return Value{}, fmt.Errorf("read %s from platform: invalid revision: %w", key, cwlimit.ShortenError(err))
 	}
 	return Value{Data: data, Revision: revision}, nil
 }
--- a/internal/cwstandin/peers.go
+++ b/internal/cwstandin/peers.go
@@ -144,7 +144,7 @@
 		}
 	}
 	assignEndpoints(peers, options.targetAddress, options.targetDomain, endpoints)
-	client := cwpeer.NewClient(cwnet.NewTCP(), cwpeer.NewAuth(options.peerKey))
+	client := cwpeer.NewClient(cwnet.NewTCP(), cwpeer.NewAuth(options.peerKey), nil)
 	g, ctx := errgroup.WithContext(ctx)
 	for _, p := range peers {
 		g.Go(func() error { return serve(ctx, p.entry.PeerAddress, cwproto.NewPeerServer(p)) })
--- a/internal/cwsync/published_puller_test.go
+++ b/internal/cwsync/published_puller_test.go
@@ -61,7 +61,7 @@
 				state.Apply("store", cwpublished.Delta{Revision: 5, IsFull: true})
 				state.SetStoreUnreachable(c.storeUnreachable)
 				follower := cwpublished.NewFollower(common, state, nil, func() bool { return true })
-				puller := cwsync.NewPublishedPuller(common, state, cwpeer.NewClient(common.Net, cwpeer.NewAuth("")), follower)
+				puller := cwsync.NewPublishedPuller(common, state, cwpeer.NewClient(common.Net, cwpeer.NewAuth(""), nil), follower)
 				start := time.Now()
 				puller.Pull(t.Context(), peerAddress, cwconfig.Version{Number: 7})
 				is.Equal(state.Revision(), cwpublished.Revision(7))
