--- a/internal/cwapp/routed_endless_test.go
+++ b/internal/cwapp/routed_endless_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -137,3 +139,85 @@
 		})
 	}
 }
+
+// TestEndlessEventBreaksStream guards against an event without an end that is passed on to the
+// caller as long as it lasts. The caller's connection is broken off, so that the response
+// can't look complete, unless another endpoint resumes the stream.
+func TestEndlessEventBreaksStream(t *testing.T) {
+	const firstEvent = "id: 1\ndata: piece 1\n\n"
+	allEvents := firstEvent
+	for _, n := range []string{"2", "3", "4", "5", "6"} {
+		allEvents += "id: " + n + "\ndata: piece " + n + "\n\n"
+	}
+	for _, sc := range []struct {
+		name, start string
+		resumable   bool
+		status      int
+		body        string
+		isBroken    bool
+	}{
+		{"before the first event", "data: ", false, http.StatusBadGateway, "attemptFailed\n", false},
+		{"after an event", firstEvent + "data: ", false, http.StatusOK, firstEvent, true},
+		{"after an event, resumed", firstEvent + "data: ", true, http.StatusOK, allEvents, false},
+	} {
+		t.Run(sc.name, func(t *testing.T) {
+			inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+				s.Publish(cwscene.NewEngineService(0), cwscene.NewRoute("r", "streaming", cwscene.RoutedRoute{"resumable": sc.resumable}))
+				response := cwstandin.StreamResponse(sc.name, sc.start, "abcdefgh")
+				var hasBegun atomic.Bool
+				for _, ip := range []string{"10.1.1.1", "10.1.1.2"} {
+					// The first request to either endpoint gets the stream without an end.
+					sound := cwstandin.NewWorker("worker-" + ip)
+					s.Serve(ip+":8010", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+						if hasBegun.CompareAndSwap(false, true) {
+							response.ServeHTTP(w, r)
+							return
+						}
+						sound.ServeHTTP(w, r)
+					}))
+					s.RegisterWorker(sound.ID, "north-a", ip, nil)
+				}
+				i := s.AddInstance("10.1.0.1", "north-a")
+				s.AwaitReady()
+				resp := s.Do(t.Context(), i, cwscene.RoutedRequest{Path: "/r/x", Header: newPromptHeader()})
+				is.Equal(resp.Status, sc.status)
+				is.Equal(resp.Err != nil, sc.isBroken)
+				is.Equal(resp.Body, sc.body)
+				is.True(resp.Elapsed.Seconds() < 1)
+				is.True(failureRateOf(t, s, i, "worker-10.1.1.1")+failureRateOf(t, s, i, "worker-10.1.1.2") > 0)
+				is.Equal(response.NotCutOff(), 0)
+				is.Equal(i.Budget.UsedBytes(), int64(0))
+			})
+		})
+	}
+}
+
+// TestStreamIsForwardedWhole guards against a limit that ends legitimate streams: one whose
+// lines end with CRLF, one with a large event, and one that is longer than any limit.
+func TestStreamIsForwardedWhole(t *testing.T) {
+	for _, sc := range []struct{ name, event string }{
+		{"CRLF", "id: 1\r\ndata: piece\r\n\r\n"},
+		{"large events", "data: " + strings.Repeat("x", 2<<20) + "\n\n"},
+		{"long", "data: " + strings.Repeat("x", 1<<10) + "\n\n"},
+	} {
+		t.Run(sc.name, func(t *testing.T) {
+			inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+				s.Publish(cwscene.NewEngineService(0), cwscene.NewRoute("r", "streaming", nil))
+				want := strings.Repeat(sc.event, 20<<20/len(sc.event))
+				s.Serve("10.1.1.1:8010", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					w.Header().Set(cwstandin.RequestIDHeader, r.Header.Get(cwstandin.RequestIDHeader))
+					w.Header().Set("Clementinewell-Response-Signature", "signed")
+					w.Header().Set("Content-Type", "text/event-stream")
+					_, _ = io.WriteString(w, want)
+				}))
+				s.RegisterWorker("worker", "north-a", "10.1.1.1", nil)
+				i := s.AddInstance("10.1.0.1", "north-a")
+				s.AwaitReady()
+				resp := s.Do(t.Context(), i, cwscene.RoutedRequest{Path: "/r/x", Header: newPromptHeader()})
+				is.Equal(resp.Status, http.StatusOK)
+				is.NoErr(resp.Err)
+				is.True(resp.Body == want)
+			})
+		})
+	}
+}
--- a/internal/cwdispatch/deliver.go
+++ b/internal/cwdispatch/deliver.go
@@ -30,7 +30,9 @@
 	isEventStream := strings.HasPrefix(a.resp.Header.Get("Content-Type"), "text/event-stream")
 	isEngine := a.job.Service.Kind == cwservice.Engine
 	if isEventStream && isEngine {
-		a.splitter = &cwevent.Splitter{}
+		memory := a.Budget.NewReservation()
+		defer memory.Release()
+		a.splitter = &cwevent.Splitter{Peer: a.choice.Endpoint.Address, Memory: memory}
 		a.eventStream.Store(a.resp)
 	}
 	for resumed := 0; ; resumed++ {
@@ -103,7 +105,10 @@
 
 func (a *endpointAttempt) writeChunk(p []byte, flush bool) error {
 	if a.splitter != nil {
-		p = a.splitter.Push(p)
+		var err error
+		if p, err = a.splitter.Push(p); err != nil {
+			return err
+		}
 	}
 	if len(p) == 0 {
 		return nil
--- a/internal/cwgate/attempt_stream.go
+++ b/internal/cwgate/attempt_stream.go
@@ -17,12 +17,17 @@
 // the first event, so that after an earlier failure any response is still possible.
 func (a *attempt) forwardStream(ctx context.Context, response *cwconn.Response) result {
 	routed := a.req
-	splitter := &cwevent.Splitter{LastEventID: routed.responder.lastEventID}
+	memory := a.Budget.NewReservation()
+	defer memory.Release()
+	splitter := &cwevent.Splitter{Peer: a.address, Memory: memory, LastEventID: routed.responder.lastEventID}
 	var relayReader cwevent.RelayReader
 	buf := make([]byte, eventBufferBytes)
 	for {
 		n, err := response.Read(buf)
-		events := splitter.Push(buf[:n])
+		events, limitErr := splitter.Push(buf[:n])
+		if limitErr != nil {
+			return a.failUnknown(ctx, limitErr)
+		}
 		if a.exitDomain != "" {
 			var markerErr error
 			if events, markerErr = relayReader.StripMarkers(events); markerErr != nil {
--- a/internal/cwlimit/buffer.go
+++ b/internal/cwlimit/buffer.go
@@ -33,7 +33,7 @@
 	if err := buffer.readFrom(io.LimitReader(r, maxBytes+1), length); err != nil {
 		buffer.Release()
 		if errors.Is(err, errNoMemory) {
-			return nil, &Error{Step: "buffer response", Peer: peer, LimitBytes: b.limit(), IsShared: true}
+			return nil, buffer.reservation.Error("buffer response", peer)
 		}
 		return nil, fmt.Errorf("read response from %s: %w", peer, err)
 	}
--- a/internal/cwlimit/limited_body.go
+++ b/internal/cwlimit/limited_body.go
@@ -32,7 +32,7 @@
 func (b *limitedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if !b.reserve(int64(n)) {
-		return 0, &Error{Step: "read response", Peer: b.peer, LimitBytes: b.budget.limit(), IsShared: true}
+		return 0, b.reservation.Error("read response", b.peer)
 	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
--- a/internal/cwlimit/limits.go
+++ b/internal/cwlimit/limits.go
@@ -10,6 +10,8 @@
 	// MaxResponseBytes is the limit for one response that is buffered before it is
 	// forwarded.
 	MaxResponseBytes = 16 << 20
+	// MaxEventBytes is the limit for one event of a stream, which is buffered as a response is.
+	MaxEventBytes = MaxResponseBytes
 	// MaxControlBytes is the limit for one response of the store, the platform or another
 	// instance. All items of the store at twice the planned number of endpoints fit.
 	MaxControlBytes = 8 << 20
--- a/internal/cwlimit/reservation.go
+++ b/internal/cwlimit/reservation.go
@@ -38,6 +38,11 @@
 	return true
 }
 
+// Error returns the error of a response that does not fit.
+func (r *Reservation) Error(step, peer string) *Error {
+	return &Error{Step: step, Peer: peer, LimitBytes: r.budget.limit(), IsShared: true}
+}
+
 // Release returns all bytes to the budget. Further calls do nothing.
 func (r *Reservation) Release() {
 	r.budget.release(r.bytes)
--- a/internal/cwstandin/endless_response.go
+++ b/internal/cwstandin/endless_response.go
@@ -10,7 +10,7 @@
 
 // maxEndlessBytes is where an endless response stops and its connection is closed, so that a
 // test ends even if the client has no limit.
-const maxEndlessBytes = 64 << 20
+const maxEndlessBytes = 128 << 20
 
 // EndlessResponse stands in for a peer whose response has no end.
 type EndlessResponse struct {
@@ -116,3 +116,9 @@
 		{Name: "rejection in chunks", Start: start + "Transfer-Encoding: chunked\r\n\r\n", Repeated: "8\r\nabcdefgh\r\n"},
 	}
 }
+
+// StreamResponse returns the response of a worker that sends the start of a stream of events
+// and then repeats a part without an end.
+func StreamResponse(name, start, repeated string) *EndlessResponse {
+	return &EndlessResponse{Name: name, Start: signedStart("200 OK") + "Content-Type: text/event-stream\r\n\r\n" + start, Repeated: repeated}
+}
