--- a/internal/cwframe/frame_test.go
+++ b/internal/cwframe/frame_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"errors"
 	"io"
 	"testing"
@@ -71,3 +72,52 @@
 		}
 	})
 }
+
+// repeatingReader returns frames without an end, with the next sequence number each.
+type repeatingReader struct {
+	kind    cwframe.Kind
+	payload int
+	seq     uint32
+	pending []byte
+	read    int
+}
+
+func (r *repeatingReader) Read(p []byte) (int, error) {
+	if len(r.pending) == 0 {
+		r.pending = binary.BigEndian.AppendUint32([]byte{byte(r.kind)}, r.seq)
+		r.pending = binary.BigEndian.AppendUint32(r.pending, uint32(r.payload))
+		r.pending = append(r.pending, make([]byte, r.payload)...)
+		r.seq++
+	}
+	n := copy(p, r.pending)
+	r.pending = r.pending[n:]
+	r.read += n
+	return n, nil
+}
+
+// TestReaderLimitsFramesWithoutBody guards against a stream that never ends and has no body:
+// frames of unknown kinds are skipped, and empty ones add nothing, so that only the time of
+// the request ended it.
+func TestReaderLimitsFramesWithoutBody(t *testing.T) {
+	const maxBytes = 4 * cwframe.MaxPayloadBytes
+	for _, c := range []struct {
+		name    string
+		kind    cwframe.Kind
+		payload int
+	}{
+		{"unknown kind", 99, 1000},
+		{"unknown kind, largest payload", 99, cwframe.MaxPayloadBytes},
+		{"unknown kind, empty", 99, 0},
+		{"heads", cwframe.Head, 1000},
+		{"empty data", cwframe.Data, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			frames := &repeatingReader{kind: c.kind, payload: c.payload}
+			r := cwframe.NewReader(io.LimitReader(frames, 100*maxBytes))
+			_, err := r.Read(make([]byte, 1))
+			is.True(errors.Is(err, cwframe.ErrNoProgress))
+			is.True(frames.read <= maxBytes)
+		})
+	}
+}
--- a/internal/cwframe/reader.go
+++ b/internal/cwframe/reader.go
@@ -12,6 +12,13 @@
 // ErrTruncated is returned if a stream ends without its End frame.
 var ErrTruncated = errors.New("stream ended before its end frame")
 
+// ErrNoProgress is returned for a stream with too many frames that are not part of the body.
+var ErrNoProgress = errors.New("stream has too many frames without body")
+
+// maxOtherBytes is the limit for all frames that are not part of the body together: the head,
+// empty frames and those of unknown kinds.
+const maxOtherBytes = 2 * MaxPayloadBytes
+
 // Reader decodes one stream of frames.
 type Reader struct {
 	r *bufio.Reader
@@ -20,6 +27,8 @@
 	// frames and bytes count the Data frames and their payload bytes.
 	frames uint32
 	bytes  int64
+	// otherBytes counts the bytes of frames that are not part of the body.
+	otherBytes int
 	// buf holds the payload of the latest frame, and pending the part of it that Read has
 	// not returned.
 	buf     []byte
@@ -75,6 +84,11 @@
 // updateCounts counts Data frames and their bytes, and checks the counts in the End
 // frame.
 func (r *Reader) updateCounts(f Frame) error {
+	if f.Kind != Data || len(f.Payload) == 0 {
+		if r.otherBytes += headerBytes + len(f.Payload); r.otherBytes > maxOtherBytes {
+			return fmt.Errorf("read frame of kind %d: %w", f.Kind, ErrNoProgress)
+		}
+	}
 	switch f.Kind {
 	case Data:
 		r.frames++
