--- a/internal/cwapp/routed_limits_test.go
+++ b/internal/cwapp/routed_limits_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -93,3 +94,24 @@
 		})
 	}
 }
+
+// TestAnnouncedBodyLengthIsLimited guards against memory that is taken for the length that a
+// caller or an instance announces, if the configuration sets no limit for bodies.
+func TestAnnouncedBodyLengthIsLimited(t *testing.T) {
+	inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+		config := cwstandin.NewPublishedConfig(7, []map[string]any{cwstandin.NewPublishedPlainService("app")}, []cwscene.RoutedRoute{cwscene.NewRoute("r", "unsafe", nil)})
+		config["limits"] = map[string]any{}
+		s.Store.PutJSON(cwstandin.ConfigKey, config)
+		s.AddWorker("north-a", "10.1.1.1")
+		i := s.AddInstance("10.1.0.1", "north-a")
+		s.AwaitReady()
+		c := dialCaller(t, is, s, i)
+		start, rest := newRequestText()
+		_, err := io.WriteString(c, strings.Replace(start, "GET", "POST", 1)+"Content-Length: 1000000000000\r\n"+rest)
+		is.NoErr(err)
+		is.NoErr(c.SetReadDeadline(time.Now().Add(time.Second)))
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		is.NoErr(err) // refused before the body arrives
+		is.Equal(resp.StatusCode, http.StatusRequestEntityTooLarge)
+	})
+}
--- a/internal/cwgate/serve.go
+++ b/internal/cwgate/serve.go
@@ -1,6 +1,7 @@
 package cwgate
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -97,12 +98,15 @@
 }
 
 // readBody reads the whole body, so that further attempts can send it again. A maxBytes
-// of 0 means that the configuration sets no limit.
+// of 0 means that the configuration sets no limit; it is defaultMaxBodyBytes then.
 func (r *routedRequest) readBody(maxBytes int) *Refusal {
 	if r.Body == nil || r.Length == 0 {
 		return nil
 	}
-	if maxBytes > 0 && r.Length > int64(maxBytes) {
+	if maxBytes <= 0 {
+		maxBytes = defaultMaxBodyBytes
+	}
+	if r.Length > int64(maxBytes) {
 		return &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: "bodyTooLarge"}
 	}
 	body, err := readBounded(r.Body, r.Length, maxBytes)
@@ -119,17 +123,17 @@
 var errBodyTooLarge = errors.New("request body exceeds the size limit")
 
 // readBounded reads length bytes, or all bytes if the length is unknown. maxBytes is checked
-// only in the latter case; 0 then means defaultMaxBodyBytes.
+// only in the latter case. Memory for more than maxBodyPreallocation is taken as the bytes
+// arrive, not as they are announced.
 func readBounded(r io.Reader, length int64, maxBytes int) ([]byte, error) {
 	if length > 0 {
-		body := make([]byte, length)
-		if n, err := io.ReadFull(r, body); err != nil {
+		var body bytes.Buffer
+		// ReadFrom needs bytes.MinRead free bytes to detect the end.
+		body.Grow(int(min(length, maxBodyPreallocation)) + bytes.MinRead)
+		if n, err := io.CopyN(&body, r, length); err != nil {
 			return nil, fmt.Errorf("read request body: got %d of %d bytes: %w", n, length, err)
 		}
-		return body, nil
-	}
-	if maxBytes <= 0 {
-		maxBytes = defaultMaxBodyBytes
+		return body.Bytes(), nil
 	}
 	body, err := io.ReadAll(io.LimitReader(r, int64(maxBytes)+1))
 	if err != nil {
@@ -141,9 +145,13 @@
 	return body, nil
 }
 
-// defaultMaxBodyBytes is the limit for a body of unknown length if the configuration sets
-// none.
-const defaultMaxBodyBytes = 16 << 20
+const (
+	// defaultMaxBodyBytes is the limit for a body if the configuration sets none.
+	defaultMaxBodyBytes = 16 << 20
+	// maxBodyPreallocation is the size in bytes up to which memory is taken for a body at
+	// once.
+	maxBodyPreallocation = 64 << 10
+)
 
 // runAttempts makes attempts until one succeeds or no other is possible, and then ends the
 // request.
