--- a/internal/cwapp/routed_endless_test.go
+++ b/internal/cwapp/routed_endless_test.go
@@ -140,6 +140,42 @@
 	}
 }
 
+// TestEndlessResponseBehindRelay guards against a relayed request whose endpoint never ends its
+// response: the caller must get neither a whole response nor "not run".
+func TestEndlessResponseBehindRelay(t *testing.T) {
+	const firstEvent = "id: 1\ndata: piece 1\n\n"
+	for _, sc := range []struct {
+		response *cwstandin.EndlessResponse
+		status   int
+		isBroken bool
+	}{
+		{cwstandin.EndlessHeads()[2], http.StatusBadGateway, false},
+		{cwstandin.EndlessBodies()[0], http.StatusBadGateway, false},
+		{cwstandin.StreamResponse("event", firstEvent+"data: ", "abcdefgh"), http.StatusOK, true},
+	} {
+		t.Run(sc.response.Name, func(t *testing.T) {
+			inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+				s.Publish(cwscene.NewEngineService(0), cwscene.NewRoute("r", "streaming", cwscene.RoutedRoute{"home-regions": []string{"south"}}))
+				s.Serve("10.2.1.1:8010", sc.response)
+				s.RegisterWorker("worker", "south-a", "10.2.1.1", nil)
+				entry, exit := s.AddInstance("10.1.0.1", "north-a"), s.AddInstance("10.2.0.1", "south-a")
+				s.AwaitReady()
+				time.Sleep(5 * time.Second)
+				resp := s.Do(t.Context(), entry, cwscene.RoutedRequest{Path: "/r/x", Header: newPromptHeader()})
+				is.Equal(resp.Status, sc.status)
+				is.Equal(resp.Err != nil, sc.isBroken)
+				is.Equal(resp.Header.Get("Clementinewell-Not-Executed"), "")
+				if sc.isBroken {
+					is.Equal(resp.Body, firstEvent)
+				}
+				is.True(resp.Elapsed.Seconds() < 1)
+				is.Equal(sc.response.NotCutOff(), 0)
+				is.Equal(entry.Budget.UsedBytes()+exit.Budget.UsedBytes(), int64(0))
+			})
+		})
+	}
+}
+
 // TestEndlessEventBreaksStream guards against an event without an end that is passed on to the
 // caller as long as it lasts. The caller's connection is broken off, so that the response
 // can't look complete, unless another endpoint resumes the stream.
