--- a/internal/cwapp/endless_clients_test.go
+++ b/internal/cwapp/endless_clients_test.go
@@ -151,7 +151,7 @@
 			{Name: "no length", Start: "HTTP/1.1 200 OK\r\n" + plain + "\r\n", Repeated: " "},
 			{Name: "JSON", Start: "HTTP/1.1 200 OK\r\n" + plain + "\r\n{\"items\":[", Repeated: `{"key":"a"},`},
 			{Name: "length beyond any memory", Start: "HTTP/1.1 200 OK\r\n" + plain + "Content-Length: 1000000000000\r\n\r\n", Repeated: " "},
-			{Name: "chunks", Start: "HTTP/1.1 200 OK\r\n" + plain + "Transfer-Encoding: chunked\r\n\r\n", Repeated: "8\r\n        \r\n"},
+			{Name: "chunks", Start: "HTTP/1.1 200 OK\r\n" + plain + "Transfer-Encoding: chunked\r\n\r\n", Repeated: "400\r\n" + strings.Repeat(" ", 1<<10) + "\r\n"},
 			{Name: "error", Start: "HTTP/1.1 500 Error\r\n" + plain + "\r\n", Repeated: "error "},
 		} {
 			t.Run(c.name+"/"+response.Name, func(t *testing.T) {
