--- a/internal/cwapp/routed_app.go
+++ b/internal/cwapp/routed_app.go
@@ -43,13 +43,13 @@
 
 // NewRoutedApp builds an instance without starting its servers and background loops.
 func NewRoutedApp(settings *cwsetting.Settings, site *cwsite.Site, log *zap.Logger, n cwnet.Net) *RoutedApp {
-	r := &RoutedApp{instance: newInstance(settings, log, n), site: site, seedPeers: site.SeedPeers}
+	r := &RoutedApp{instance: newInstance(settings, log, n, site.MemoryBytes), site: site, seedPeers: site.SeedPeers}
 	r.State = cwpublished.NewState(r.Common, cwwire.DecodeRecord)
 	r.State.OnApply = func(revision cwpublished.Revision) {
 		r.Control.TryPost(cwcontrol.PublishedApplied{Revision: uint64(revision)})
 	}
 	r.State.OnStoreContact = func(unreachable bool) { r.Control.TryPost(cwcontrol.SelfStoreUnreachable{IsUnreachable: unreachable}) }
-	r.follower = cwpublished.NewFollower(r.Common, r.State, cwwire.NewStoreClient(site.StoreAddress, n), r.IsReader)
+	r.follower = cwpublished.NewFollower(r.Common, r.State, cwwire.NewStoreClient(site.StoreAddress, n, r.Budget), r.IsReader)
 	r.gate = cwgate.NewGate(r.Common, site, r.Control, r.State, cwwire.Codec{}, newSeed())
 	puller := cwsync.NewPublishedPuller(r.Common, r.State, r.peerClient, r.follower)
 	r.exchanger = cwpeer.NewExchanger(r.Common, r.Control, r.peerClient, r.gate, puller)
