--- a/internal/cwapp/input_test.go
+++ b/internal/cwapp/input_test.go
@@ -88,7 +88,7 @@
 		name, request, statusLine string
 		maxDuration               time.Duration
 	}{
-		{"header never completed", "POST /services/lookup/x HTTP/1.1\r\nHost:", "", 6 * time.Second},
+		{"header never completed", "POST /services/lookup/x HTTP/1.1\r\nHost:", "HTTP/1.1 408 Request Timeout", 6 * time.Second},
 		{"body never sent", requestHead + "Content-Length: 10\r\n\r\n", "HTTP/1.1 408 Request Timeout", 11 * time.Second},
 		{"wrong content length", requestHead + "Content-Length: ten\r\n\r\n", "HTTP/1.1 400 Bad Request", time.Second},
 		{"two content lengths", requestHead + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab", "HTTP/1.1 400 Bad Request", time.Second},
--- a/internal/cwserver/error_log.go
+++ b/internal/cwserver/error_log.go
@@ -14,9 +14,9 @@
 	server *Server
 }
 
-// Write logs one message.
+// Write logs one message. Peers can cause many of them, which must not displace warnings.
 func (l errorLog) Write(p []byte) (int, error) {
 	message := strings.TrimSpace(string(p[:min(len(p), maxErrorLogBytes)]))
-	l.server.Log.Warn("HTTP server error", zap.String("server", l.server.name), zap.String("error", message))
+	l.server.Log.Info("HTTP server error", zap.String("server", l.server.name), zap.String("error", message))
 	return len(p), nil
 }
