--- a/internal/cwgate/serve.go
+++ b/internal/cwgate/serve.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"go.uber.org/zap"
@@ -58,7 +59,10 @@
 		return
 	}
 	routed := &routedRequest{Request: r, route: route, responder: responder, deadline: deadlineOf(r, route)}
-	if refusal := routed.readBody(config.Limits.BodyBytes); refusal != nil {
+	if refusal := g.receiveBody(routed, config.Limits.BodyBytes); refusal != nil {
+		if refusal.Status != http.StatusRequestEntityTooLarge {
+			w.Header().Set("Connection", "close")
+		}
 		g.refuseUnrouted(r, responder, *refusal)
 		return
 	}
@@ -97,12 +101,25 @@
 	return r.ArrivedAt.Add(timeout - min(callerResponseMargin, timeout/10))
 }
 
+// receiveBody reads the whole body until the request's deadline or the end of the instance.
+func (g *Gate) receiveBody(routed *routedRequest, maxBytes int) *Refusal {
+	if routed.Body == nil || routed.Length == 0 {
+		return nil
+	}
+	control := http.NewResponseController(routed.responder.ResponseWriter)
+	// If a deadline can't be set, the connection is closed already.
+	_ = control.SetReadDeadline(routed.deadline)
+	defer context.AfterFunc(g.ended, func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })()
+	refusal := routed.readBody(maxBytes)
+	if refusal == nil {
+		_ = control.SetReadDeadline(time.Time{})
+	}
+	return refusal
+}
+
 // readBody reads the whole body, so that further attempts can send it again. A maxBytes
 // of 0 means that the configuration sets no limit.
 func (r *routedRequest) readBody(maxBytes int) *Refusal {
-	if r.Body == nil || r.Length == 0 {
-		return nil
-	}
 	if maxBytes > 0 && r.Length > int64(maxBytes) {
 		return &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: "bodyTooLarge"}
 	}
@@ -110,6 +127,9 @@
 	if errors.Is(err, errBodyTooLarge) {
 		return &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: "bodyTooLarge"}
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return &Refusal{Status: http.StatusRequestTimeout, Reason: "bodyLate"}
+	}
 	if err != nil {
 		return &Refusal{Status: http.StatusBadRequest, Reason: "bodyIncomplete"}
 	}
