--- a/internal/cwserver/conn.go
+++ b/internal/cwserver/conn.go
@@ -80,8 +80,11 @@
 		if n == 0 {
 			n, err = c.Conn.Read(p)
 		}
-		if hasDeadline && n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isExtended(deadline) {
-			continue
+		if hasDeadline && n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+			if c.isExtended(deadline) {
+				continue
+			}
+			n, err = c.readWaiting(p, err)
 		}
 		n = c.recordRead(p[:n], err)
 		if hasDeadline && errors.Is(err, os.ErrDeadlineExceeded) {
@@ -116,6 +119,17 @@
 	_, _ = io.WriteString(c.Conn, lateHeadResponse)
 }
 
+// readWaiting reads bytes that have arrived by the deadline of a read which has failed with err.
+// It returns err if there are none.
+func (c *conn) readWaiting(p []byte, err error) (int, error) {
+	if !cwnet.HasUnreadBytes(c.Conn) {
+		return 0, err
+	}
+	// The read does not wait, but needs a deadline that has not passed.
+	_ = c.Conn.SetReadDeadline(time.Now().Add(time.Second))
+	return c.Conn.Read(p)
+}
+
 // isExtended reports whether the deadline of a waiting read has become later, because the
 // configuration has changed meanwhile.
 func (c *conn) isExtended(deadline time.Time) bool {
