--- a/internal/cwserver/conn.go
+++ b/internal/cwserver/conn.go
@@ -46,6 +46,8 @@
 	// error in peerErr. isClosed is set by Close.
 	isPeerGone, isClosed bool
 	peerErr              error
+	// isWriteFailed is set if bytes of a response could not be sent.
+	isWriteFailed bool
 	// isInHandler is set while a handler has a request, and after it has panicked. requestID
 	// identifies the request, if known.
 	isInHandler bool
@@ -286,6 +288,7 @@
 	n, err := c.Conn.Write(p)
 	if err != nil {
 		c.mu.Lock()
+		c.isWriteFailed = true
 		c.recordPeerGone(err)
 		c.mu.Unlock()
 	}
@@ -355,6 +358,10 @@
 	case hasUnread:
 		c.server.countEnd("connections_unanswered", reason)
 		c.server.Log.Warn("connection closed with an unread request", fields...)
+	case c.isWriteFailed && !c.isInHandler:
+		// The handler has returned and could not see that its response was not sent.
+		c.server.countEnd("responses_broken_off", reason)
+		c.server.Log.Info("response not sent", fields...)
 	case isBrokenOff && reason == endCallerLeft:
 		c.server.countEnd("responses_broken_off", reason)
 	case isBrokenOff:
--- a/internal/cwserver/slow_reader_test.go
+++ b/internal/cwserver/slow_reader_test.go
@@ -76,3 +76,29 @@
 		}
 	})
 }
+
+// TestLostResponseIsLogged guards against a response that is written by its handler, cannot be sent
+// and leaves no trace.
+func TestLostResponseIsLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		common, logs := newCommon(cwmemnet.NewNetwork().Host(serverIP))
+		s := cwserver.NewServer(common, "caller", serverAddress, http.HandlerFunc(respondOK), cwserver.Limits{})
+		s.RequestID = func(h http.Header) string { return h.Get("Request-Id") }
+		l := &pipeListener{accepted: make(chan net.Conn), done: make(chan struct{})}
+		served := make(chan error, 1)
+		go func() { served <- s.Serve(l) }()
+		client, server := net.Pipe()
+		l.accepted <- server
+		_, err := io.WriteString(client, request)
+		is.NoErr(err)
+		synctest.Wait() // the response waits for its reader
+		is.NoErr(client.Close())
+		synctest.Wait()
+		lines := logs.FilterMessage("response not sent").All()
+		is.Equal(len(lines), 1)
+		is.Equal(lines[0].ContextMap()["request"], "r1")
+		_ = s.Close()
+		is.NoErr(<-served)
+	})
+}
