--- a/internal/cwgate/attempt.go
+++ b/internal/cwgate/attempt.go
@@ -84,6 +84,8 @@
 	a.stallTimer = newStallTimer(func() { a.handleOverdue(mayRetry, cancel) })
 	a.stallTimer.reset(a.firstByteTimeout(d))
 	defer a.stallTimer.stop()
+	// If the attempt panics, its placement must not stay in use.
+	defer a.recordEnd(ctx, cwplacement.Abandoned)
 	r := a.run(ctx)
 	a.mu.Lock()
 	a.hasEnded, r.next = true, a.next
