--- a/internal/cwapp/routed_kept_conn_test.go
+++ b/internal/cwapp/routed_kept_conn_test.go
@@ -67,3 +67,51 @@
 		})
 	}
 }
+
+// TestLateStreamIsServedIfItFits guards against late streams that are refused though they would
+// be finished in time, or taken and cut off at the end of the grace.
+func TestLateStreamIsServedIfItFits(t *testing.T) {
+	for _, test := range []struct {
+		name, tokens string
+		status       int
+	}{
+		{name: "short", tokens: "900,60", status: http.StatusOK},
+		{name: "long", tokens: "900,60000", status: http.StatusServiceUnavailable},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+				s.Publish(cwscene.NewEngineService(0), cwscene.NewRoute("r", "streaming", cwscene.RoutedRoute{"timeout-ms": 60_000}))
+				w := s.AddWorker("north-a", "10.1.1.1")
+				i := s.AddInstance("10.1.0.1", "north-a")
+				s.AwaitReady()
+				c, err := s.Net.Host(cwscene.CallerIP).DialContext(t.Context(), "tcp", i.Settings.CallerAddress)
+				is.NoErr(err)
+				defer func() { _ = c.Close() }()
+				reader := bufio.NewReader(c)
+				send := func(id, tokens string) *http.Response {
+					_, err := fmt.Fprintf(c, "POST /r/x HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: 60000\r\nClementinewell-Model: m\r\n"+
+						"Clementinewell-Token-Count: %s\r\nClementinewell-Prompt-Prefix: a1:500,b2:400\r\nContent-Length: 5\r\n\r\norder",
+						cwscene.RouteHost, cwstandin.RequestIDHeader, id, cwstandin.DeadlineHeader, tokens)
+					is.NoErr(err)
+					resp, err := http.ReadResponse(reader, nil)
+					is.NoErr(err)
+					_, err = io.ReadAll(resp.Body)
+					is.NoErr(err) // the stream is complete
+					return resp
+				}
+				for n := range 20 { // until the engine's pace is known
+					is.Equal(send(fmt.Sprint("first-", n), "900,60").StatusCode, http.StatusOK)
+				}
+				w.QueueFaults(cwstandin.FaultHang)
+				go s.Do(t.Context(), i, cwscene.RoutedRequest{Path: "/r/x", Timeout: time.Minute, Header: newPromptHeader()})
+				synctest.Wait()
+				i.Stop()
+				time.Sleep(3 * time.Second)
+				resp := send("late", test.tokens)
+				is.Equal(resp.StatusCode, test.status)
+				is.True(resp.Close)
+				<-i.Done()
+			})
+		})
+	}
+}
