--- a/internal/cwserver/conn.go
+++ b/internal/cwserver/conn.go
@@ -46,6 +46,8 @@
 	// error in peerErr. isClosed is set by Close.
 	isPeerGone, isClosed bool
 	peerErr              error
+	// isWriteFailed is set if bytes of a response could not be sent.
+	isWriteFailed bool
 	// isInHandler is set while a handler has a request, and after it has panicked. requestID
 	// identifies the request, if known.
 	isInHandler bool
@@ -80,8 +82,11 @@
 		if n == 0 {
 			n, err = c.Conn.Read(p)
 		}
-		if hasDeadline && n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isExtended(deadline) {
-			continue
+		if hasDeadline && n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+			if c.isExtended(deadline) {
+				continue
+			}
+			n, err = c.readWaiting(p, err)
 		}
 		n = c.recordRead(p[:n], err)
 		if hasDeadline && errors.Is(err, os.ErrDeadlineExceeded) {
@@ -116,6 +121,17 @@
 	_, _ = io.WriteString(c.Conn, lateHeadResponse)
 }
 
+// readWaiting reads bytes that have arrived by the deadline of a read which has failed with err.
+// It returns err if there are none.
+func (c *conn) readWaiting(p []byte, err error) (int, error) {
+	if !cwnet.HasUnreadBytes(c.Conn) {
+		return 0, err
+	}
+	// The read does not wait, but needs a deadline that has not passed.
+	_ = c.Conn.SetReadDeadline(time.Now().Add(time.Second))
+	return c.Conn.Read(p)
+}
+
 // isExtended reports whether the deadline of a waiting read has become later, because the
 // configuration has changed meanwhile.
 func (c *conn) isExtended(deadline time.Time) bool {
@@ -272,6 +288,7 @@
 	n, err := c.Conn.Write(p)
 	if err != nil {
 		c.mu.Lock()
+		c.isWriteFailed = true
 		c.recordPeerGone(err)
 		c.mu.Unlock()
 	}
@@ -341,6 +358,10 @@
 	case hasUnread:
 		c.server.countEnd("connections_unanswered", reason)
 		c.server.Log.Warn("connection closed with an unread request", fields...)
+	case c.isWriteFailed && !c.isInHandler:
+		// The handler has returned and could not see that its response was not sent.
+		c.server.countEnd("responses_broken_off", reason)
+		c.server.Log.Info("response not sent", fields...)
 	case isBrokenOff && reason == endCallerLeft:
 		c.server.countEnd("responses_broken_off", reason)
 	case isBrokenOff:
