--- a/internal/cwapp/routed_change_during_request_test.go
+++ b/internal/cwapp/routed_change_during_request_test.go
@@ -74,6 +74,10 @@
 		{"engine removed", engine(nil), leavesPlaces},
 		{"engine without slots, memory and stride", engine(map[string]any{"slots": 0, "kv-capacity": 0, "stride": 0}), leavesPlaces},
 		{"one connection to an endpoint", services(map[string]any{"max-connections": 1}), leavesPlaces},
+		{"limits of callers", func(c *changeScene) {
+			c.limits = map[string]any{"max-header-bytes": 1, "max-body-bytes": 1, "header-timeout-ms": 1, "idle-timeout-ms": 1}
+			c.publish()
+		}, leavesPlaces},
 		{"several versions at once", func(c *changeScene) {
 			c.publish("r", "stream", "resume")
 			c.publishRoutes(cwscene.RoutedRoute{"service": "other"})
--- a/internal/cwgate/serve.go
+++ b/internal/cwgate/serve.go
@@ -56,7 +56,7 @@
 		return
 	}
 	routed := &routedRequest{Request: r, route: route, responder: responder, deadline: deadlineOf(r, route)}
-	if refusal := routed.readBody(config.Limits.BodyBytes); refusal != nil {
+	if refusal := routed.readBody(routed.maxBodyBytes(&config.Limits)); refusal != nil {
 		g.refuseUnrouted(r, responder, *refusal)
 		return
 	}
@@ -95,6 +95,15 @@
 	return r.ArrivedAt.Add(timeout - min(callerResponseMargin, timeout/10))
 }
 
+// maxBodyBytes returns the limit for the body; 0 means no limit. The instance that relayed a
+// request has applied that of its own configuration.
+func (r *routedRequest) maxBodyBytes(limits *cwroute.Limits) int {
+	if r.IsRelayed {
+		return 0
+	}
+	return limits.BodyBytes
+}
+
 // readBody reads the whole body, so that further attempts can send it again. A maxBytes
 // of 0 means that the configuration sets no limit.
 func (r *routedRequest) readBody(maxBytes int) *Refusal {
