--- a/internal/cwgate/serve.go
+++ b/internal/cwgate/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"time"
 
@@ -95,22 +96,24 @@
 	return r.ArrivedAt.Add(timeout - min(callerResponseMargin, timeout/10))
 }
 
-// maxBodyBytes returns the limit for the body; 0 means no limit. The instance that relayed a
-// request has applied that of its own configuration.
-func (r *routedRequest) maxBodyBytes(limits *cwroute.Limits) int {
-	if r.IsRelayed {
-		return 0
+// maxBodyBytes returns the limit for the body. The instance that relayed a request has applied
+// that of its own configuration.
+func (r *routedRequest) maxBodyBytes(limits *cwroute.Limits) int64 {
+	switch {
+	case r.IsRelayed:
+		return math.MaxInt64 - 1
+	case limits.BodyBytes > 0:
+		return int64(limits.BodyBytes)
 	}
-	return limits.BodyBytes
+	return defaultMaxBodyBytes
 }
 
-// readBody reads the whole body, so that further attempts can send it again. A maxBytes
-// of 0 means that the configuration sets no limit.
-func (r *routedRequest) readBody(maxBytes int) *Refusal {
+// readBody reads the whole body, so that further attempts can send it again.
+func (r *routedRequest) readBody(maxBytes int64) *Refusal {
 	if r.Body == nil || r.Length == 0 {
 		return nil
 	}
-	if maxBytes > 0 && r.Length > int64(maxBytes) {
+	if r.Length > maxBytes {
 		return &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: "bodyTooLarge"}
 	}
 	body, err := readBounded(r.Body, r.Length, maxBytes)
@@ -126,32 +129,32 @@
 
 var errBodyTooLarge = errors.New("request body exceeds the size limit")
 
-// readBounded reads length bytes, or all bytes if the length is unknown. maxBytes is checked
-// only in the latter case; 0 then means defaultMaxBodyBytes.
-func readBounded(r io.Reader, length int64, maxBytes int) ([]byte, error) {
-	if length > 0 {
+// readBounded reads length bytes, or up to maxBytes if the length is unknown.
+func readBounded(r io.Reader, length, maxBytes int64) ([]byte, error) {
+	if length > 0 && length <= maxPreallocatedBodyBytes {
 		body := make([]byte, length)
 		if n, err := io.ReadFull(r, body); err != nil {
 			return nil, fmt.Errorf("read request body: got %d of %d bytes: %w", n, length, err)
 		}
 		return body, nil
 	}
-	if maxBytes <= 0 {
-		maxBytes = defaultMaxBodyBytes
-	}
-	body, err := io.ReadAll(io.LimitReader(r, int64(maxBytes)+1))
+	body, err := io.ReadAll(io.LimitReader(r, maxBytes+1))
 	if err != nil {
 		return nil, fmt.Errorf("read request body: %w", err)
 	}
-	if len(body) > maxBytes {
+	if int64(len(body)) > maxBytes {
 		return nil, errBodyTooLarge
 	}
 	return body, nil
 }
 
-// defaultMaxBodyBytes is the limit for a body of unknown length if the configuration sets
-// none.
-const defaultMaxBodyBytes = 16 << 20
+const (
+	// defaultMaxBodyBytes is the limit for a body if the configuration sets none.
+	defaultMaxBodyBytes = 16 << 20
+	// maxPreallocatedBodyBytes is the largest stated length for which memory is allocated
+	// before the body has arrived.
+	maxPreallocatedBodyBytes = 1 << 20
+)
 
 // runAttempts makes attempts until one succeeds or no other is possible, and then ends the
 // request.
