--- a/internal/cwgate/attempt.go
+++ b/internal/cwgate/attempt.go
@@ -257,6 +257,9 @@
 // can be retried after a truncated response.
 func (a *attempt) forwardBuffered(ctx context.Context, response *cwconn.Response) result {
 	body, err := a.readBody(response)
+	if err == nil && a.hasRelayMarkers(response) {
+		body, err = a.stripRelayMarkers(body)
+	}
 	if err != nil {
 		return a.failUnknown(ctx, err)
 	}
--- a/internal/cwgate/attempt_stream.go
+++ b/internal/cwgate/attempt_stream.go
@@ -18,12 +18,13 @@
 func (a *attempt) forwardStream(ctx context.Context, response *cwconn.Response) result {
 	routed := a.req
 	splitter := &cwevent.Splitter{LastEventID: routed.responder.lastEventID}
+	hasMarkers := a.hasRelayMarkers(response)
 	var relayReader cwevent.RelayReader
 	buf := make([]byte, eventBufferBytes)
 	for {
 		n, err := response.Read(buf)
 		events := splitter.Push(buf[:n])
-		if a.exitDomain != "" {
+		if hasMarkers {
 			var markerErr error
 			if events, markerErr = relayReader.StripMarkers(events); markerErr != nil {
 				return a.failUnknown(ctx, fmt.Errorf("read stream from %s: %w", a.address, markerErr))
@@ -39,7 +40,7 @@
 			routed.responder.lastEventID = splitter.LastEventID
 		}
 		if errors.Is(err, io.EOF) {
-			if a.exitDomain != "" && !relayReader.HasEnded() {
+			if hasMarkers && !relayReader.HasEnded() {
 				return a.failUnknown(ctx, fmt.Errorf("read stream from %s: %w", a.address, cwevent.ErrMissingChunk))
 			}
 			return a.finishStream(ctx, splitter)
@@ -54,6 +55,26 @@
 	}
 }
 
+// hasRelayMarkers reports whether the events of a response have the markers of a relayed stream.
+// They depend on the route at the exit, which may differ from the one here while a new
+// configuration spreads: it buffers what is no stream there, and then states the length.
+func (a *attempt) hasRelayMarkers(response *cwconn.Response) bool {
+	return a.exitDomain != "" && isEventStream(response.Header) && response.ContentLength < 0
+}
+
+// stripRelayMarkers removes the markers from a whole relayed stream.
+func (a *attempt) stripRelayMarkers(body []byte) ([]byte, error) {
+	var reader cwevent.RelayReader
+	events, err := reader.StripMarkers(body)
+	if err == nil && !reader.HasEnded() {
+		err = cwevent.ErrMissingChunk
+	}
+	if err != nil {
+		return nil, fmt.Errorf("read stream from %s: %w", a.address, err)
+	}
+	return events, nil
+}
+
 // finishStream handles the end of a stream and checks that it is complete.
 func (a *attempt) finishStream(ctx context.Context, splitter *cwevent.Splitter) result {
 	switch {
