--- a/internal/cwgate/serve.go
+++ b/internal/cwgate/serve.go
@@ -46,7 +46,7 @@
 		responder.relay = &cwevent.RelayWriter{}
 		w.Header().Set("Keep-Alive", exitKeepAlive)
 	}
-	config := g.waitForConfig(ctx)
+	config := g.waitForConfig(ctx, r)
 	if config == nil {
 		g.refuseUnrouted(r, responder, newNotRunRefusal("starting", configRetryAfter))
 		return
@@ -66,14 +66,14 @@
 	g.runAttempts(ctx, routed)
 }
 
-// waitForConfig returns the configuration in force, nil if there is none within
-// configWait. An instance that has just started gets one within some round trips to the
-// store. Requests wait that long instead of being refused.
-func (g *Gate) waitForConfig(ctx context.Context) *cwroute.Config {
+// waitForConfig returns the configuration in force, nil if there is none within configWait and
+// the caller's timeout. An instance that has just started gets one within some round trips to
+// the store. Requests wait that long instead of being refused.
+func (g *Gate) waitForConfig(ctx context.Context, r *Request) *cwroute.Config {
 	if config := g.state.View().Config; config != nil {
 		return config
 	}
-	timer := time.NewTimer(configWait)
+	timer := time.NewTimer(min(configWait, time.Until(deadlineOf(r, &cwroute.Route{}))))
 	defer timer.Stop()
 	select {
 	case <-g.state.Configured():
