--- a/internal/cwgate/serve.go
+++ b/internal/cwgate/serve.go
@@ -7,6 +7,7 @@
 	"io"
 	"math"
 	"net/http"
+	"os"
 	"time"
 
 	"go.uber.org/zap"
@@ -108,7 +109,7 @@
 	return defaultMaxBodyBytes
 }
 
-// readBody reads the whole body, so that further attempts can send it again.
+// readBody reads the whole body until the deadline, so that further attempts can send it again.
 func (r *routedRequest) readBody(maxBytes int64) *Refusal {
 	if r.Body == nil || r.Length == 0 {
 		return nil
@@ -116,13 +117,19 @@
 	if r.Length > maxBytes {
 		return &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: "bodyTooLarge"}
 	}
+	// An error means that the connection is closed, which the next read reports.
+	controller := http.NewResponseController(r.responder.ResponseWriter)
+	_ = controller.SetReadDeadline(r.deadline)
 	body, err := readBounded(r.Body, r.Length, maxBytes)
-	if errors.Is(err, errBodyTooLarge) {
+	switch {
+	case errors.Is(err, errBodyTooLarge):
 		return &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: "bodyTooLarge"}
-	}
-	if err != nil {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &Refusal{Status: http.StatusRequestTimeout, Reason: "bodyTimeout"}
+	case err != nil:
 		return &Refusal{Status: http.StatusBadRequest, Reason: "bodyIncomplete"}
 	}
+	_ = controller.SetReadDeadline(time.Time{})
 	r.body = body
 	return nil
 }
