--- a/internal/cwapp/change_scene_test.go
+++ b/internal/cwapp/change_scene_test.go
@@ -32,6 +32,8 @@
 	// site is what the settings file contains; nil if it can't be read.
 	site    atomic.Pointer[cwsite.Site]
 	signals []chan os.Signal
+	// instances are all instances.
+	instances []*cwscene.RoutedInstance
 }
 
 func newChangeScene(ctx context.Context, s *cwscene.RoutedScene, point holdPoint, isRelayed bool) *changeScene {
@@ -67,6 +69,7 @@
 	if c.entry == nil {
 		c.entry = i
 	}
+	c.instances = append(c.instances, i)
 	signals := make(chan os.Signal, 1)
 	c.signals = append(c.signals, signals)
 	c.site.Store(&cwsite.Site{SeedPeers: c.SeedPeers, Bounds: cwscene.DefaultBounds()})
