--- a/internal/cwpublished/interpreter.go
+++ b/internal/cwpublished/interpreter.go
@@ -23,8 +23,10 @@
 	endpoints  map[string]Registration
 	// missingSince holds, for endpoints whose entry was removed, the time of the removal.
 	missingSince map[string]time.Time
-	// nameByKey holds the endpoint or the evacuated domain of each item, by key.
-	nameByKey        map[string]string
+	// endpointByKey and evacuationByKey hold the endpoint or the evacuated domain of each item,
+	// by key.
+	endpointByKey    map[string]string
+	evacuationByKey  map[string]string
 	evacuatedDomains map[string]bool
 	// draining are the incarnations with an entry that announced draining; a later entry
 	// doesn't revoke that.
@@ -73,7 +75,8 @@
 		decode:           decode,
 		endpoints:        make(map[string]Registration),
 		missingSince:     make(map[string]time.Time),
-		nameByKey:        make(map[string]string),
+		endpointByKey:    make(map[string]string),
+		evacuationByKey:  make(map[string]string),
 		evacuatedDomains: make(map[string]bool),
 		draining:         make(map[incarnation]bool),
 		removed:          make(map[incarnation]time.Time),
@@ -102,7 +105,7 @@
 			in.config, in.configItem = record.Config, item
 		}
 	case record.Evacuation != nil:
-		in.nameByKey[item.Key] = record.Evacuation.Domain
+		in.evacuationByKey[item.Key] = record.Evacuation.Domain
 		in.evacuatedDomains[record.Evacuation.Domain] = true
 		delete(in.lostEvacuations, record.Evacuation.Domain)
 	case record.Endpoint != nil:
@@ -125,7 +128,7 @@
 		in.removed[incarnation{id: e.ID, startedAtMillis: known.StartedAtMillis}] = now
 	}
 	e.IsDraining = in.draining[current]
-	in.nameByKey[item.Key] = e.ID
+	in.endpointByKey[item.Key] = e.ID
 	delete(in.missingSince, e.ID)
 	delete(in.lostEntries, e.ID)
 	in.endpoints[e.ID] = Registration{Endpoint: e, ReadAt: now, Revision: item.Revision}
@@ -141,23 +144,20 @@
 // remove removes the endpoint or the evacuation of a key. A removed configuration stays in
 // force.
 func (in *interpreter) remove(key string, now time.Time) {
-	name, isKnown := in.nameByKey[key]
-	if !isKnown {
-		return
-	}
-	delete(in.nameByKey, key)
-	if in.evacuatedDomains[name] {
+	if domain, isKnown := in.evacuationByKey[key]; isKnown {
+		delete(in.evacuationByKey, key)
 		if in.isRestoring {
-			in.lostEvacuations[name] = now.Add(operatorRewriteTime)
+			in.lostEvacuations[domain] = now.Add(operatorRewriteTime)
 			return
 		}
-		delete(in.evacuatedDomains, name)
-		return
+		delete(in.evacuatedDomains, domain)
 	}
-	if _, isKnown := in.endpoints[name]; isKnown {
-		in.missingSince[name] = now
+	id, isKnown := in.endpointByKey[key]
+	delete(in.endpointByKey, key)
+	if _, isRegistered := in.endpoints[id]; isKnown && isRegistered {
+		in.missingSince[id] = now
 		if in.isRestoring {
-			in.lostEntries[name] = true
+			in.lostEntries[id] = true
 		}
 	}
 }
