--- a/internal/cwapp/routed_change_during_request_test.go
+++ b/internal/cwapp/routed_change_during_request_test.go
@@ -218,3 +218,27 @@
 		is.Equal(c.runs.Load(), runs)
 	}
 }
+
+// TestRemovedServiceKeepsItsConnectionLimit guards against more connections to an endpoint than
+// its service allows, opened for requests that began before a configuration removed the service.
+func TestRemovedServiceKeepsItsConnectionLimit(t *testing.T) {
+	inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+		c := newChangeScene(t.Context(), s, holdHead, false)
+		c.RegisterWorker("2", c.domain, c.subnet+"2", map[string]any{"state": "draining"})
+		c.publishServices(map[string]any{"max-connections": 1})
+		awaitConfig(s, c.entry)
+		first := make(chan cwscene.RoutedResponse, 1)
+		go func() { first <- c.Do(t.Context(), c.entry, cwscene.RoutedRequest{Path: "/r/x"}) }()
+		<-c.reached
+		second := heldRequest{path: "/r/x", isBodyHeld: true}.send(t, c, func() {
+			c.services = c.services[1:]
+			c.publishRoutes(cwscene.RoutedRoute{"service": "other"})
+			awaitConfig(s, c.entry)
+			is.True(strings.Contains(s.FetchAdmin(t, c.entry, "/status"), "endpoints"))
+		})
+		is.NoErr(second.Err)
+		is.Equal(second.Status, http.StatusServiceUnavailable) // the only connection is in use
+		close(c.released)
+		is.Equal((<-first).Status, http.StatusOK)
+	})
+}
--- a/internal/cwgate/attempt.go
+++ b/internal/cwgate/attempt.go
@@ -207,8 +207,11 @@
 // endpoint; 0 means no limit. The instances of the region have equal shares.
 func (a *attempt) maxConns() int {
 	snapshot := a.control.Snapshot()
-	service := a.state.View().Config.Services[a.req.service]
-	if service.MaxConns == 0 {
+	a.mu.Lock()
+	// The pool has the last configuration of a service that was removed.
+	limit := a.pools[a.req.service].Service.MaxConns
+	a.mu.Unlock()
+	if limit == 0 {
 		return 0
 	}
 	instances := 1
@@ -217,7 +220,7 @@
 			instances++
 		}
 	}
-	return max(service.MaxConns/instances, 1)
+	return max(limit/instances, 1)
 }
 
 // enginePriorities are the priorities at an engine by band. There are gaps, so that other
