--- a/internal/cwgate/serve.go
+++ b/internal/cwgate/serve.go
@@ -49,7 +49,7 @@
 		responder.relay = &cwevent.RelayWriter{}
 		w.Header().Set("Keep-Alive", exitKeepAlive)
 	}
-	config := g.waitForConfig(ctx)
+	config := g.waitForConfig(ctx, r)
 	if config == nil {
 		g.refuseUnrouted(r, responder, newNotRunRefusal("starting", configRetryAfter))
 		return
@@ -60,7 +60,7 @@
 		return
 	}
 	routed := &routedRequest{Request: r, route: route, responder: responder, deadline: deadlineOf(r, route)}
-	if refusal := g.receiveBody(routed, config.Limits.BodyBytes); refusal != nil {
+	if refusal := g.receiveBody(routed, routed.maxBodyBytes(&config.Limits)); refusal != nil {
 		if refusal.Status != http.StatusRequestEntityTooLarge {
 			w.Header().Set("Connection", "close")
 		}
@@ -73,14 +73,14 @@
 	g.runAttempts(ctx, routed)
 }
 
-// waitForConfig returns the configuration in force, nil if there is none within
-// configWait. An instance that has just started gets one within some round trips to the
-// store. Requests wait that long instead of being refused.
-func (g *Gate) waitForConfig(ctx context.Context) *cwroute.Config {
+// waitForConfig returns the configuration in force, nil if there is none within configWait and
+// the caller's timeout. An instance that has just started gets one within some round trips to
+// the store. Requests wait that long instead of being refused.
+func (g *Gate) waitForConfig(ctx context.Context, r *Request) *cwroute.Config {
 	if config := g.state.View().Config; config != nil {
 		return config
 	}
-	timer := time.NewTimer(configWait)
+	timer := time.NewTimer(min(configWait, time.Until(deadlineOf(r, &cwroute.Route{}))))
 	defer timer.Stop()
 	select {
 	case <-g.state.Configured():
@@ -104,7 +104,7 @@
 }
 
 // receiveBody reads the whole body until the request's deadline or the end of the instance.
-func (g *Gate) receiveBody(routed *routedRequest, maxBytes int) *Refusal {
+func (g *Gate) receiveBody(routed *routedRequest, maxBytes int64) *Refusal {
 	if routed.Body == nil || routed.Length == 0 {
 		return nil
 	}
@@ -119,23 +119,30 @@
 	return refusal
 }
 
-// readBody reads the whole body, so that further attempts can send it again. A maxBytes
-// of 0 means that the configuration sets no limit; it is defaultMaxBodyBytes then.
-func (r *routedRequest) readBody(maxBytes int) *Refusal {
-	if maxBytes <= 0 {
-		maxBytes = defaultMaxBodyBytes
+// maxBodyBytes returns the limit for the body. The instance that relayed a request has applied
+// that of its own configuration.
+func (r *routedRequest) maxBodyBytes(limits *cwroute.Limits) int64 {
+	switch {
+	case r.IsRelayed:
+		return max(maxRelayedBodyBytes, int64(limits.BodyBytes))
+	case limits.BodyBytes > 0:
+		return int64(limits.BodyBytes)
 	}
-	if r.Length > int64(maxBytes) {
+	return defaultMaxBodyBytes
+}
+
+// readBody reads the whole body, so that further attempts can send it again.
+func (r *routedRequest) readBody(maxBytes int64) *Refusal {
+	if r.Length > maxBytes {
 		return &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: "bodyTooLarge"}
 	}
 	body, err := readBounded(r.Body, r.Length, maxBytes)
-	if errors.Is(err, errBodyTooLarge) {
+	switch {
+	case errors.Is(err, errBodyTooLarge):
 		return &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: "bodyTooLarge"}
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return &Refusal{Status: http.StatusRequestTimeout, Reason: "bodyLate"}
-	}
-	if err != nil {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &Refusal{Status: http.StatusRequestTimeout, Reason: "bodyTimeout"}
+	case err != nil:
 		return &Refusal{Status: http.StatusBadRequest, Reason: "bodyIncomplete"}
 	}
 	r.body = body
@@ -147,7 +154,7 @@
 // readBounded reads length bytes, or all bytes if the length is unknown. maxBytes is checked
 // only in the latter case. Memory for more than maxBodyPreallocation is taken as the bytes
 // arrive, not as they are announced.
-func readBounded(r io.Reader, length int64, maxBytes int) ([]byte, error) {
+func readBounded(r io.Reader, length, maxBytes int64) ([]byte, error) {
 	if length > 0 {
 		var body bytes.Buffer
 		// ReadFrom needs bytes.MinRead free bytes to detect the end.
@@ -157,11 +164,11 @@
 		}
 		return body.Bytes(), nil
 	}
-	body, err := io.ReadAll(io.LimitReader(r, int64(maxBytes)+1))
+	body, err := io.ReadAll(io.LimitReader(r, maxBytes+1))
 	if err != nil {
 		return nil, fmt.Errorf("read request body: %w", err)
 	}
-	if len(body) > maxBytes {
+	if int64(len(body)) > maxBytes {
 		return nil, errBodyTooLarge
 	}
 	return body, nil
@@ -170,6 +177,9 @@
 const (
 	// defaultMaxBodyBytes is the limit for a body if the configuration sets none.
 	defaultMaxBodyBytes = 16 << 20
+	// maxRelayedBodyBytes is the limit for a body that another instance relayed, which has
+	// applied the limit of its own configuration. A larger one does not fit into memory.
+	maxRelayedBodyBytes = 64 << 20
 	// maxBodyPreallocation is the size in bytes up to which memory is taken for a body at
 	// once.
 	maxBodyPreallocation = 64 << 10
--- a/internal/cwlimit/budget_test.go
+++ b/internal/cwlimit/budget_test.go
@@ -124,3 +124,30 @@
 	}
 	is.True(budget.UsedBytes() <= budgetBytes)
 }
+
+// TestReplacedBodyIsCounted guards against a body that is transformed in memory beyond the
+// budget, or whose memory is not returned.
+func TestReplacedBodyIsCounted(t *testing.T) {
+	upper := func(body []byte) ([]byte, error) { return bytes.ToUpper(body), nil }
+	for name, c := range map[string]struct {
+		size int
+		fits bool
+	}{"fits": {1 << 20, true}, "does not fit twice more": {12 << 20, false}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			budget := cwlimit.NewBudget(memoryBytes)
+			buffer, err := budget.ReadAll(bytes.NewReader(bytes.Repeat([]byte("a"), c.size)), "peer", -1, cwlimit.MaxResponseBytes)
+			is.NoErr(err)
+			err = buffer.Replace("peer", upper)
+			is.Equal(err == nil, c.fits)
+			if c.fits {
+				var got bytes.Buffer
+				_, err = buffer.WriteTo(&got)
+				is.NoErr(err)
+				is.Equal(got.String(), strings.Repeat("A", c.size))
+			}
+			buffer.Release()
+			is.Equal(budget.UsedBytes(), int64(0))
+		})
+	}
+}
