--- a/internal/cwcommand/serve_routed.go
+++ b/internal/cwcommand/serve_routed.go
@@ -30,6 +30,10 @@
 // serveRouted runs an instance with the settings file of the users' platform. The file
 // is read again at an interval and on SIGHUP.
 func serveRouted(cmd *cobra.Command, path string) error {
+	// SIGHUP ends a process that does not handle it, so it is handled from the start.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
 	site, err := cwwire.ReadSettings(path)
 	if err != nil {
 		return err
@@ -42,9 +46,6 @@
 	defer log.Close()
 	ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	defer signal.Stop(reload)
 	app := cwapp.NewRoutedApp(settings, site, log.Logger, cwnet.NewTCP())
 	go app.WatchSettings(ctx, reload, func() (*cwsite.Site, error) { return cwwire.ReadSettings(path) })
 	return app.Run(ctx)
