--- /dev/null
+++ b/internal/cwapp/routed_silence_test.go
@@ -0,0 +1,151 @@
+package cwapp_test
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/clementinewell/clementinewell/internal/cwconn"
+	"github.com/clementinewell/clementinewell/internal/cwplacement"
+	"github.com/clementinewell/clementinewell/internal/cwscene"
+	"github.com/clementinewell/clementinewell/internal/cwstandin"
+)
+
+const (
+	// silenceLoadInterval is the time between two requests to a scene with a silence.
+	silenceLoadInterval = 33 * time.Millisecond
+	// silenceLoadStart and silenceLoadEnd bound the requests, relative to the silence.
+	silenceLoadStart, silenceLoadEnd = -2 * time.Second, 10 * time.Second
+	// returnNoticeTime is the time after a silence in which its end must be noticed. A
+	// request that arrives later is served within its target.
+	returnNoticeTime = time.Second
+	// silenceTarget is the first-byte target of the stand-ins' routes.
+	silenceTarget = 500 * time.Millisecond
+)
+
+// silenceCount counts the requests of a scene with a silence.
+type silenceCount struct {
+	mu sync.Mutex
+	// unserved are those without a complete success, late those that arrived after
+	// returnNoticeTime and missed their target.
+	all, unserved, late int
+	worst               time.Duration
+}
+
+// runSilence sends requests to the instances in turn, beside a silence of the hosts.
+func runSilence(t *testing.T, s *cwscene.RoutedScene, instances []*cwscene.RoutedInstance, chooseHosts func() []string, acceptsConns bool, duration time.Duration, path string, header []string) *silenceCount {
+	var wg sync.WaitGroup
+	counts := &silenceCount{}
+	silenceAt := time.Now().Add(-silenceLoadStart)
+	wg.Go(func() {
+		time.Sleep(time.Until(silenceAt))
+		hosts := chooseHosts()
+		for _, ip := range hosts {
+			s.Net.SilenceHost(ip, acceptsConns)
+		}
+		time.Sleep(duration)
+		for _, ip := range hosts {
+			s.Net.EndSilence(ip)
+		}
+	})
+	for n := 0; time.Now().Before(silenceAt.Add(silenceLoadEnd)); n++ {
+		i, sentAt := instances[n%len(instances)], time.Now()
+		wg.Go(func() {
+			r := s.Do(t.Context(), i, cwscene.RoutedRequest{Path: path, Header: header})
+			counts.mu.Lock()
+			defer counts.mu.Unlock()
+			counts.all++
+			counts.worst = max(counts.worst, r.Elapsed)
+			isServed := r.Err == nil && r.Status == 200 && (header == nil || strings.HasSuffix(r.Body, "id: 6\ndata: piece 6\n\n"))
+			switch {
+			case !isServed:
+				counts.unserved++
+			case sentAt.After(silenceAt.Add(duration+returnNoticeTime)) && r.Elapsed > silenceTarget:
+				counts.late++
+			}
+		})
+		time.Sleep(silenceLoadInterval)
+	}
+	wg.Wait()
+	t.Logf("%d requests, %d not served, %d late, worst %v", counts.all, counts.unserved, counts.late, counts.worst)
+	return counts
+}
+
+// TestSilentEndpointsCostCallersNothing guards against refusals because endpoints that are
+// silent for a second or so count as lost, longer than they are silent.
+func TestSilentEndpointsCostCallersNothing(t *testing.T) {
+	for _, kind := range []string{"safe", "unsafe", "streaming"} {
+		for _, silentEndpoints := range []int{1, 2} {
+			for _, acceptsConns := range []bool{true, false} {
+				for _, duration := range []time.Duration{700 * time.Millisecond, 1100 * time.Millisecond, 1500 * time.Millisecond} {
+					t.Run(fmt.Sprintf("%s, %d endpoints, accepts=%t, %v", kind, silentEndpoints, acceptsConns, duration), func(t *testing.T) {
+						inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+							services, header := []map[string]any(nil), []string(nil)
+							if kind == "streaming" {
+								services, header = cwscene.NewEngineService(4), newPromptHeader()
+							}
+							s.Publish(services, cwscene.NewRoute("r", kind, cwscene.RoutedRoute{"resumable": true}))
+							hosts := []string{"10.1.1.1", "10.1.1.2"}
+							var workers []*cwstandin.Worker
+							for _, ip := range hosts {
+								workers = append(workers, s.AddWorker("north-a", ip))
+								workers[len(workers)-1].SetServiceTime(50 * time.Millisecond)
+							}
+							var instances []*cwscene.RoutedInstance
+							for n := range 3 {
+								instances = append(instances, s.AddInstance(fmt.Sprintf("10.1.0.%d", n+1), "north-a"))
+							}
+							s.AwaitReady()
+							time.Sleep(10 * time.Second)
+							chooseHosts := func() []string {
+								// The endpoint with more requests is the first to fall silent.
+								if len(workers[0].Runs()) < len(workers[1].Runs()) {
+									slices.Reverse(hosts)
+								}
+								return hosts[:silentEndpoints]
+							}
+							counts := runSilence(t, s, instances, chooseHosts, acceptsConns, duration, "/r/x", header)
+							is.Equal(counts.unserved, 0)
+							is.Equal(counts.late, 0)
+							is.True(counts.worst <= duration+returnNoticeTime)
+						})
+					})
+				}
+			}
+		}
+	}
+}
+
+// TestLostServiceIsRefusedAtOnce guards against requests that wait for endpoints which are
+// silent for longer than sound ones are, and against a return that is noticed late.
+func TestLostServiceIsRefusedAtOnce(t *testing.T) {
+	inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+		i, _ := startOneRegion(s, cwscene.NewRoute("r", "unsafe", nil))
+		hosts := []string{"10.1.1.1", "10.1.1.2"}
+		for _, ip := range hosts {
+			s.Net.SilenceHost(ip, false)
+		}
+		first := s.Do(t.Context(), i, cwscene.RoutedRequest{Path: "/r/x"})
+		is.Equal(first.Status, http.StatusServiceUnavailable)
+		// The dials to both endpoints fail one after the other; then the silence counts as a loss.
+		is.True(first.Elapsed <= cwconn.DialTimeout+cwplacement.MaxSoundSilence+returnNoticeTime)
+		next := s.Do(t.Context(), i, cwscene.RoutedRequest{Path: "/r/x"})
+		is.Equal(next.Status, http.StatusServiceUnavailable)
+		is.True(next.Header.Get("Retry-After") != "")
+		is.True(next.Elapsed < 50*time.Millisecond)
+		time.Sleep(5 * time.Second)
+		for _, ip := range hosts {
+			s.Net.EndSilence(ip)
+		}
+		time.Sleep(returnNoticeTime)
+		back := s.Do(t.Context(), i, cwscene.RoutedRequest{Path: "/r/x"})
+		is.Equal(back.Status, http.StatusOK)
+		is.True(back.Elapsed < 50*time.Millisecond)
+	})
+}
--- a/internal/cwconn/pool.go
+++ b/internal/cwconn/pool.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	// DialTimeout is the timeout for opening a connection. It allows for one lost packet
-	// between regions.
+	// DialTimeout is the timeout for opening a connection. It covers the round trips between
+	// all regions. A lost handshake is repeated by TCP only after a second: a new dial is
+	// sooner.
 	DialTimeout = 800 * time.Millisecond
 	// sweepInterval is the interval at which connections whose idle timeout has passed are
 	// closed.
@@ -31,6 +32,10 @@
 // them is idle.
 var ErrConnLimit = errors.New("connection limit of the address reached")
 
+// ErrNoAnswer means that an address has neither accepted nor refused a connection within
+// the timeout.
+var ErrNoAnswer = errors.New("no answer within the dial timeout")
+
 // Pool holds the connections to all addresses.
 type Pool struct {
 	net          cwnet.Net
@@ -96,7 +101,7 @@
 	}
 	if c == nil {
 		var err error
-		if c, err = p.open(ctx, pool, call); err != nil {
+		if c, err = p.open(ctx, pool, call, DialTimeout); err != nil {
 			return nil, &CallError{Step: "connect to", Peer: call.Address, Err: err}
 		}
 	}
@@ -106,9 +111,9 @@
 // Preconnect opens a connection and keeps it for the next call. The error is a
 // *CallError; it wraps ErrConnLimit if maxConns connections are open already. A maxConns
 // of 0 means no limit.
-func (p *Pool) Preconnect(ctx context.Context, address string, maxConns int) error {
+func (p *Pool) Preconnect(ctx context.Context, address string, maxConns int, timeout time.Duration) error {
 	pool := p.addressPool(address)
-	c, err := p.open(ctx, pool, &Call{Address: address, MaxConns: maxConns})
+	c, err := p.open(ctx, pool, &Call{Address: address, MaxConns: maxConns}, timeout)
 	if err != nil {
 		return &CallError{Step: "connect to", Peer: address, Err: err}
 	}
@@ -117,17 +122,18 @@
 	return nil
 }
 
-// open opens a connection within the limit of the call.
-func (p *Pool) open(ctx context.Context, pool *addressPool, call *Call) (*conn, error) {
+// open opens a connection within the limit of the call. The error wraps ErrNoAnswer if the
+// timeout has passed.
+func (p *Pool) open(ctx context.Context, pool *addressPool, call *Call, timeout time.Duration) (*conn, error) {
 	if !pool.reserveConn(call.MaxConns) {
 		return nil, ErrConnLimit
 	}
-	dialCtx, cancel := context.WithTimeout(ctx, DialTimeout)
+	dialCtx, cancel := context.WithTimeoutCause(ctx, timeout, ErrNoAnswer)
 	defer cancel()
 	raw, err := p.net.DialContext(dialCtx, "tcp", call.Address)
 	if err != nil {
 		pool.releaseConn()
-		return nil, withContextCause(ctx, err)
+		return nil, withContextCause(dialCtx, err)
 	}
 	return &conn{Conn: raw, pool: pool, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
 }
--- a/internal/cwgate/attempt.go
+++ b/internal/cwgate/attempt.go
@@ -55,6 +55,7 @@
 	// relayed request; it is empty at an endpoint.
 	address, exitDomain string
 	stallTimer          *stallTimer
+	startedAt           time.Time
 
 	// hasEnded is set when the attempt has ended, and next when it is cancelled in favor of
 	// another place. The gate's mu guards both.
@@ -65,7 +66,7 @@
 // runAttempt makes one attempt as decided. It releases the next placement, if one was
 // reserved, when the attempt succeeds nevertheless.
 func (g *Gate) runAttempt(ctx context.Context, routed *routedRequest, d cwplacement.Decision) result {
-	a := &attempt{Gate: g, req: routed, placement: d.Placement}
+	a := &attempt{Gate: g, req: routed, placement: d.Placement, startedAt: time.Now()}
 	if d.Action == cwplacement.ActionRelay {
 		a.exitDomain = d.Domain
 		g.mu.Lock()
@@ -151,7 +152,7 @@
 	routed := a.req
 	call := &cwconn.Call{Address: a.address, Method: routed.Method, Body: routed.body}
 	if a.exitDomain == "" {
-		call.MaxConns = a.maxConns()
+		call.MaxConns = a.maxConns(routed.service)
 	}
 	call.EncodeHead = func() []byte { return a.codec.EncodeHead(routed.Request, a.buildParams()) }
 	call.MatchesResponse = func(status int, field func(string) string) bool {
@@ -205,15 +206,15 @@
 
 // maxConns returns this instance's share of the service's limit of connections to one
 // endpoint; 0 means no limit. The instances of the region have equal shares.
-func (a *attempt) maxConns() int {
-	snapshot := a.control.Snapshot()
-	service := a.state.View().Config.Services[a.req.service]
+func (g *Gate) maxConns(serviceName string) int {
+	snapshot := g.control.Snapshot()
+	service := g.state.View().Config.Services[serviceName]
 	if service.MaxConns == 0 {
 		return 0
 	}
 	instances := 1
 	for i := range snapshot.Members {
-		if snapshot.Members[i].Region == a.site.Region {
+		if snapshot.Members[i].Region == g.site.Region {
 			instances++
 		}
 	}
@@ -244,6 +245,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.placement.OnEnd(outcome, time.Now())
+	if outcome == cwplacement.Unreachable || outcome == cwplacement.Unanswered {
+		a.startRedialing(a.placement.Endpoint, a.req.service)
+	}
 }
 
 // excludePlace excludes the place of the attempt from further attempts of the request.
--- a/internal/cwgate/attempt_failure.go
+++ b/internal/cwgate/attempt_failure.go
@@ -18,11 +18,18 @@
 func (a *attempt) handleCallError(ctx context.Context, err error) result {
 	var callErr *cwconn.CallError
 	errors.As(err, &callErr)
-	a.excludePlace()
 	if !callErr.Sent {
 		outcome := cwplacement.Unreachable
-		if errors.Is(err, cwconn.ErrConnLimit) {
+		switch {
+		case errors.Is(err, cwconn.ErrConnLimit):
 			outcome = cwplacement.Rejected
+			a.excludePlace()
+		case errors.Is(err, cwconn.ErrNoAnswer), errors.Is(err, errStalled):
+			// An overdue attempt may have been cancelled while it dialled.
+			outcome = cwplacement.Unanswered
+			a.postponePlace()
+		default:
+			a.excludePlace()
 		}
 		a.recordEnd(ctx, outcome)
 		if a.exitDomain != "" && ctx.Err() == nil {
@@ -31,6 +38,7 @@
 		a.req.mergeOutcome(cwanswer.NotRun)
 		return result{notSent: true, notRun: true, err: err}
 	}
+	a.excludePlace()
 	a.req.possibleRuns++
 	a.req.mergeOutcome(cwanswer.Unknown)
 	a.probeEndpoint(ctx)
@@ -49,16 +57,21 @@
 		return
 	}
 	a.conns.CloseIdle(a.address)
-	endpoint, address, maxConns := a.placement.Endpoint, a.address, a.maxConns()
+	endpoint, address, service, dialedAt := a.placement.Endpoint, a.address, a.req.service, time.Now()
 	go func() {
-		err := a.conns.Preconnect(context.WithoutCancel(ctx), address, maxConns)
+		err := a.conns.Preconnect(context.WithoutCancel(ctx), address, a.maxConns(service), cwconn.DialTimeout)
 		if err == nil || errors.Is(err, cwconn.ErrConnLimit) {
 			return
 		}
 		a.Log.Warn("endpoint lost", zap.String("endpoint", a.placement.EndpointID), zap.Error(err))
 		a.mu.Lock()
 		defer a.mu.Unlock()
-		endpoint.MarkUnreachable(time.Now())
+		if errors.Is(err, cwconn.ErrNoAnswer) {
+			endpoint.MarkSilent(dialedAt, time.Now())
+		} else {
+			endpoint.MarkUnreachable(time.Now())
+		}
+		a.startRedialing(endpoint, service)
 	}()
 }
 
--- a/internal/cwgate/gate.go
+++ b/internal/cwgate/gate.go
@@ -43,6 +43,8 @@
 	// exitAddresses are the addresses of the instances to which requests are relayed, by
 	// domain.
 	exitAddresses map[string]string
+	// redialing are the endpoints that are being redialed.
+	redialing map[*cwplacement.Endpoint]bool
 	// rateSharesSetAt is when the shares of the endpoints' rate limits were last computed.
 	rateSharesSetAt time.Time
 	bounds          cwsite.Bounds
@@ -72,6 +74,7 @@
 		coldPeriods:   make(map[string]coldPeriod),
 		peerWorkAt:    make(map[string]time.Time),
 		exitAddresses: make(map[string]string),
+		redialing:     make(map[*cwplacement.Endpoint]bool),
 		startedAt:     time.Now(),
 	}
 }
--- a/internal/cwgate/placement.go
+++ b/internal/cwgate/placement.go
@@ -1,6 +1,7 @@
 package cwgate
 
 import (
+	"slices"
 	"time"
 
 	"github.com/clementinewell/clementinewell/internal/cwplacement"
@@ -11,10 +12,18 @@
 // be unknown. It covers several exchanges and round trips.
 const startupPeriod = 3 * time.Second
 
-// decidePlacement chooses a place at which the request was not tried before.
+// decidePlacement chooses a place at which the request was not tried before. Domains that did
+// not answer a dial are the last choice.
 func (g *Gate) decidePlacement(routed *routedRequest) cwplacement.Decision {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if len(routed.silentDomains) > 0 {
+		hasTried := func(name string) bool { return routed.hasTried(name) || slices.Contains(routed.silentDomains, name) }
+		if d := g.decidePlacementLocked(routed, hasTried, time.Now()); d.Action != cwplacement.ActionRefuse {
+			return d
+		}
+		routed.silentDomains = nil
+	}
 	return g.decidePlacementLocked(routed, routed.hasTried, time.Now())
 }
 
--- /dev/null
+++ b/internal/cwgate/redial.go
@@ -0,0 +1,68 @@
+package cwgate
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/clementinewell/clementinewell/internal/cwconn"
+	"github.com/clementinewell/clementinewell/internal/cwplacement"
+)
+
+const (
+	// redialInterval is the interval at which an ejected endpoint is dialled, one connection
+	// at a time. The connection that succeeds serves the next request.
+	redialInterval = 250 * time.Millisecond
+	// redialTimeout is the timeout of such a dial. It covers the round trips within a region;
+	// TCP repeats a lost handshake later than the next redial is made.
+	redialTimeout = 250 * time.Millisecond
+	// redialPeriod is how long an endpoint is dialled in this way. Requests look for its
+	// return later, each time after its ejection.
+	redialPeriod = 15 * time.Second
+)
+
+// startRedialing dials an endpoint that could not be reached until it accepts a connection.
+// It does nothing if that is already in progress. The caller holds mu.
+func (g *Gate) startRedialing(e *cwplacement.Endpoint, service string) {
+	if !g.redialing[e] {
+		g.redialing[e] = true
+		go g.redial(e, service)
+	}
+}
+
+func (g *Gate) redial(e *cwplacement.Endpoint, service string) {
+	address, start := e.Address, time.Now()
+	for time.Since(start) < redialPeriod {
+		dialedAt := time.Now()
+		err := g.conns.Preconnect(context.Background(), address, g.maxConns(service), redialTimeout)
+		if !g.recordRedial(e, service, dialedAt, err) {
+			break
+		}
+		time.Sleep(time.Until(dialedAt.Add(redialInterval)))
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.redialing, e)
+}
+
+// recordRedial records the result of a redial, and returns whether the next one is needed.
+func (g *Gate) recordRedial(e *cwplacement.Endpoint, service string, dialedAt time.Time, err error) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	g.sync(now)
+	if g.pools[service].Endpoint(e.ID) != e || e.HasStartedDraining || !e.IsEjected(now) {
+		return false
+	}
+	switch {
+	case err == nil:
+		e.MarkReachable(now)
+		return false
+	case errors.Is(err, cwconn.ErrConnLimit):
+	case errors.Is(err, cwconn.ErrNoAnswer):
+		e.MarkSilent(dialedAt, now)
+	default:
+		e.MarkRefused(now)
+	}
+	return true
+}
--- a/internal/cwgate/routed_request.go
+++ b/internal/cwgate/routed_request.go
@@ -22,6 +22,10 @@
 
 	// triedPlaces are the endpoints and domains that rejected the request or failed.
 	triedPlaces []string
+	// silentDomains are the domains that did not answer the last dials; they are tried again
+	// if there is no other place. silentSince is when the first of these dials began.
+	silentDomains []string
+	silentSince   time.Time
 	// outcome is the combined outcome of all attempts.
 	outcome cwanswer.Outcome
 	// possibleRuns is the number of attempts that may have run, and attempts that of all
--- a/internal/cwgate/serve.go
+++ b/internal/cwgate/serve.go
@@ -150,6 +150,14 @@
 	g.assignService(routed)
 	d := g.decidePlacement(routed)
 	for {
+		if d.IsReturnExpected {
+			if !g.awaitReturn(ctx, routed) {
+				g.finishFailed(ctx, routed, result{err: errAllSilent})
+				return
+			}
+			d = g.decidePlacement(routed)
+			continue
+		}
 		if d.Action == cwplacement.ActionRefuse {
 			g.refuseUnplaced(ctx, routed, d)
 			return
--- a/internal/cwmemnet/conn.go
+++ b/internal/cwmemnet/conn.go
@@ -63,6 +63,7 @@
 	go func() {
 		for p := range packets {
 			time.Sleep(time.Until(p.deliverAt))
+			c.network.awaitAudible(from, to)
 			if _, dropped := c.deliveryState(from, to); dropped {
 				continue
 			}
@@ -73,6 +74,7 @@
 		for range packets {
 			continue
 		}
+		c.network.awaitAudible(from, to)
 		// A connection that drops data does not deliver its close either.
 		if _, dropped := c.deliveryState(from, to); !dropped {
 			_ = out.Close()
--- a/internal/cwmemnet/network.go
+++ b/internal/cwmemnet/network.go
@@ -20,6 +20,7 @@
 	links       map[linkKey]*linkState
 	conns       map[*conn]bool
 	killedHosts map[string]bool
+	silentHosts map[string]*silence
 }
 
 type linkKey struct {
@@ -39,6 +40,7 @@
 		links:       make(map[linkKey]*linkState),
 		conns:       make(map[*conn]bool),
 		killedHosts: make(map[string]bool),
+		silentHosts: make(map[string]*silence),
 	}
 }
 
@@ -130,6 +132,10 @@
 // Close closes every connection and listener.
 func (n *Network) Close() {
 	n.mu.Lock()
+	for ip, s := range n.silentHosts {
+		close(s.ended)
+		delete(n.silentHosts, ip)
+	}
 	conns, listeners := n.conns, n.listeners
 	n.conns, n.listeners = make(map[*conn]bool), make(map[string]*listener)
 	n.mu.Unlock()
@@ -164,8 +170,8 @@
 const dialTimeout = 2 * time.Second
 
 // DialContext connects to a listener. On a killed host it fails immediately, and over a
-// partitioned link after dialTimeout. Without a listener at the address it fails as soon as the handshake
-// would have ended.
+// partitioned link after dialTimeout. To a silent host it takes until a repeated handshake after the
+// silence. Without a listener at the address it fails as soon as the handshake would have ended.
 func (h *Host) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
 	n := h.network
 	ip, _, err := net.SplitHostPort(address)
@@ -183,6 +189,9 @@
 	if link.isPartitioned {
 		return nil, returnAfter(ctx, dialTimeout, fmt.Errorf("dial %s: %w", address, errUnreachable))
 	}
+	if err := n.awaitHandshake(ctx, h.ip, ip); err != nil {
+		return nil, err
+	}
 	// A handshake takes one round trip.
 	if err := returnAfter(ctx, 2*link.delay, nil); err != nil {
 		return nil, err
--- a/internal/cwplacement/decide.go
+++ b/internal/cwplacement/decide.go
@@ -111,6 +111,9 @@
 	if wait, isLimited := p.reserveLimitedReturn(req, now); isLimited {
 		return p.refuse(d, wait, "rateLimit")
 	}
+	if d.IsReturnExpected = req.IsLocalAllowed && p.AwaitsReturn(req.WasTried, now); d.IsReturnExpected {
+		return p.refuse(d, MaxSoundSilence, "noPlace")
+	}
 	if req.IsStarting {
 		return p.refuse(d, startingRetryAfter, "noPlace")
 	}
@@ -172,6 +175,22 @@
 	return c
 }
 
+// AwaitsReturn reports whether no endpoint of this region can be used for a request, and at
+// least one of them is only silent, for no longer than a sound one may be.
+func (p *Pool) AwaitsReturn(wasTried func(id string) bool, now time.Time) bool {
+	isExpected := false
+	for _, e := range p.sorted {
+		if wasTried(e.ID) {
+			continue
+		}
+		if e.IsUsable(now) {
+			return false
+		}
+		isExpected = isExpected || e.isReturnExpected(now)
+	}
+	return isExpected
+}
+
 func (p *Pool) send(d Decision, req *Request, c candidate, reason string, now time.Time) Decision {
 	d.Action, d.Reason, d.RestOfResponse = ActionSend, reason, durationOfSeconds(c.prediction.restSeconds)
 	d.IsEndpointLimited = c.endpoint.limit.IsNamed
--- a/internal/cwplacement/decision.go
+++ b/internal/cwplacement/decision.go
@@ -27,6 +27,9 @@
 	Domain string
 	// RetryAfter is set for ActionRefuse: the time after which capacity is likely.
 	RetryAfter time.Duration
+	// IsReturnExpected is set for ActionRefuse if an endpoint is silent no longer than a sound
+	// one may be. Pool.AwaitsReturn then reports when to decide again.
+	IsReturnExpected bool
 	// Reason is the reason for the action, for logs and metrics.
 	Reason string
 	// LocalFirstByte and RemoteFirstByte are the predicted times to the first byte in
--- a/internal/cwplacement/endpoint.go
+++ b/internal/cwplacement/endpoint.go
@@ -148,6 +148,41 @@
 	e.suspect(now)
 }
 
+// MarkSilent records that a dial of this instance which began at dialedAt got no answer. The
+// endpoint is ejected until it answers. It may have restarted only if the silence is longer
+// than a sound endpoint's: one that ends refuses connections first.
+func (e *Endpoint) MarkSilent(dialedAt, now time.Time) {
+	if e.recordSilence(dialedAt, now) {
+		e.suspect(now)
+	}
+}
+
+// MarkRefused records that an ejected endpoint has refused another connection.
+func (e *Endpoint) MarkRefused(now time.Time) {
+	if e.consecutiveUnreachable == 0 {
+		e.recordUnreachable(now)
+	}
+	e.silentSince = time.Time{}
+	e.extendEjection(now)
+	e.suspect(now)
+}
+
+// MarkReachable records that an ejected endpoint has accepted a connection.
+func (e *Endpoint) MarkReachable(now time.Time) {
+	e.recordReachable(now)
+}
+
+// IsEjected reports whether the endpoint is excluded after it could not be reached.
+func (e *Endpoint) IsEjected(now time.Time) bool {
+	return e.isEjected(now)
+}
+
+// isReturnExpected reports whether the endpoint is only silent, so that requests without
+// another place may wait for it.
+func (e *Endpoint) isReturnExpected(now time.Time) bool {
+	return !e.HasStartedDraining && !e.IsEvacuated && e.isEjected(now) && e.isWithinSoundSilence(now)
+}
+
 // AddPeerParts adds the parts of prompts that another instance sent to the endpoint to
 // the model of its cache.
 func (e *Endpoint) AddPeerParts(parts []PromptPart) {
--- a/internal/cwplacement/health.go
+++ b/internal/cwplacement/health.go
@@ -13,6 +13,13 @@
 	// could not be reached. The time doubles with each consecutive failure to reach it.
 	firstEjection = 500 * time.Millisecond
 	maxEjection   = 4 * time.Second
+	// MaxSoundSilence is how long a sound endpoint may be silent: a second and a half, and
+	// the time until that has been noticed. Until then requests wait for its return if there
+	// is no other place; later it counts as lost and may have restarted.
+	MaxSoundSilence = 2 * time.Second
+	// redialedEjection is how long an endpoint stays ejected after a failed redial. It covers
+	// several intervals between redials, so that no request is used as a probe meanwhile.
+	redialedEjection = time.Second
 	// failureHalfLife is the time after which a failure rate without new outcomes has
 	// halved, so that an endpoint which recovered is tried again.
 	failureHalfLife = 8 * time.Second
@@ -26,12 +33,16 @@
 	updatedAt              time.Time
 	consecutiveUnreachable int
 	ejectedUntil           time.Time
+	// silentSince is when the first dial without an answer began, zero after a connection or
+	// an answer. rateBeforeSilence is the failure rate at that time.
+	silentSince       time.Time
+	rateBeforeSilence float64
 }
 
 // recordSuccess records a complete response.
 func (h *health) recordSuccess(now time.Time) {
 	h.lastFailureRate = h.failureRate(now) * (1 - failureRateWeight)
-	h.updatedAt, h.consecutiveUnreachable, h.ejectedUntil = now, 0, time.Time{}
+	h.updatedAt, h.consecutiveUnreachable, h.ejectedUntil, h.silentSince = now, 0, time.Time{}, time.Time{}
 }
 
 // recordFailure records a response that is an error, is incomplete or is overdue.
@@ -48,6 +59,45 @@
 	h.ejectedUntil = now.Add(ejection)
 }
 
+// recordSilence records that a dial which began at dialedAt got no answer. It returns true
+// if the silence has lasted longer than a sound endpoint's may.
+func (h *health) recordSilence(dialedAt, now time.Time) bool {
+	if h.silentSince.IsZero() {
+		h.silentSince, h.rateBeforeSilence = dialedAt, h.failureRate(now)
+		h.recordFailure(now)
+	}
+	h.extendEjection(now)
+	if now.Sub(h.silentSince) < MaxSoundSilence {
+		return false
+	}
+	if h.consecutiveUnreachable == 0 {
+		h.recordUnreachable(now)
+	}
+	return true
+}
+
+// extendEjection ejects the endpoint at least until the next redials.
+func (h *health) extendEjection(now time.Time) {
+	if until := now.Add(redialedEjection); until.After(h.ejectedUntil) {
+		h.ejectedUntil = until
+	}
+}
+
+// recordReachable ends an ejection. A silence that was no longer than a sound endpoint's
+// leaves no failures.
+func (h *health) recordReachable(now time.Time) {
+	if h.isWithinSoundSilence(now) {
+		h.lastFailureRate, h.updatedAt = h.rateBeforeSilence, now
+	}
+	h.ejectedUntil, h.silentSince = time.Time{}, time.Time{}
+}
+
+// isWithinSoundSilence reports whether the endpoint is silent, and no longer than a sound
+// one may be.
+func (h *health) isWithinSoundSilence(now time.Time) bool {
+	return !h.silentSince.IsZero() && now.Sub(h.silentSince) < MaxSoundSilence
+}
+
 // failureRate returns the failure rate, decayed by its age.
 func (h *health) failureRate(now time.Time) float64 {
 	if h.lastFailureRate == 0 {
--- a/internal/cwplacement/placement.go
+++ b/internal/cwplacement/placement.go
@@ -53,6 +53,9 @@
 	p.firstByteAt, p.lastEventAt = now, now
 	e := p.Endpoint
 	e.answered(now)
+	if !e.silentSince.IsZero() {
+		e.recordReachable(now)
+	}
 	elapsed := (now.Sub(p.startedAt) - firstTokenOverhead).Seconds()
 	tokens := p.work.QueuedTokens[p.Band] + p.aheadTokens
 	p.dropQueuedTokens()
@@ -103,6 +106,8 @@
 	Failed
 	// Unreachable means that no byte of the request could be sent.
 	Unreachable
+	// Unanswered means that the endpoint neither accepted nor refused a connection.
+	Unanswered
 	// Abandoned means that this instance ended the request, for example because its
 	// caller disconnected.
 	Abandoned
@@ -129,6 +134,8 @@
 		}
 	case Unreachable:
 		e.MarkUnreachable(now)
+	case Unanswered:
+		e.MarkSilent(p.startedAt, now)
 	}
 }
 
