--- a/internal/cwcontrol/state.go
+++ b/internal/cwcontrol/state.go
@@ -19,11 +19,13 @@
 	endpoints       map[string]*EndpointRecord
 	sortedEndpoints []*EndpointRecord
 	capacities      map[string][]cwpolicy.DomainCapacity
-	demands         map[string][]cwpolicy.LimitDemand
-	peerWork        map[string]PeerWork
-	generation      uint64
-	hasExchanged    bool
-	barriers        []barrier
+	// latestRoundTrips are the durations of the latest exchanges, by domain.
+	latestRoundTrips map[string]time.Duration
+	demands          map[string][]cwpolicy.LimitDemand
+	peerWork         map[string]PeerWork
+	generation       uint64
+	hasExchanged     bool
+	barriers         []barrier
 
 	// membersDirty is set by changes that must be in the next snapshot. membersStale
 	// is set by new loads and contact times, which may be published later.
@@ -38,16 +40,17 @@
 
 func newState(self cwpolicy.Member) *state {
 	return &state{
-		self:            self,
-		membership:      cwpolicy.NewMembership(self.PeerAddress),
-		endpoints:       make(map[string]*EndpointRecord),
-		capacities:      make(map[string][]cwpolicy.DomainCapacity),
-		demands:         make(map[string][]cwpolicy.LimitDemand),
-		peerWork:        make(map[string]PeerWork),
-		membersDirty:    true,
-		endpointsDirty:  true,
-		capacitiesDirty: true,
-		lastSnapshot:    &Snapshot{},
+		self:             self,
+		membership:       cwpolicy.NewMembership(self.PeerAddress),
+		endpoints:        make(map[string]*EndpointRecord),
+		capacities:       make(map[string][]cwpolicy.DomainCapacity),
+		latestRoundTrips: make(map[string]time.Duration),
+		demands:          make(map[string][]cwpolicy.LimitDemand),
+		peerWork:         make(map[string]PeerWork),
+		membersDirty:     true,
+		endpointsDirty:   true,
+		capacitiesDirty:  true,
+		lastSnapshot:     &Snapshot{},
 	}
 }
 
@@ -91,18 +94,30 @@
 			return c.Domain == e.Member.Domain
 		})
 	}
+	roundTrip := s.recordRoundTrip(e.Member.Domain, e.RoundTrip)
 	for _, c := range e.Capacities {
 		s.capacities[c.Pool] = append(s.capacities[c.Pool], cwpolicy.DomainCapacity{
 			PoolCapacity: c.Capacity,
 			Domain:       e.Member.Domain,
 			Region:       e.Member.Region,
 			ReportedAt:   now,
-			RoundTrip:    e.RoundTrip,
+			RoundTrip:    roundTrip,
 		})
 	}
 	s.capacitiesDirty = true
 }
 
+// recordRoundTrip records the duration of an exchange with a domain and returns the shorter one
+// of the last two: a peer that was silent during one of them is not farther away.
+func (s *state) recordRoundTrip(domain string, latest time.Duration) time.Duration {
+	previous := s.latestRoundTrips[domain]
+	s.latestRoundTrips[domain] = latest
+	if previous == 0 {
+		return latest
+	}
+	return min(previous, latest)
+}
+
 // setRelayedCapacity stores the capacity of another domain that a peer of this
 // instance's domain relayed, if it is newer than the stored one.
 func (s *state) setRelayedCapacity(relayed *RelayedCapacity) {
--- a/internal/cwpeer/client.go
+++ b/internal/cwpeer/client.go
@@ -13,9 +13,11 @@
 )
 
 const (
-	// callTimeout bounds a call. Calls that transfer configuration or tickets may take
-	// twice as long.
-	callTimeout = 1500 * time.Millisecond
+	// callTimeout bounds a call: a sound peer may be silent for a second and a half, and the
+	// round trips between regions are added. It is below cwpolicy.MemberContactTimeout, so
+	// that the next call can still be made in time. Calls that transfer configuration or
+	// tickets may take twice as long.
+	callTimeout = 2500 * time.Millisecond
 	// idleConnTimeout is the time after which idle connections to peers are closed.
 	idleConnTimeout     = 30 * time.Second
 	maxIdleConnsPerPeer = 2
