--- a/internal/cwgate/attempt_failure.go
+++ b/internal/cwgate/attempt_failure.go
@@ -33,7 +33,7 @@
 		}
 		a.recordEnd(ctx, outcome)
 		if a.exitDomain != "" && ctx.Err() == nil {
-			a.reportExitFailure()
+			a.reportExitFailure(outcome == cwplacement.Unanswered)
 		}
 		a.req.mergeOutcome(cwanswer.NotRun)
 		return result{notSent: true, notRun: true, err: err}
--- a/internal/cwgate/exit_addresses.go
+++ b/internal/cwgate/exit_addresses.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/clementinewell/clementinewell/internal/cwplacement"
 	"github.com/clementinewell/clementinewell/internal/cwpolicy"
 )
 
@@ -20,7 +21,7 @@
 	best := make(map[string]*cwpolicy.Member)
 	for i := range g.snapshot.Members {
 		m := &g.snapshot.Members[i]
-		if m.Domain == g.site.Domain || m.Incarnation == 0 || !m.IsUsable(now, cwpolicy.MemberContactTimeout) {
+		if m.Domain == g.site.Domain || m.Incarnation == 0 || !m.IsUsable(now, cwpolicy.MemberContactTimeout) && !g.isExitReturnExpected(m, now) {
 			continue
 		}
 		if other := best[m.Domain]; other == nil || g.isPreferredExit(m, other) {
@@ -32,6 +33,18 @@
 	}
 }
 
+// isExitReturnExpected reports whether an instance is only silent, for no longer than a sound
+// one may be. Its latest contact may be older than the contact timeout when the silence begins,
+// since exchanges between domains are rare.
+func (g *Gate) isExitReturnExpected(m *cwpolicy.Member, now time.Time) bool {
+	since, isSilent := g.exitsSilentSince[m.PeerAddress]
+	if isSilent && m.LastContactAt.After(since) {
+		delete(g.exitsSilentSince, m.PeerAddress)
+		return false
+	}
+	return isSilent && !m.IsLeaving && now.Sub(since) < cwplacement.MaxSoundSilence
+}
+
 // isPreferredExit reports whether requests are relayed to a rather than to b. A member
 // without a failed contact is preferred, then the one with the higher rendezvous score
 // for this instance.
--- a/internal/cwgate/gate.go
+++ b/internal/cwgate/gate.go
@@ -43,6 +43,9 @@
 	// exitAddresses are the addresses of the instances to which requests are relayed, by
 	// domain.
 	exitAddresses map[string]string
+	// exitsSilentSince are the times at which dials to exits without an answer began, by the
+	// peer address, from the first one after the latest contact.
+	exitsSilentSince map[string]time.Time
 	// redialing are the endpoints that are being redialed.
 	redialing map[*cwplacement.Endpoint]bool
 	// rateSharesSetAt is when the shares of the endpoints' rate limits were last computed.
@@ -59,23 +62,24 @@
 // choices.
 func NewGate(common *cwcommon.Common, site *cwsite.Site, control *cwcontrol.Control, state *cwpublished.State, codec Codec, seed uint64) *Gate {
 	return &Gate{
-		Common:        common,
-		Burn:          cwburn.NewRecorder(time.Now()),
-		site:          site,
-		bounds:        site.Bounds,
-		control:       control,
-		state:         state,
-		conns:         cwconn.NewPool(common.Net),
-		codec:         codec,
-		metrics:       newMetrics(common.Metrics),
-		rng:           rand.New(rand.NewPCG(seed, common.Incarnation)),
-		pools:         make(map[string]*cwplacement.Pool),
-		budgets:       make(map[string]*cwplacement.RetryBudget),
-		coldPeriods:   make(map[string]coldPeriod),
-		peerWorkAt:    make(map[string]time.Time),
-		exitAddresses: make(map[string]string),
-		redialing:     make(map[*cwplacement.Endpoint]bool),
-		startedAt:     time.Now(),
+		Common:           common,
+		Burn:             cwburn.NewRecorder(time.Now()),
+		site:             site,
+		bounds:           site.Bounds,
+		control:          control,
+		state:            state,
+		conns:            cwconn.NewPool(common.Net),
+		codec:            codec,
+		metrics:          newMetrics(common.Metrics),
+		rng:              rand.New(rand.NewPCG(seed, common.Incarnation)),
+		pools:            make(map[string]*cwplacement.Pool),
+		budgets:          make(map[string]*cwplacement.RetryBudget),
+		coldPeriods:      make(map[string]coldPeriod),
+		peerWorkAt:       make(map[string]time.Time),
+		exitAddresses:    make(map[string]string),
+		exitsSilentSince: make(map[string]time.Time),
+		redialing:        make(map[*cwplacement.Endpoint]bool),
+		startedAt:        time.Now(),
 	}
 }
 
--- a/internal/cwgate/serve.go
+++ b/internal/cwgate/serve.go
@@ -169,6 +169,7 @@
 			routed.predictedFirstByte = d.RemoteFirstByte
 		}
 		result := g.runAttempt(ctx, routed, d)
+		g.takeBackUnsent(routed, d, result)
 		g.logAttempt(routed, d, result)
 		if result.done {
 			g.logEnd(routed, "answered", nil)
@@ -198,6 +199,19 @@
 	d.Placement.OnEnd(cwplacement.Abandoned, time.Now())
 }
 
+// takeBackUnsent removes a relayed attempt of which nothing was sent from the work relayed to
+// its domain.
+func (g *Gate) takeBackUnsent(routed *routedRequest, d cwplacement.Decision, r result) {
+	if d.Action != cwplacement.ActionRelay || !r.notSent {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p := g.pools[routed.service]; p != nil {
+		p.TakeBackRelay(d)
+	}
+}
+
 // assignService selects the service of the request at random by the shares of the route,
 // and counts the request for the service's retry budget.
 func (g *Gate) assignService(routed *routedRequest) {
--- a/internal/cwplacement/decide.go
+++ b/internal/cwplacement/decide.go
@@ -254,9 +254,22 @@
 	work = p.relayedSince(r).Add(work)
 	p.relayed[r.Domain] = relayedWork{work: work, summaryAt: r.ReportedAt}
 	d.Action, d.Domain, d.Reason = ActionRelay, r.Domain, reason
+	d.relayedTokens, d.summaryAt = float64(c.prediction.uncachedTokens), r.ReportedAt
 	return d
 }
 
+// TakeBackRelay removes a request that was decided to be relayed, but of which nothing was
+// sent, from the work relayed since the domain's capacity summary.
+func (p *Pool) TakeBackRelay(d Decision) {
+	s, ok := p.relayed[d.Domain]
+	if !ok || !s.summaryAt.Equal(d.summaryAt) {
+		return
+	}
+	s.work.InFlight--
+	s.work.QueuedTokens[Normal] -= d.relayedTokens
+	p.relayed[d.Domain] = s
+}
+
 func (p *Pool) refuse(d Decision, after time.Duration, reason string) Decision {
 	d.Action, d.Reason = ActionRefuse, reason
 	d.RetryAfter = RetryAfter(after, p.rng.Float64())
--- a/internal/cwplacement/decision.go
+++ b/internal/cwplacement/decision.go
@@ -39,4 +39,9 @@
 	// RestOfResponse is the predicted time from the first byte to the last, for
 	// ActionSend.
 	RestOfResponse time.Duration
+
+	// relayedTokens is the work of a relayed request, and summaryAt the time of the capacity
+	// summary that it was added to.
+	relayedTokens float64
+	summaryAt     time.Time
 }
--- a/internal/cwplacement/health.go
+++ b/internal/cwplacement/health.go
@@ -98,6 +98,12 @@
 	return !h.silentSince.IsZero() && now.Sub(h.silentSince) < MaxSoundSilence
 }
 
+// expectedSilenceLeft returns the time after which a silent endpoint is expected to return:
+// half of the time that is left to a sound one.
+func (h *health) expectedSilenceLeft(now time.Time) time.Duration {
+	return max(MaxSoundSilence-now.Sub(h.silentSince), 0) / 2
+}
+
 // failureRate returns the failure rate, decayed by its age.
 func (h *health) failureRate(now time.Time) float64 {
 	if h.lastFailureRate == 0 {
--- a/internal/cwplacement/pool.go
+++ b/internal/cwplacement/pool.go
@@ -208,15 +208,20 @@
 }
 
 // Capacity returns a summary of the free capacity of the pool in one failure domain,
-// without cold endpoints and those that name a rate limit.
+// without cold endpoints and those that name a rate limit. Endpoints that are silent for no
+// longer than sound ones may be have no free slots but count: requests wait for their return.
 func (p *Pool) Capacity(domain string, now time.Time) cwpolicy.PoolCapacity {
 	var c cwpolicy.PoolCapacity
 	secondsPerToken := 0.0
 	for _, e := range p.sorted {
-		if e.Domain != domain || !e.IsUsable(now) || e.IsCold(now) || e.limit.IsNamed {
+		isSilent := e.isReturnExpected(now)
+		if e.Domain != domain || !isSilent && !e.IsUsable(now) || e.IsCold(now) || e.limit.IsNamed {
 			continue
 		}
 		wait, failureRate := e.predict(&Requirements{}, Normal, now).waitSeconds, e.worstFailureRate(now)
+		if isSilent {
+			wait += e.expectedSilenceLeft(now).Seconds()
+		}
 		if c.Endpoints == 0 || wait < c.WaitSeconds {
 			c.WaitSeconds = wait
 		}
@@ -225,7 +230,9 @@
 		}
 		c.Endpoints++
 		c.Slots += e.slots()
-		c.FreeSlots += max(e.slots()-e.totalWork(now).InFlight, 0)
+		if !isSilent {
+			c.FreeSlots += max(e.slots()-e.totalWork(now).InFlight, 0)
+		}
 		secondsPerToken += 1 / e.promptSpeed.rate
 	}
 	if c.Endpoints > 0 {
