--- a/internal/cwapp/routed_silence_test.go
+++ b/internal/cwapp/routed_silence_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -38,8 +37,9 @@
 	worst               time.Duration
 }
 
-// runSilence sends requests to the instances in turn, beside a silence of the hosts.
-func runSilence(t *testing.T, s *cwscene.RoutedScene, instances []*cwscene.RoutedInstance, chooseHosts func() []string, acceptsConns bool, duration time.Duration, path string, header []string) *silenceCount {
+// runSilence sends requests to the instances in turn, beside a silence of the hosts. A response
+// takes responseTime from its first byte to its last.
+func runSilence(t *testing.T, s *cwscene.RoutedScene, instances []*cwscene.RoutedInstance, chooseHosts func() []string, acceptsConns bool, duration time.Duration, responseTime time.Duration, header []string) *silenceCount {
 	var wg sync.WaitGroup
 	counts := &silenceCount{}
 	silenceAt := time.Now().Add(-silenceLoadStart)
@@ -57,7 +57,7 @@
 	for n := 0; time.Now().Before(silenceAt.Add(silenceLoadEnd)); n++ {
 		i, sentAt := instances[n%len(instances)], time.Now()
 		wg.Go(func() {
-			r := s.Do(t.Context(), i, cwscene.RoutedRequest{Path: path, Header: header})
+			r := s.Do(t.Context(), i, cwscene.RoutedRequest{Path: "/r/x", Header: header})
 			counts.mu.Lock()
 			defer counts.mu.Unlock()
 			counts.all++
@@ -66,7 +66,7 @@
 			switch {
 			case !isServed:
 				counts.unserved++
-			case sentAt.After(silenceAt.Add(duration+returnNoticeTime)) && r.Elapsed > silenceTarget:
+			case sentAt.After(silenceAt.Add(duration+returnNoticeTime)) && r.Elapsed > silenceTarget+responseTime:
 				counts.late++
 			}
 		})
@@ -77,6 +77,22 @@
 	return counts
 }
 
+// busiest returns the hosts of the n workers, of two, that have run most requests lately.
+func busiest(hosts []string, workers []*cwstandin.Worker, n int) []string {
+	count := func(w *cwstandin.Worker) (recent int) {
+		for _, run := range w.Runs() {
+			if time.Since(run.ReceivedAt) < silenceTarget {
+				recent++
+			}
+		}
+		return recent
+	}
+	if count(workers[0]) < count(workers[1]) {
+		return []string{hosts[1], hosts[0]}[:n]
+	}
+	return hosts[:n]
+}
+
 // TestSilentEndpointsCostCallersNothing guards against refusals because endpoints that are
 // silent for a second or so count as lost, longer than they are silent.
 func TestSilentEndpointsCostCallersNothing(t *testing.T) {
@@ -103,14 +119,8 @@
 							}
 							s.AwaitReady()
 							time.Sleep(10 * time.Second)
-							chooseHosts := func() []string {
-								// The endpoint with more requests is the first to fall silent.
-								if len(workers[0].Runs()) < len(workers[1].Runs()) {
-									slices.Reverse(hosts)
-								}
-								return hosts[:silentEndpoints]
-							}
-							counts := runSilence(t, s, instances, chooseHosts, acceptsConns, duration, "/r/x", header)
+							chooseHosts := func() []string { return busiest(hosts, workers, silentEndpoints) }
+							counts := runSilence(t, s, instances, chooseHosts, acceptsConns, duration, 0, header)
 							is.Equal(counts.unserved, 0)
 							is.Equal(counts.late, 0)
 							is.True(counts.worst <= duration+returnNoticeTime)
@@ -188,7 +198,7 @@
 						}
 						s.AwaitReady()
 						time.Sleep(10 * time.Second)
-						counts := runSilence(t, s, instances[:1], func() []string { return silent.hosts }, acceptsConns, duration, "/r/x", header)
+						counts := runSilence(t, s, instances[:1], func() []string { return silent.hosts }, acceptsConns, duration, 0, header)
 						is.Equal(counts.unserved, 0)
 						is.Equal(counts.late, 0)
 						is.True(counts.worst <= duration+returnNoticeTime)
@@ -198,3 +208,51 @@
 		}
 	}
 }
+
+// TestSilenceWithinResponsesCostsCallersNothing guards against responses that are cut off or run
+// again because their endpoint is silent for a second or so between the head and the end.
+func TestSilenceWithinResponsesCostsCallersNothing(t *testing.T) {
+	const partInterval = 150 * time.Millisecond
+	for _, sc := range []struct {
+		name, kind  string
+		isResumable bool
+	}{
+		{"safe", "safe", false},
+		{"unsafe", "unsafe", false},
+		{"stream", "streaming", false},
+		{"resumable stream", "streaming", true},
+	} {
+		for _, silentEndpoints := range []int{1, 2} {
+			for _, acceptsConns := range []bool{true, false} {
+				t.Run(fmt.Sprintf("%s, %d endpoints, accepts=%t", sc.name, silentEndpoints, acceptsConns), func(t *testing.T) {
+					inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+						services, header, responseTime := []map[string]any(nil), []string(nil), partInterval
+						if sc.kind == "streaming" {
+							services, header, responseTime = cwscene.NewEngineService(4), newPromptHeader(), 5*partInterval
+						}
+						s.Publish(services, cwscene.NewRoute("r", sc.kind, cwscene.RoutedRoute{"resumable": sc.isResumable}))
+						hosts := []string{"10.1.1.1", "10.1.1.2"}
+						var workers []*cwstandin.Worker
+						for _, ip := range hosts {
+							workers = append(workers, s.AddWorker("north-a", ip))
+							workers[len(workers)-1].SetPartInterval(partInterval)
+						}
+						i := s.AddInstance("10.1.0.1", "north-a")
+						s.AwaitReady()
+						time.Sleep(10 * time.Second)
+						counts := runSilence(t, s, []*cwscene.RoutedInstance{i}, func() []string { return busiest(hosts, workers, silentEndpoints) }, acceptsConns, 1300*time.Millisecond, responseTime, header)
+						resumed := 0
+						for _, run := range collectRuns(workers) {
+							if run.Header.Get("Last-Event-Id") != "" {
+								resumed++
+							}
+						}
+						is.Equal(counts.unserved, 0)
+						is.Equal(counts.late, 0)
+						is.Equal(resumed, 0)
+					})
+				})
+			}
+		}
+	}
+}
--- a/internal/cwgate/attempt_stream.go
+++ b/internal/cwgate/attempt_stream.go
@@ -87,8 +87,9 @@
 	// after which a stream counts as stalled.
 	eventTimeoutFactor = 3
 	// minEventTimeout allows for an engine batch that processes a long prompt, which delays
-	// the events of the other requests.
-	minEventTimeout = 1200 * time.Millisecond
+	// the events of the other requests, and for a sound endpoint that is silent for a second
+	// or so. The rest of minAbandonAfter, half a second, is left to a resumed run.
+	minEventTimeout = 1500 * time.Millisecond
 )
 
 // eventTimeout returns how long a stream may pause before it counts as stalled; 0 if it
--- a/internal/cwstandin/worker.go
+++ b/internal/cwstandin/worker.go
@@ -28,6 +28,8 @@
 	arrivals   []time.Time
 	// serviceTime is how long the worker takes before it responds.
 	serviceTime time.Duration
+	// partInterval is the time between the events of a stream, or the halves of another body.
+	partInterval time.Duration
 }
 
 // WorkerRun is a request that the worker ran.
@@ -153,6 +155,25 @@
 	w.serviceTime = d
 }
 
+// SetPartInterval sets the time between two events of a stream, or between the two halves of
+// another body.
+func (w *Worker) SetPartInterval(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.partInterval = d
+}
+
+// waitForNextPart waits for the interval, after what was written so far has been sent.
+func (w *Worker) waitForNextPart(rw http.ResponseWriter) {
+	w.mu.Lock()
+	interval := w.partInterval
+	w.mu.Unlock()
+	if interval > 0 {
+		_ = http.NewResponseController(rw).Flush()
+		time.Sleep(interval)
+	}
+}
+
 // recordArrival records a request and names the current rate limit in its response. It
 // returns the service time.
 func (w *Worker) recordArrival(header http.Header) time.Duration {
@@ -225,7 +246,9 @@
 			w.writeStream(rw, r, fault)
 			return
 		}
-		_, _ = io.WriteString(rw, text)
+		_, _ = io.WriteString(rw, text[:len(text)/2])
+		w.waitForNextPart(rw)
+		_, _ = io.WriteString(rw, text[len(text)/2:])
 	}
 }
 
@@ -245,6 +268,9 @@
 		if fault == FaultPauseStream && n == lastID+3 {
 			time.Sleep(StreamPause)
 		}
+		if n > lastID+1 {
+			w.waitForNextPart(rw)
+		}
 		_, _ = io.WriteString(rw, formatEvent(n))
 		_ = http.NewResponseController(rw).Flush()
 	}
