--- a/internal/cwnet/user_timeout.go
+++ b/internal/cwnet/user_timeout.go
@@ -8,9 +8,12 @@
 )
 
 // userTimeout is the time after which a connection is closed if sent bytes are not
-// acknowledged. It is derived from the time after which callers abandon a request, and
-// it allows several retransmissions between regions.
-const userTimeout = 1500 * time.Millisecond
+// acknowledged, or if nothing is received and keep-alive probes are not answered. A sound host
+// may be silent for a second and a half, and the connection must outlast the first packet
+// after that: retransmissions follow the bytes by about 0.2, 0.6, 1.4 and 3 s, and probes
+// follow the last byte received by 2, 3 and 4 s (keepAliveIdle, keepAliveInterval). Overdue
+// attempts are moved sooner, without it.
+const userTimeout = 5 * time.Second
 
 // setUserTimeout sets the TCP user timeout, which limits the wait for the
 // acknowledgement of sent bytes. Keep-alive probes do not cover this case: they are
