--- a/internal/cwgate/attempt.go
+++ b/internal/cwgate/attempt.go
@@ -52,6 +52,7 @@
 	// relayed request; it is empty at an endpoint.
 	address, exitDomain string
 	stallTimer          *stallTimer
+	startedAt           time.Time
 
 	// hasEnded is set when the attempt has ended, and next when it is cancelled in favor of
 	// another place. The gate's mu guards both.
@@ -62,7 +63,7 @@
 // runAttempt makes one attempt as decided. It releases the next placement, if one was
 // reserved, when the attempt succeeds nevertheless.
 func (g *Gate) runAttempt(ctx context.Context, routed *routedRequest, d cwplacement.Decision) result {
-	a := &attempt{Gate: g, req: routed, placement: d.Placement}
+	a := &attempt{Gate: g, req: routed, placement: d.Placement, startedAt: time.Now()}
 	if d.Action == cwplacement.ActionRelay {
 		a.exitDomain = d.Domain
 		g.mu.Lock()
@@ -150,7 +151,7 @@
 	routed := a.req
 	call := &cwconn.Call{Address: a.address, Method: routed.Method, Body: routed.body}
 	if a.exitDomain == "" {
-		call.MaxConns = a.maxConns()
+		call.MaxConns = a.maxConns(routed.service)
 	}
 	call.EncodeHead = func() []byte { return a.codec.EncodeHead(routed.Request, a.buildParams()) }
 	call.MatchesResponse = func(status int, field func(string) string) bool {
@@ -204,24 +205,32 @@
 
 // maxConns returns this instance's share of the service's limit of connections to one
 // endpoint; 0 means no limit. The instances of the region have equal shares.
-func (a *attempt) maxConns() int {
-	snapshot := a.control.Snapshot()
-	a.mu.Lock()
-	// The pool has the last configuration of a service that was removed.
-	limit := a.pools[a.req.service].Service.MaxConns
-	a.mu.Unlock()
+func (g *Gate) maxConns(service string) int {
+	snapshot := g.control.Snapshot()
+	limit := g.connLimit(service)
 	if limit == 0 {
 		return 0
 	}
 	instances := 1
 	for i := range snapshot.Members {
-		if snapshot.Members[i].Region == a.site.Region {
+		if snapshot.Members[i].Region == g.site.Region {
 			instances++
 		}
 	}
 	return max(limit/instances, 1)
 }
 
+// connLimit returns the service's limit of connections to one endpoint, 0 if there is none. A
+// service that was removed has that of its last configuration.
+func (g *Gate) connLimit(service string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p := g.pools[service]; p != nil {
+		return p.Service.MaxConns
+	}
+	return 0
+}
+
 // enginePriorities are the priorities at an engine by band. There are gaps, so that other
 // values can be inserted.
 var enginePriorities = map[cwplacement.Band]int{cwplacement.Urgent: 3, cwplacement.Normal: 5, cwplacement.Late: 8}
@@ -246,6 +255,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.placement.OnEnd(outcome, time.Now())
+	if outcome == cwplacement.Unreachable || outcome == cwplacement.Unanswered {
+		a.startRedialing(a.placement.Endpoint, a.req.service)
+	}
 }
 
 // excludePlace excludes the place of the attempt from further attempts of the request.
--- a/internal/cwgate/serve.go
+++ b/internal/cwgate/serve.go
@@ -190,17 +190,23 @@
 func (g *Gate) runAttempts(ctx context.Context, routed *routedRequest) {
 	g.assignService(routed)
 	d := g.decidePlacement(routed)
-	if g.isTooLate(routed, d) {
-		g.releasePlacement(&d)
-		routed.responder.Header().Set("Connection", "close")
-		g.refuseUnrouted(routed.Request, routed.responder, newNotRunRefusal("leaving", leavingRetryAfter))
-		return
-	}
 	for {
+		if d.IsReturnExpected {
+			if !g.awaitReturn(ctx, routed) {
+				g.finishFailed(ctx, routed, result{err: errAllSilent})
+				return
+			}
+			d = g.decidePlacement(routed)
+			continue
+		}
 		if d.Action == cwplacement.ActionRefuse {
 			g.refuseUnplaced(ctx, routed, d)
 			return
 		}
+		if routed.attempts == 0 && g.isTooLate(routed, d) {
+			g.refuseLate(routed, d)
+			return
+		}
 		routed.attempts++
 		routed.predictedFirstByte, routed.predictedRest = max(d.LocalFirstByte, 0), d.RestOfResponse
 		routed.isEndpointLimited = d.IsEndpointLimited
@@ -208,6 +214,7 @@
 			routed.predictedFirstByte = d.RemoteFirstByte
 		}
 		result := g.runAttempt(ctx, routed, d)
+		g.takeBackUnsent(routed, d, result)
 		g.logAttempt(routed, d, result)
 		if result.done {
 			g.logEnd(routed, "answered", nil)
@@ -226,6 +233,14 @@
 	}
 }
 
+// refuseLate refuses a request that may still be in progress when the instance ends.
+func (g *Gate) refuseLate(routed *routedRequest, d cwplacement.Decision) {
+	g.releasePlacement(&d)
+	g.takeBackUnsent(routed, d, result{notSent: true})
+	routed.responder.Header().Set("Connection", "close")
+	g.refuseUnrouted(routed.Request, routed.responder, newNotRunRefusal("leaving", leavingRetryAfter))
+}
+
 // releasePlacement releases the placement of an attempt that is not made. The decision may
 // be nil.
 func (g *Gate) releasePlacement(d *cwplacement.Decision) {
@@ -237,6 +252,19 @@
 	d.Placement.OnEnd(cwplacement.Abandoned, time.Now())
 }
 
+// takeBackUnsent removes a relayed attempt of which nothing was sent from the work relayed to
+// its domain.
+func (g *Gate) takeBackUnsent(routed *routedRequest, d cwplacement.Decision, r result) {
+	if d.Action != cwplacement.ActionRelay || !r.notSent {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p := g.pools[routed.service]; p != nil {
+		p.TakeBackRelay(d)
+	}
+}
+
 // assignService selects the service of the request at random by the shares of the route,
 // and counts the request for the service's retry budget.
 func (g *Gate) assignService(routed *routedRequest) {
--- a/internal/cwplacement/decide.go
+++ b/internal/cwplacement/decide.go
@@ -111,6 +111,9 @@
 	if wait, isLimited := p.reserveLimitedReturn(req, now); isLimited {
 		return p.refuse(d, wait, "rateLimit")
 	}
+	if d.IsReturnExpected = req.IsLocalAllowed && p.AwaitsReturn(req.WasTried, now); d.IsReturnExpected {
+		return p.refuse(d, MaxSoundSilence, "noPlace")
+	}
 	if req.IsStarting {
 		return p.refuse(d, startingRetryAfter, "noPlace")
 	}
@@ -172,6 +175,22 @@
 	return c
 }
 
+// AwaitsReturn reports whether no endpoint of this region can be used for a request, and at
+// least one of them is only silent, for no longer than a sound one may be.
+func (p *Pool) AwaitsReturn(wasTried func(id string) bool, now time.Time) bool {
+	isExpected := false
+	for _, e := range p.sorted {
+		if wasTried(e.ID) {
+			continue
+		}
+		if e.IsUsable(now) {
+			return false
+		}
+		isExpected = isExpected || e.isReturnExpected(now)
+	}
+	return isExpected
+}
+
 func (p *Pool) send(d Decision, req *Request, c candidate, reason string, now time.Time) Decision {
 	d.Action, d.Reason, d.RestOfResponse = ActionSend, reason, durationOfSeconds(c.prediction.restSeconds)
 	d.IsEndpointLimited = c.endpoint.limit.IsNamed
@@ -235,9 +254,22 @@
 	work = p.relayedSince(r).Add(work)
 	p.relayed[r.Domain] = relayedWork{work: work, summaryAt: r.ReportedAt}
 	d.Action, d.Domain, d.Reason = ActionRelay, r.Domain, reason
+	d.relayedTokens, d.summaryAt = float64(c.prediction.uncachedTokens), r.ReportedAt
 	return d
 }
 
+// TakeBackRelay removes a request that was decided to be relayed, but of which nothing was
+// sent, from the work relayed since the domain's capacity summary.
+func (p *Pool) TakeBackRelay(d Decision) {
+	s, ok := p.relayed[d.Domain]
+	if !ok || !s.summaryAt.Equal(d.summaryAt) {
+		return
+	}
+	s.work.InFlight--
+	s.work.QueuedTokens[Normal] -= d.relayedTokens
+	p.relayed[d.Domain] = s
+}
+
 func (p *Pool) refuse(d Decision, after time.Duration, reason string) Decision {
 	d.Action, d.Reason = ActionRefuse, reason
 	d.RetryAfter = RetryAfter(after, p.rng.Float64())
--- a/internal/cwplacement/decision.go
+++ b/internal/cwplacement/decision.go
@@ -27,6 +27,9 @@
 	Domain string
 	// RetryAfter is set for ActionRefuse: the time after which capacity is likely.
 	RetryAfter time.Duration
+	// IsReturnExpected is set for ActionRefuse if an endpoint is silent no longer than a sound
+	// one may be. Pool.AwaitsReturn then reports when to decide again.
+	IsReturnExpected bool
 	// Reason is the reason for the action, for logs and metrics.
 	Reason string
 	// LocalFirstByte and RemoteFirstByte are the predicted times to the first byte in
@@ -36,4 +39,9 @@
 	// RestOfResponse is the predicted time from the first byte to the last, for
 	// ActionSend.
 	RestOfResponse time.Duration
+
+	// relayedTokens is the work of a relayed request, and summaryAt the time of the capacity
+	// summary that it was added to.
+	relayedTokens float64
+	summaryAt     time.Time
 }
