--- a/internal/cwplacement/health.go
+++ b/internal/cwplacement/health.go
@@ -37,6 +37,8 @@
 	// an answer. rateBeforeSilence is the failure rate at that time.
 	silentSince       time.Time
 	rateBeforeSilence float64
+	// silenceEndedAt is when the latest silence ended.
+	silenceEndedAt time.Time
 }
 
 // recordSuccess records a complete response.
@@ -89,6 +91,9 @@
 	if h.isWithinSoundSilence(now) {
 		h.lastFailureRate, h.updatedAt = h.rateBeforeSilence, now
 	}
+	if !h.silentSince.IsZero() {
+		h.silenceEndedAt = now
+	}
 	h.ejectedUntil, h.silentSince = time.Time{}, time.Time{}
 }
 
--- a/internal/cwplacement/placement.go
+++ b/internal/cwplacement/placement.go
@@ -126,7 +126,10 @@
 	switch outcome {
 	case Served:
 		e.answered(now)
-		e.serviceTimeSeconds += serviceTimeWeight * (now.Sub(p.startedAt).Seconds() - e.serviceTimeSeconds)
+		if p.startedAt.After(e.silenceEndedAt) {
+			// A time with a silence in it is no measure of the next ones.
+			e.serviceTimeSeconds += serviceTimeWeight * (now.Sub(p.startedAt).Seconds() - e.serviceTimeSeconds)
+		}
 		e.recordSuccess(now)
 	case Failed:
 		if !p.hasOverdueFailure {
--- a/internal/cwplacement/silence_test.go
+++ b/internal/cwplacement/silence_test.go
@@ -1,12 +1,14 @@
 package cwplacement_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/clementinewell/clementinewell/internal/cwplacement"
+	"github.com/clementinewell/clementinewell/internal/cwroute"
 )
 
 // TestSilentEndpointIsNotLost guards against an endpoint that was silent for a second or so and
@@ -55,3 +57,24 @@
 		})
 	}
 }
+
+// TestSilenceIsNoServiceTime guards against requests that are refused after a silence because
+// the responses which waited through it count as the time that an endpoint takes.
+func TestSilenceIsNoServiceTime(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	p := cwplacement.NewPool(cwroute.Service{Name: "plain"}, "a", rand.New(rand.NewPCG(1, 2)))
+	e := p.Register(cwroute.Endpoint{ID: "e", Service: "plain", Domain: "a", Slots: 8}, "north", true, now, now)
+	decide := func() cwplacement.Decision {
+		return p.Decide(&cwplacement.Request{
+			Requirements: cwplacement.Requirements{FirstByteTarget: time.Second, FirstByteTimeout: 5 * time.Second},
+			Priority:     1, IsLocalAllowed: true, WasTried: never, WasDomainTried: never,
+		}, now)
+	}
+	waiting := decide()
+	e.MarkSilent(now, now.Add(800*time.Millisecond))
+	now = now.Add(1500 * time.Millisecond)
+	e.MarkReachable(now)
+	waiting.Placement.OnEnd(cwplacement.Served, now)
+	is.Equal(decide().LocalFirstByte, waiting.LocalFirstByte)
+}
