--- a/internal/cwsoak/caller_test.go
+++ b/internal/cwsoak/caller_test.go
@@ -62,7 +62,9 @@
 	if conn == nil {
 		var err error
 		if conn, err = dialInstance(p); err != nil {
-			return response{requestID: req.Header.Get(headerRequestID), err: err}
+			resp := response{requestID: req.Header.Get(headerRequestID), instance: p, startedAt: time.Now(), err: err}
+			c.s.recordFailure(resp)
+			return resp
 		}
 	}
 	if isDelayed {
@@ -73,7 +75,7 @@
 		splitDelay = c.randomDelay()
 	}
 	resp := conn.exchange(req, splitDelay)
-	c.s.recordCut(resp)
+	c.s.recordFailure(resp)
 	if resp.err != nil || resp.isLast || len(c.conns[p]) >= keptConnCount {
 		_ = conn.Close()
 		return resp
--- a/internal/cwsoak/cut_check_test.go
+++ b/internal/cwsoak/cut_check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"time"
 )
@@ -18,9 +19,13 @@
 	shutdownGrace   = 4 * time.Second
 )
 
-func (s *soakRun) recordCut(resp response) {
+// recordFailure records a request that was not served.
+func (s *soakRun) recordFailure(resp response) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if resp.err != nil || resp.status != http.StatusOK {
+		s.unserved = append(s.unserved, resp)
+	}
 	if resp.isCut {
 		s.cuts = append(s.cuts, resp)
 	}
--- a/internal/cwsoak/planned_work_test.go
+++ b/internal/cwsoak/planned_work_test.go
@@ -15,11 +15,12 @@
 )
 
 // runPlannedWork stops and restarts one or two instances at a time, beside SIGHUPs and
-// new configurations. No fault is injected, so nothing excuses a dropped request that
-// was read.
+// new configurations, while workers and the store fall silent. No fault is injected, so
+// nothing excuses a dropped request that was read.
 func (s *soakRun) runPlannedWork(rng *rand.Rand) {
 	s.setSlowWorkers(true)
 	defer s.setSlowWorkers(false)
+	silenceRNG := rand.New(rand.NewPCG(rng.Uint64(), 1))
 	for range plannedRounds {
 		var wg sync.WaitGroup
 		done := make(chan struct{})
@@ -31,6 +32,8 @@
 			wg.Go(func() { <-time.After(delay); s.restart(p) })
 		}
 		go func() { wg.Wait(); close(done) }()
+		var silences sync.WaitGroup
+		silences.Go(func() { s.playSilences(silenceRNG, done) })
 		for isDone := false; !isDone; {
 			if p := s.instances[rng.IntN(len(s.instances))]; rng.IntN(2) == 0 {
 				s.publishConfig()
@@ -43,6 +46,7 @@
 				isDone = true
 			}
 		}
+		silences.Wait()
 		s.waitUntilServing()
 	}
 }
--- a/internal/cwsoak/proxy_test.go
+++ b/internal/cwsoak/proxy_test.go
@@ -30,6 +30,8 @@
 // proxy is a TCP proxy on loopback that injects network faults into the connections
 // to a server.
 type proxy struct {
+	t             *testing.T
+	listener      *net.TCPListener
 	serverAddress string
 	mode          atomic.Int32
 	mu            sync.Mutex
@@ -38,6 +40,8 @@
 	// disturbedIDs are the requests on whose connection a fault broke the data. mu guards
 	// it and conns.
 	disturbedIDs map[string]bool
+	// silenceEnd is closed when the silence ends, nil without one. mu guards it.
+	silenceEnd chan struct{}
 }
 
 // requestIDPattern matches the request ID in the header of a request.
@@ -49,13 +53,14 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	p := &proxy{serverAddress: serverAddress, conns: make(map[net.Conn]string), disturbedIDs: make(map[string]bool)}
+	p := &proxy{t: t, listener: l.(*net.TCPListener), serverAddress: serverAddress, conns: make(map[net.Conn]string), disturbedIDs: make(map[string]bool)}
 	go func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
+			p.awaitSilenceEnd()
 			go p.serve(c)
 		}
 	}()
@@ -127,6 +132,7 @@
 		if mode == modeDelay {
 			<-time.After(proxyDelay)
 		}
+		p.awaitSilenceEnd()
 		if n > 0 && !hasDropped {
 			if _, err := to.Write(buf[:n]); err != nil {
 				return
--- a/internal/cwsoak/soak_test.go
+++ b/internal/cwsoak/soak_test.go
@@ -93,6 +93,9 @@
 	unsafeIDs  map[string]bool
 	// cuts are the requests whose connection ended without a complete response.
 	cuts []response
+	// unserved are the requests that got no success, and silences those of all workers.
+	unserved []response
+	silences []silence
 }
 
 func newSoakRun(t *testing.T, program string, seed uint64) *soakRun {
@@ -108,6 +111,7 @@
 		o := &workerObserver{worker: w, domain: domain, work: make(map[string]work)}
 		s.observers = append(s.observers, o)
 		s.workerProxies = append(s.workerProxies, newProxy(t, ip+":"+workerPort, startServer(t, o)))
+		o.setProxy(s.workerProxies[n])
 		s.registerWorker(n, domain)
 	}
 	s.publishConfig()
@@ -200,6 +204,7 @@
 		wg.Go(func() { c.run(ctx, n) })
 	}
 	s.runPlannedWork(rand.New(rand.NewPCG(s.seed, 8)))
+	s.runSilence(rand.New(rand.NewPCG(s.seed, 11)))
 	s.runRateLimits(rand.New(rand.NewPCG(s.seed, 9)))
 	restoreRNG := rand.New(rand.NewPCG(s.seed, 10))
 	for end := time.Now().Add(*faultPeriod); time.Now().Before(end); {
@@ -215,6 +220,7 @@
 	wg.Wait()
 	s.checkRuns()
 	s.checkCuts()
+	s.checkSilences()
 	if s.t.Failed() {
 		for _, p := range s.instances {
 			log, err := os.ReadFile(p.logPath)
@@ -273,7 +279,7 @@
 			resp := response{err: err}
 			if err == nil {
 				resp = conn.exchange(s.newRequest(p, fmt.Sprintf("/v%d/x", s.configVersion), ""), 0)
-				s.recordCut(resp)
+				s.recordFailure(resp)
 				_ = conn.Close()
 			}
 			if resp.status == http.StatusOK {
--- a/internal/cwsoak/worker_observer_test.go
+++ b/internal/cwsoak/worker_observer_test.go
@@ -21,6 +21,8 @@
 	work map[string]work
 	// isSlow delays a quarter of the requests by up to workDelay. mu guards it too.
 	isSlow bool
+	// proxy passes the worker's bytes. mu guards it too.
+	proxy *proxy
 }
 
 // work is a request at a worker. endedAt is zero while the worker is at work.
@@ -34,6 +36,8 @@
 	delay := o.begin(id)
 	brokeOff := true
 	defer func() {
+		// A worker that is silent when it has finished is still at work for its callers.
+		o.findProxy().awaitSilenceEnd()
 		// An aborted handler is no break of the worker's own if its client has left before.
 		o.end(id, brokeOff && r.Context().Err() == nil)
 	}()
@@ -64,6 +68,18 @@
 	o.work[id] = work{endedAt: time.Now(), brokeOff: brokeOff}
 }
 
+func (o *workerObserver) setProxy(p *proxy) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.proxy = p
+}
+
+func (o *workerObserver) findProxy() *proxy {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.proxy
+}
+
 func (o *workerObserver) setSlow(isSlow bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
