--- a/internal/cwsoak/caller_conn_test.go
+++ b/internal/cwsoak/caller_conn_test.go
@@ -29,6 +29,8 @@
 	reader   *bufio.Reader
 	// sentBytes counts whole requests; ackedAtStart is what TCP counted before the first.
 	sentBytes, ackedAtStart uint64
+	// usedAt is when the last response ended.
+	usedAt time.Time
 }
 
 func dialInstance(p *gatewayProcess) (*callerConn, error) {
--- a/internal/cwsoak/response_test.go
+++ b/internal/cwsoak/response_test.go
@@ -9,11 +9,13 @@
 // response is missing or incomplete.
 type response struct {
 	requestID string
-	instance  *gatewayProcess
-	status    int
-	header    http.Header
-	body      string
-	err       error
+	// route is the name of the request's route.
+	route    string
+	instance *gatewayProcess
+	status   int
+	header   http.Header
+	body     string
+	err      error
 	// isLast is set if the instance takes no more requests on the connection.
 	isLast bool
 	// startedAt is when the first byte was sent, sentAt when the last one was; it is zero
