--- a/internal/cwsoak/soak_test.go
+++ b/internal/cwsoak/soak_test.go
@@ -237,6 +237,7 @@
 	}
 	s.runPlannedWork(rand.New(rand.NewPCG(s.seed, 8)))
 	s.runSilence(rand.New(rand.NewPCG(s.seed, 11)))
+	s.runEndlessBytes(rand.New(rand.NewPCG(s.seed, 12)))
 	s.runRateLimits(rand.New(rand.NewPCG(s.seed, 9)))
 	restoreRNG := rand.New(rand.NewPCG(s.seed, 10))
 	for end := time.Now().Add(*faultPeriod); time.Now().Before(end); {
--- a/internal/cwstandin/worker.go
+++ b/internal/cwstandin/worker.go
@@ -74,6 +74,18 @@
 	FaultPauseStream
 	// FaultRejectAtDeadline acts as FaultReject when the request's deadline expires.
 	FaultRejectAtDeadline
+	// FaultEndlessLine sends bytes that are no response, in one line, until the client closes.
+	FaultEndlessLine
+	// FaultEndlessField sends a status line and one field until the client closes.
+	FaultEndlessField
+	// FaultEndlessHead sends a status line and fields until the client closes.
+	FaultEndlessHead
+	// FaultEndlessInterim sends interim responses until the client closes.
+	FaultEndlessInterim
+	// FaultEndlessBody sends the body of a response until the client closes.
+	FaultEndlessBody
+	// FaultEndlessEvent sends the head of a stream and one event until the client closes.
+	FaultEndlessEvent
 )
 
 // SlowStreamInterval is the time between two events with FaultTruncateSlowStream.
@@ -200,6 +212,10 @@
 		header.Set("Clementinewell-Response-Signature", "signature of "+w.ID)
 	}
 	text := "answer of " + w.ID + " to " + id
+	if fault >= FaultEndlessLine {
+		w.writeEndless(rw, fault, id)
+		return
+	}
 	switch fault {
 	case FaultServerError:
 		rw.WriteHeader(http.StatusInternalServerError)
