--- a/internal/cwsoak/caller_test.go
+++ b/internal/cwsoak/caller_test.go
@@ -75,6 +75,9 @@
 	}
 	resp := conn.exchange(req, splitDelay)
 	resp.route = k.route
+	if !conn.usedAt.IsZero() {
+		resp.idleTime = resp.startedAt.Sub(conn.usedAt)
+	}
 	c.s.recordFailure(resp)
 	if c.isSlow && resp.isLast {
 		c.lastConns = append(c.lastConns, conn)
--- a/internal/cwsoak/cut_check_test.go
+++ b/internal/cwsoak/cut_check_test.go
@@ -36,20 +36,26 @@
 // checkCuts checks that no instance dropped a request, whether it ran normally or planned
 // work was under way. All events of the run are known then.
 func (s *soakRun) checkCuts() {
-	excused := make(map[string]int)
+	excused, dropped := make(map[string]int), 0
 	for _, resp := range s.cuts {
 		excuse := s.excuseCut(resp)
 		if excuse != "" {
 			excused[excuse]++
 			continue
 		}
+		if dropped++; dropped > maxReportedFailures {
+			continue
+		}
 		o, w := s.findWork(resp)
 		sinceTerm := "no SIGTERM near it"
 		if shutdown, ok := resp.instance.findShutdown(resp); ok {
 			sinceTerm = fmt.Sprint(resp.endedAt.Sub(shutdown.from), " after SIGTERM")
 		}
-		s.t.Errorf("%s (%s): %s closed the connection without a complete response %v after the whole request was sent, %s; had read it: %v, had sent it to a worker: %v, worker broke off: %v: %v",
-			resp.requestID, resp.route, resp.instance.ip, resp.endedAt.Sub(resp.sentAt), sinceTerm, resp.isRead, o != nil, w.brokeOff, resp.err)
+		s.t.Errorf("%s (%s): %s closed the connection without a complete response %v after the whole request was sent, %s; had read it: %v, had sent it to a worker: %v, worker broke off: %v, connection idle before for %v: %v",
+			resp.requestID, resp.route, resp.instance.ip, resp.endedAt.Sub(resp.sentAt), sinceTerm, resp.isRead, o != nil, w.brokeOff, resp.idleTime, resp.err)
+	}
+	if dropped > maxReportedFailures {
+		s.t.Errorf("%d requests were dropped; the first %d are reported", dropped, maxReportedFailures)
 	}
 	s.t.Logf("%d connections ended without a complete response, excused: %v", len(s.cuts), excused)
 }
@@ -58,12 +64,9 @@
 func (s *soakRun) excuseCut(resp response) string {
 	o, w := s.findWork(resp)
 	switch {
-	case o == nil && !resp.isRead && resp.endedAt.Sub(resp.sentAt) <= lossSlack:
+	case o == nil && !resp.isRead && resp.endedAt.Sub(resp.sentAt) <= lossSlack && s.mayClose(resp):
 		// The request crossed the close: the instance was not seen to read it, no worker got
 		// it, and the close came within the platform's bound.
-		if _, isStopping := resp.instance.findShutdown(resp); !isStopping {
-			return "unread without SIGTERM"
-		}
 		return "unread"
 	case resp.instance.hadFault(resp.sentAt.Add(-calmTime), resp.endedAt):
 		// The process was killed or paused.
@@ -90,6 +93,14 @@
 	return ""
 }
 
+// mayClose reports whether an instance had a reason to close a connection that carried no
+// request: it was stopping, or the connection was idle for longer than callers let it be
+// under any configuration.
+func (s *soakRun) mayClose(resp response) bool {
+	_, isStopping := resp.instance.findShutdown(resp)
+	return isStopping || resp.idleTime > shortIdleTimeout*4/5
+}
+
 // findWork returns the worker that a request has reached, nil if none, and its work there.
 // A worker that broke off or works on comes before others.
 func (s *soakRun) findWork(resp response) (*workerObserver, work) {
--- a/internal/cwsoak/response_test.go
+++ b/internal/cwsoak/response_test.go
@@ -21,6 +21,8 @@
 	// startedAt is when the first byte was sent, sentAt when the last one was; it is zero
 	// if sending failed.
 	startedAt, sentAt, endedAt time.Time
+	// idleTime is how long the connection had carried no request before, 0 if it is new.
+	idleTime time.Duration
 	// isCut is set if the connection ended after the request was sent and before the
 	// response was complete, and isRead if the instance had then read the whole request.
 	isCut, isRead bool
--- a/internal/cwsoak/silence_test.go
+++ b/internal/cwsoak/silence_test.go
@@ -26,7 +26,7 @@
 	queueFillTimeout = 20 * time.Millisecond
 	listenBacklog    = 4096
 	// maxReportedFailures is the number of requests that are reported in full.
-	maxReportedFailures = 5
+	maxReportedFailures = 10
 )
 
 // silence makes the proxy pass no byte for a duration. What is sent meanwhile arrives
