--- a/internal/cwsoak/planned_work_test.go
+++ b/internal/cwsoak/planned_work_test.go
@@ -70,7 +70,8 @@
 		case n < 4:
 			s.changeConfig(rng)
 		case n == 4:
-			// One worker at most drains at a time.
+			// One worker at most drains at a time. It comes back as a new start.
+			s.observers[drainingWorker].born++
 			s.registerWorker(drainingWorker, "ready")
 			drainingWorker = rng.IntN(len(s.workers))
 			s.registerWorker(drainingWorker, "draining")
@@ -83,6 +84,7 @@
 			isDone = true
 		}
 	}
+	s.observers[drainingWorker].born++
 	s.registerWorkers()
 	s.resetConfig()
 }
--- a/internal/cwsoak/soak_test.go
+++ b/internal/cwsoak/soak_test.go
@@ -151,7 +151,7 @@
 // startWorker starts the nth worker and its proxy.
 func (s *soakRun) startWorker(n int, domain string) (*cwstandin.Worker, *proxy) {
 	w := cwstandin.NewWorker(fmt.Sprint("worker-", n))
-	o := &workerObserver{worker: w, domain: domain, work: make(map[string]work)}
+	o := &workerObserver{worker: w, domain: domain, born: 1, work: make(map[string]work)}
 	s.observers = append(s.observers, o)
 	p := newProxy(s.t, loopbackIP(22, n+1)+":"+workerPort, startServer(s.t, o))
 	o.setProxy(p)
@@ -172,7 +172,7 @@
 	}
 	s.store.PutJSON("servers/"+s.observers[n].worker.ID, map[string]any{
 		"service": service, "address": loopbackIP(22, n+1) + ":" + workerPort, "zone": s.observers[n].domain,
-		"slots": 32, "state": state, "cold-remaining-ms": 0, "sequence": s.configVersion, "born": 1,
+		"slots": 32, "state": state, "cold-remaining-ms": 0, "sequence": s.configVersion, "born": s.observers[n].born,
 	})
 }
 
--- a/internal/cwsoak/worker_observer_test.go
+++ b/internal/cwsoak/worker_observer_test.go
@@ -25,6 +25,9 @@
 type workerObserver struct {
 	worker *cwstandin.Worker
 	domain string
+	// born is the start that the worker's entry names. Only the goroutine that writes the
+	// entries uses it.
+	born int64
 
 	mu   sync.Mutex
 	work map[string]work
