--- a/internal/cwapp/routed_app.go
+++ b/internal/cwapp/routed_app.go
@@ -59,6 +59,9 @@
 		cwserver.NewServer(r.Common, "caller", site.CallerAddress, cwwire.NewFrontHandler(r.gate), cwserver.Limits{Conns: settings.MaxConnections, Times: r.callerTimeLimits}),
 		cwserver.NewServer(r.Common, "relay", site.RelayAddress, cwwire.NewRelayHandler(r.gate), cwserver.Limits{}),
 	}
+	for _, s := range r.forwardingServers {
+		s.RequestID = cwwire.RequestID
+	}
 	r.lookupServers = []*cwserver.Server{
 		cwserver.NewServer(r.Common, "ready", site.ReadyAddress, cwwire.NewReadyHandler(r.IsReady), cwserver.Limits{}),
 		cwserver.NewServer(r.Common, "directory", site.DirectoryAddress, cwwire.NewDirectoryHandler(r), cwserver.Limits{}),
@@ -140,18 +143,25 @@
 	acceptDuration = 2500 * time.Millisecond
 	// shutdownMargin is what remains of the shutdown grace when the last streams are aborted.
 	shutdownMargin = 400 * time.Millisecond
+	// endMargin is what remains of it when their connections are closed: meanwhile requests
+	// without a response get one.
+	endMargin = 300 * time.Millisecond
 	// closeMargin is what remains of the shutdown grace when the other servers are closed.
 	closeMargin = 200 * time.Millisecond
 )
 
 // shutdown stops the instance gracefully: peers and callers are notified first, requests
 // that still arrive are served for acceptDuration, and requests in flight get the rest of
-// the shutdown grace. Those that take longer are aborted. The directory, the ready check and
+// the shutdown grace. Meanwhile connections that callers have kept stay open; a request on one
+// is served if it will be finished in time, and refused otherwise. Requests in flight that take
+// longer get a response or, if it has begun, are broken off. The directory, the ready check and
 // the interfaces for peers and operators are closed last.
 func (r *RoutedApp) shutdown(ctx context.Context) {
 	graceEnd := time.Now().Add(r.site.Bounds.ShutdownGrace)
 	closeCtx, cancelClose := context.WithDeadline(ctx, graceEnd.Add(-closeMargin))
 	defer cancelClose()
+	endCtx, cancelEnd := context.WithDeadline(ctx, graceEnd.Add(-endMargin))
+	defer cancelEnd()
 	ctx, cancel := context.WithDeadline(ctx, graceEnd.Add(-shutdownMargin))
 	defer cancel()
 	r.Log.Info("shutdown begins", zap.Int("inFlight", r.gate.InFlight()))
@@ -165,13 +175,19 @@
 	case <-ctx.Done():
 	case <-time.After(acceptDuration):
 	}
-	if err := drainServers(ctx, r.forwardingServers, requestArrivalTimeout); err != nil {
-		r.Log.Warn("shutdown grace expired with requests in flight", zap.Int("inFlight", r.gate.InFlight()), zap.Error(err))
+	r.gate.SetEnd(graceEnd.Add(-shutdownMargin))
+	stopEnd := context.AfterFunc(ctx, func() {
+		r.Log.Warn("shutdown grace expired with requests in flight", zap.Int("inFlight", r.gate.InFlight()), zap.Error(ctx.Err()))
+		r.gate.End()
+	})
+	err := drainServers(endCtx, r.forwardingServers, requestArrivalTimeout)
+	stopEnd()
+	if err != nil {
 		closeServers(r.forwardingServers)
 	}
 	// After an expired grace the time for requests on their way is short.
 	lookupArrivalTimeout := min(requestArrivalTimeout, time.Until(graceEnd.Add(-closeMargin))/2)
-	err := errors.Join(drainServers(closeCtx, r.lookupServers, lookupArrivalTimeout), drainServers(closeCtx, r.controlServers, 0))
+	err = errors.Join(drainServers(closeCtx, r.lookupServers, lookupArrivalTimeout), drainServers(closeCtx, r.controlServers, 0))
 	if err != nil {
 		r.Log.Warn("control connections closed with requests in progress", zap.Error(err))
 	}
--- a/internal/cwgate/serve.go
+++ b/internal/cwgate/serve.go
@@ -35,11 +35,13 @@
 var errDeadline = errors.New("request deadline exceeded")
 
 // Serve responds to one request. It panics with http.ErrAbortHandler, which closes the
-// connection, if a response that has begun can't be completed or the caller has
-// disconnected.
+// connection, if a response that has begun can't be completed.
 func (g *Gate) Serve(ctx context.Context, w http.ResponseWriter, r *Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
+	ctx, cancelRequest := context.WithCancelCause(ctx)
+	defer cancelRequest(nil)
+	defer context.AfterFunc(g.ended, func() { cancelRequest(errEnded) })()
 	responder := newResponder(w)
 	if r.IsRelayed {
 		responder.relay = &cwevent.RelayWriter{}
@@ -149,6 +151,12 @@
 func (g *Gate) runAttempts(ctx context.Context, routed *routedRequest) {
 	g.assignService(routed)
 	d := g.decidePlacement(routed)
+	if g.isTooLate(routed, d) {
+		g.releasePlacement(&d)
+		routed.responder.Header().Set("Connection", "close")
+		g.refuseUnrouted(routed.Request, routed.responder, newNotRunRefusal("leaving", leavingRetryAfter))
+		return
+	}
 	for {
 		if d.Action == cwplacement.ActionRefuse {
 			g.refuseUnplaced(ctx, routed, d)
@@ -247,7 +255,7 @@
 // refuseUnplaced ends a request for which no place is left.
 func (g *Gate) refuseUnplaced(ctx context.Context, routed *routedRequest, d cwplacement.Decision) {
 	if routed.responder.hasBegun {
-		g.abort(routed, d.Reason)
+		g.abort(routed, d.Reason, nil)
 		return
 	}
 	if routed.errorResponse != nil {
@@ -267,16 +275,17 @@
 func (g *Gate) finishFailed(ctx context.Context, routed *routedRequest, r result) {
 	switch {
 	case errors.Is(context.Cause(ctx), context.Canceled):
-		// The caller has disconnected, so no response is written.
-		g.logEnd(routed, "callerGone", r.err)
-		panic(http.ErrAbortHandler)
+		g.finishCancelled(routed, r)
 	case routed.responder.hasBegun:
-		g.abort(routed, "streamBroken")
+		g.abort(routed, "streamBroken", r.err)
 	case routed.errorResponse != nil:
 		g.forwardErrorResponse(routed)
 	case routed.isNotRun():
 		routed.responder.writeRefusal(newNotRunRefusal("noRoom", cwplacement.RetryAfter(0, g.randomFloat())))
 		g.logEnd(routed, "noRoom", r.err)
+	case errors.Is(context.Cause(ctx), errEnded):
+		routed.responder.writeRefusal(Refusal{Status: http.StatusBadGateway, Reason: "leaving"})
+		g.logEnd(routed, "attemptFailed", errors.Join(errEnded, r.err))
 	case ctx.Err() != nil:
 		routed.responder.writeRefusal(Refusal{Status: http.StatusGatewayTimeout, Reason: "deadline"})
 		g.logEnd(routed, "deadline", r.err)
@@ -286,6 +295,24 @@
 	}
 }
 
+// finishCancelled ends a request whose context was cancelled. net/http does that when a read of
+// the caller's connection fails: at its end, which may be a half-close. A caller that can still
+// read gets a response which states whether the request may have run.
+func (g *Gate) finishCancelled(routed *routedRequest, r result) {
+	if routed.responder.hasBegun {
+		g.logEnd(routed, "callerGone", r.err)
+		panic(http.ErrAbortHandler)
+	}
+	// All further requests of the connection would be cancelled too.
+	routed.responder.Header().Set("Connection", "close")
+	refusal := Refusal{Status: http.StatusBadGateway, Reason: "cancelled"}
+	if routed.isNotRun() {
+		refusal = newNotRunRefusal("cancelled", cwplacement.RetryAfter(0, g.randomFloat()))
+	}
+	routed.responder.writeRefusal(refusal)
+	g.logEnd(routed, "callerGone", r.err)
+}
+
 // randomFloat returns a random number in [0, 1).
 func (g *Gate) randomFloat() float64 {
 	g.mu.Lock()
@@ -301,7 +328,7 @@
 
 // abort closes the caller's connection during a response that has begun, so that the
 // response can't be taken for complete.
-func (g *Gate) abort(routed *routedRequest, reason string) {
-	g.logEnd(routed, reason, nil)
+func (g *Gate) abort(routed *routedRequest, reason string, err error) {
+	g.logEnd(routed, reason, err)
 	panic(http.ErrAbortHandler)
 }
