--- a/internal/cwgate/attempt_failure.go
+++ b/internal/cwgate/attempt_failure.go
@@ -4,12 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/clementinewell/clementinewell/internal/cwconn"
+	"github.com/clementinewell/clementinewell/internal/cwlimit"
 	"github.com/clementinewell/clementinewell/internal/cwplacement"
 	"github.com/clementinewell/clementinewell/pkg/cwanswer"
 )
@@ -64,17 +64,13 @@
 
 // handleRejection handles a response which states that the request was not run.
 func (a *attempt) handleRejection(ctx context.Context, response *cwconn.Response) result {
-	_, _ = io.Copy(io.Discard, io.LimitReader(response, maxDiscardedBytes))
+	response.Discard()
 	a.excludePlace()
 	a.req.mergeOutcome(cwanswer.NotRun)
 	a.recordEnd(ctx, cwplacement.Rejected)
 	return result{notRun: true, err: fmt.Errorf("%s rejected the request with status %d", a.address, response.StatusCode)}
 }
 
-// maxDiscardedBytes is the most that is read and discarded of a rejection's body, so that
-// the connection can be reused.
-const maxDiscardedBytes = 64 << 10
-
 // failUnknown handles an attempt that may have run and has no usable response.
 func (a *attempt) failUnknown(ctx context.Context, err error) result {
 	a.excludePlace()
@@ -93,18 +89,13 @@
 	a.excludePlace()
 	a.req.mergeOutcome(cwanswer.Ran)
 	a.recordEnd(ctx, cwplacement.Failed)
+	a.req.releaseErrorResponse()
 	a.req.errorResponse = &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
 	return result{err: fmt.Errorf("%s responded with status %d", a.address, response.StatusCode)}
 }
 
-// readBody reads the body of the response, up to maxResponseBytes.
-func (a *attempt) readBody(response *cwconn.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(response, maxResponseBytes+1))
-	if err != nil {
-		return nil, fmt.Errorf("read response from %s: %w", a.address, err)
-	}
-	if len(body) > maxResponseBytes {
-		return nil, errResponseTooLarge
-	}
-	return body, nil
+// readBody reads the body of the response, up to cwlimit.MaxResponseBytes and within the
+// budget of all responses. The caller must release it.
+func (a *attempt) readBody(response *cwconn.Response) (*cwlimit.Buffer, error) {
+	return a.Budget.ReadAll(response, a.address, response.ContentLength, cwlimit.MaxResponseBytes)
 }
