--- a/internal/cwlimit/buffer.go
+++ b/internal/cwlimit/buffer.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 )
 
 const (
@@ -103,3 +104,18 @@
 	b.chunks, b.length = nil, 0
 	b.reservation.Release()
 }
+
+// Replace replaces the body by what f returns for it, which must not be larger. The error is
+// that of f, or an *Error if both don't fit into the budget.
+func (b *Buffer) Replace(peer string, f func(body []byte) ([]byte, error)) error {
+	if !b.reservation.Grow(2 * b.length) {
+		return b.reservation.Error("buffer response", peer)
+	}
+	body, err := f(slices.Concat(b.chunks...))
+	if err != nil {
+		return err
+	}
+	b.chunks, b.length = [][]byte{body}, int64(len(body))
+	b.reservation.Resize(int64(cap(body)))
+	return nil
+}
