--- a/internal/cwapp/routed_panic_test.go
+++ b/internal/cwapp/routed_panic_test.go
@@ -12,16 +12,18 @@
 
 	"github.com/clementinewell/clementinewell/internal/cwnet"
 	"github.com/clementinewell/clementinewell/internal/cwscene"
+	"github.com/clementinewell/clementinewell/internal/cwstandin"
 )
 
-// panickingNet is a network whose first connection to a worker panics.
+// panickingNet is a network on which one connection to a worker panics: the first after
+// skipped others.
 type panickingNet struct {
 	cwnet.Net
-	hasPanicked *atomic.Bool
+	skipped *atomic.Int64
 }
 
 func (n panickingNet) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	if strings.HasPrefix(address, "10.1.1.1:") && !n.hasPanicked.Swap(true) {
+	if strings.HasPrefix(address, "10.1.1.1:") && n.skipped.Add(-1) == -1 {
 		panic("fault in a dial")
 	}
 	return n.Net.DialContext(ctx, network, address)
@@ -31,8 +33,8 @@
 // good because a fault of the program ended its attempt.
 func TestPanicFreesPlacement(t *testing.T) {
 	inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
-		var hasPanicked atomic.Bool
-		s.WrapNet = func(n cwnet.Net) cwnet.Net { return panickingNet{Net: n, hasPanicked: &hasPanicked} }
+		var skipped atomic.Int64
+		s.WrapNet = func(n cwnet.Net) cwnet.Net { return panickingNet{Net: n, skipped: &skipped} }
 		s.Publish(nil, cwscene.NewRoute("r", "unsafe", nil))
 		s.AddWorker("north-a", "10.1.1.1")
 		i := s.AddInstance("10.1.0.1", "north-a")
@@ -46,3 +48,24 @@
 		is.Equal(s.Do(t.Context(), i, cwscene.RoutedRequest{Path: "/r/x", Body: "order"}).Status, http.StatusOK)
 	})
 }
+
+// TestPanicInProbeEndsNoRequest guards against a fault in the goroutine that probes an endpoint
+// after an interrupted response. It ended the process, and all requests in progress got no response.
+func TestPanicInProbeEndsNoRequest(t *testing.T) {
+	inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+		var skipped atomic.Int64
+		skipped.Store(1)
+		s.WrapNet = func(n cwnet.Net) cwnet.Net { return panickingNet{Net: n, skipped: &skipped} }
+		s.Publish(nil, cwscene.NewRoute("r", "streaming", nil))
+		worker := s.AddWorker("north-a", "10.1.1.1")
+		i := s.AddInstance("10.1.0.1", "north-a")
+		s.AwaitReady()
+		worker.QueueFaults(cwstandin.FaultTruncateStream)
+		resp := s.Do(t.Context(), i, cwscene.RoutedRequest{Path: "/r/x", Header: newPromptHeader()})
+		is.True(resp.Err != nil)            // broken off within the stream
+		is.Equal(skipped.Load(), int64(-1)) // the probe has panicked
+		resp = s.Do(t.Context(), i, cwscene.RoutedRequest{Path: "/r/x", Header: newPromptHeader()})
+		is.NoErr(resp.Err)
+		is.Equal(resp.Status, http.StatusOK)
+	})
+}
--- a/internal/cwdispatch/endpoint_attempt.go
+++ b/internal/cwdispatch/endpoint_attempt.go
@@ -91,7 +91,7 @@
 	}
 	ctx, a.cancel = context.WithCancelCause(ctx)
 	defer a.cancel(nil)
-	a.progress = newProgressMonitor(a.Settings.ProbeAfter, a.Settings.IdleTimeout,
+	a.progress = newProgressMonitor(a.Common, a.Settings.ProbeAfter, a.Settings.IdleTimeout,
 		func() { a.handleStall(ctx) }, func() { a.cancel(errIdleTimeout) })
 	a.progress.start()
 	defer a.progress.stop()
--- a/internal/cwdispatch/forward.go
+++ b/internal/cwdispatch/forward.go
@@ -50,7 +50,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	progress := newProgressMonitor(d.Settings.IdleTimeout, d.Settings.IdleTimeout, func() {}, func() { cancel(errIdleTimeout) })
+	progress := newProgressMonitor(d.Common, d.Settings.IdleTimeout, d.Settings.IdleTimeout, func() {}, func() { cancel(errIdleTimeout) })
 	progress.start()
 	defer progress.stop()
 	head := d.buildForwardHead(job, hopBudget)
--- a/internal/cwdispatch/place.go
+++ b/internal/cwdispatch/place.go
@@ -127,7 +127,7 @@
 		return
 	}
 	p.isQueueScheduled = true
-	time.AfterFunc(queueInterval, func() {
+	d.AfterFunc(queueInterval, "processQueue", func() {
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		p.isQueueScheduled = false
--- a/internal/cwdispatch/probe.go
+++ b/internal/cwdispatch/probe.go
@@ -64,9 +64,9 @@
 	if !a.job.Service.Resume || a.job.Service.Kind != cwservice.Engine {
 		return
 	}
-	go func() {
+	a.Go("cancelOnEngine", func() {
 		if err := a.endpoints.Cancel(context.Background(), a.choice.Endpoint.Address, a.attemptID); err != nil {
 			a.Log.Sugar().Debugw("attempt not cancelled", "request", a.job.RequestID, "error", err)
 		}
-	}()
+	})
 }
--- a/internal/cwdispatch/progress_monitor.go
+++ b/internal/cwdispatch/progress_monitor.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"github.com/clementinewell/clementinewell/internal/cwcommon"
 )
 
 // progressMonitor monitors the progress of an attempt. It calls onStall after each
@@ -19,9 +21,9 @@
 	startedAt     time.Time
 }
 
-func newProgressMonitor(stallTimeout, idleTimeout time.Duration, onStall, onIdleTimeout func()) *progressMonitor {
+func newProgressMonitor(common *cwcommon.Common, stallTimeout, idleTimeout time.Duration, onStall, onIdleTimeout func()) *progressMonitor {
 	m := &progressMonitor{stallTimeout: stallTimeout, idleTimeout: idleTimeout, onStall: onStall, onIdleTimeout: onIdleTimeout, startedAt: time.Now()}
-	m.timer = time.AfterFunc(idleTimeout, m.check)
+	m.timer = common.AfterFunc(idleTimeout, "progressMonitor", m.check)
 	m.timer.Stop()
 	return m
 }
--- a/internal/cwgate/attempt.go
+++ b/internal/cwgate/attempt.go
@@ -78,7 +78,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	mayRetry := a.mayRetryElsewhere()
-	a.stallTimer = newStallTimer(func() { a.handleOverdue(mayRetry, cancel) })
+	a.stallTimer = newStallTimer(a.Common, func() { a.handleOverdue(mayRetry, cancel) })
 	a.stallTimer.reset(a.firstByteTimeout(d))
 	defer a.stallTimer.stop()
 	// If the attempt panics, its placement must not stay in use.
--- a/internal/cwgate/attempt_failure.go
+++ b/internal/cwgate/attempt_failure.go
@@ -50,7 +50,7 @@
 	}
 	a.conns.CloseIdle(a.address)
 	endpoint, address, maxConns := a.placement.Endpoint, a.address, a.maxConns()
-	go func() {
+	a.Go("probeEndpoint", func() {
 		err := a.conns.Preconnect(context.WithoutCancel(ctx), address, maxConns)
 		if err == nil || errors.Is(err, cwconn.ErrConnLimit) {
 			return
@@ -59,7 +59,7 @@
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		endpoint.MarkUnreachable(time.Now())
-	}()
+	})
 }
 
 // handleRejection handles a response which states that the request was not run.
--- a/internal/cwgate/stall_timer.go
+++ b/internal/cwgate/stall_timer.go
@@ -1,6 +1,10 @@
 package cwgate
 
-import "time"
+import (
+	"time"
+
+	"github.com/clementinewell/clementinewell/internal/cwcommon"
+)
 
 // stallTimer detects an attempt that makes no progress for too long.
 type stallTimer struct {
@@ -9,8 +13,8 @@
 
 // newStallTimer returns a timer that calls onStall when the timeout set by the last reset
 // has passed. The timer is stopped until the first reset.
-func newStallTimer(onStall func()) *stallTimer {
-	timer := time.AfterFunc(time.Hour, onStall)
+func newStallTimer(common *cwcommon.Common, onStall func()) *stallTimer {
+	timer := common.AfterFunc(time.Hour, "stallTimer", onStall)
 	timer.Stop()
 	return &stallTimer{timer: timer}
 }
--- a/internal/cwpeer/exchanger.go
+++ b/internal/cwpeer/exchanger.go
@@ -126,7 +126,7 @@
 		}
 		x.inProgress[address] = true
 		wg.Go(func() {
-			x.exchange(ctx, address)
+			x.Guard("exchange", func() { x.exchange(ctx, address) })
 			x.mu.Lock()
 			defer x.mu.Unlock()
 			delete(x.inProgress, address)
--- a/internal/cwpeer/server.go
+++ b/internal/cwpeer/server.go
@@ -83,7 +83,7 @@
 	if !s.control.Snapshot().ConfigTracker.IsNewer(offered) {
 		return
 	}
-	go s.puller.Pull(context.WithoutCancel(ctx), address, offered)
+	s.Go("pull", func() { s.puller.Pull(context.WithoutCancel(ctx), address, offered) })
 }
 
 // roundTripTo returns the recorded round trip to the domain, 0 if there is none.
--- a/internal/cwpublished/state.go
+++ b/internal/cwpublished/state.go
@@ -179,7 +179,7 @@
 	if s.recheckTimer != nil {
 		s.recheckTimer.Stop()
 	}
-	s.recheckTimer = time.AfterFunc(time.Until(recheckAt), func() {
+	s.recheckTimer = s.AfterFunc(time.Until(recheckAt), "recheckEndpoints", func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.updateView(time.Now())
--- a/internal/cwserver/server.go
+++ b/internal/cwserver/server.go
@@ -5,11 +5,9 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log"
 	"net"
 	"net/http"
-	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -163,21 +161,11 @@
 	http.Error(w, "internal error", http.StatusInternalServerError)
 }
 
-// maxStackBytes and maxPanicBytes limit what is logged of a panic's stack and value.
-const (
-	maxStackBytes = 4 << 10
-	maxPanicBytes = 512
-)
-
 // logPanic counts and logs the panic of a handler. It runs in the deferred function, so that the stack is
 // that of the panic.
 func (s *Server) logPanic(requestID string, value any) {
 	s.Metrics.Tagged(map[string]string{"server": s.name}).Counter("handler_panics").Inc(1)
-	text := fmt.Sprint(value)
-	stack := make([]byte, maxStackBytes)
-	stack = stack[:runtime.Stack(stack, false)]
-	s.Log.Error("handler panicked", zap.String("server", s.name), zap.String("request", requestID),
-		zap.String("panic", text[:min(len(text), maxPanicBytes)]), zap.ByteString("stack", stack))
+	s.Log.Error("handler panicked", append(cwcommon.PanicFields(value), zap.String("server", s.name), zap.String("request", requestID))...)
 }
 
 // endBody limits the time for what the handler has left of the request's body, which is nil if
