--- a/internal/cwpeer/exchanger_test.go
+++ b/internal/cwpeer/exchanger_test.go
@@ -18,12 +18,12 @@
 	"github.com/clementinewell/clementinewell/internal/cwsetting"
 )
 
-// panickingTraffic fails as soon as it is asked for capacities.
+// panickingTraffic fails as soon as it is asked for its work at endpoints.
 type panickingTraffic struct {
 	cwpeer.Traffic
 }
 
-func (panickingTraffic) Capacities() []cwcontrol.PeerCapacity {
+func (panickingTraffic) EndpointWork() []cwcontrol.EndpointWork {
 	panic("fault in the state of endpoints")
 }
 
@@ -44,5 +44,6 @@
 		lines := logs.FilterMessage("background step panicked").All()
 		is.Equal(len(lines), 2) // the peer is not skipped after the first
 		is.Equal(lines[0].ContextMap()["step"], "exchange")
+		is.Equal(lines[0].ContextMap()["panic"], "fault in the state of endpoints")
 	})
 }
