--- a/internal/cwdispatch/endpoint_attempt.go
+++ b/internal/cwdispatch/endpoint_attempt.go
@@ -24,6 +24,7 @@
 	errProbeFailed       = errors.New("endpoint stalled and does not respond to a probe")
 	errStreamIncomplete  = errors.New("event stream ended without its final event")
 	errTicketUnusable    = errors.New("the ticket may not be used any more")
+	errPanicked          = errors.New("attempt panicked")
 	errRegionNotAllowed  = errors.New("the configuration no longer allows this place")
 )
 
@@ -52,8 +53,10 @@
 		attemptID: NewID(), startedAt: time.Now(),
 	}
 	result.Endpoint = choice.Endpoint.Address
-	r := a.run(ctx)
-	a.finish(ctx, r)
+	// If the attempt panics, its slot must not stay in use.
+	r := attemptResult{outcome: cwanswer.Unknown, err: errPanicked}
+	defer func() { a.finish(ctx, r) }()
+	r = a.run(ctx)
 	return r
 }
 
@@ -63,7 +66,11 @@
 	now := time.Now()
 	e := a.choice.Endpoint
 	failed := r.isEndpointFault && ctx.Err() == nil
+	if failed && r.isUnreachable {
+		defer a.control.TryPost(cwcontrol.EndpointFailed{Address: e.Address})
+	}
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	if a.firstByteAt.IsZero() {
 		e.OnEnd(a.choice.UncachedTokens, 0, now)
 	} else {
@@ -75,10 +82,6 @@
 		e.OnSuccess(now)
 	}
 	a.processQueue(a.poolFor(a.job.Service.Pool()), now)
-	a.mu.Unlock()
-	if failed && r.isUnreachable {
-		a.control.TryPost(cwcontrol.EndpointFailed{Address: e.Address})
-	}
 }
 
 func (a *endpointAttempt) run(ctx context.Context) attemptResult {
--- a/internal/cwdispatch/place.go
+++ b/internal/cwdispatch/place.go
@@ -21,15 +21,30 @@
 // place decides where the job is sent. If no endpoint has a free slot, it waits in
 // the queue until ctx is done.
 func (d *Dispatcher) place(ctx context.Context, job *Job) placement {
+	target, p, queued := d.placeOrQueue(job)
+	if queued == nil {
+		return target
+	}
+	select {
+	case target := <-queued.placed:
+		return target
+	case <-ctx.Done():
+		return d.removeFromQueue(p, queued)
+	}
+}
+
+// placeOrQueue places the job or, if no endpoint has a free slot, adds it to the queue. The
+// queued job is nil if the job was placed or refused.
+func (d *Dispatcher) placeOrQueue(job *Job) (placement, *poolState, *queuedJob) {
 	now := time.Now()
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	s := d.syncControlState(now)
 	p := d.poolFor(job.Service.Pool())
 	d.fillRequirements(job)
 	target, mustWait := d.tryPlace(p, s, job, now)
 	if !mustWait {
-		d.mu.Unlock()
-		return target
+		return target, p, nil
 	}
 	queued := &queuedJob{job: job, placed: make(chan placement, 1)}
 	p.Queue.Push(cwpolicy.QueuedRequest[*queuedJob]{
@@ -37,13 +52,7 @@
 		Requirements: &job.requirements, ExcludedAddress: job.excludedEndpoint,
 	})
 	d.scheduleQueue(p)
-	d.mu.Unlock()
-	select {
-	case target := <-queued.placed:
-		return target
-	case <-ctx.Done():
-		return d.removeFromQueue(p, queued)
-	}
+	return placement{}, p, queued
 }
 
 // removeFromQueue removes a job whose deadline passed or whose caller disconnected.
--- a/internal/cwdispatch/serve_ticket.go
+++ b/internal/cwdispatch/serve_ticket.go
@@ -74,7 +74,15 @@
 	job.IsRepeatable = false
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), job.Deadline)
 	defer cancel()
+	// If the run panics, its outcome stays unknown, and duplicates must not wait for it.
+	run.outcome = cwanswer.Unknown
+	hasReturned := false
+	defer func() {
+		run.isResponseLost = run.isResponseLost || !hasReturned
+		d.endTicketRun(use, run)
+	}()
 	result, err := d.Serve(ctx, job, &recordingSink{caller: sink, run: run})
+	hasReturned = true
 	run.result = *result
 	run.outcome = job.currentOutcome()
 	var p *cwanswer.Problem
@@ -85,11 +93,15 @@
 	if errors.Is(err, ErrTruncated) {
 		run.isResponseLost = true
 	}
+	return result, err
+}
+
+// endTicketRun records the outcome of a run and lets duplicates have its response.
+func (d *Dispatcher) endTicketRun(use *cwpolicy.TicketUse, run *ticketRun) {
+	defer close(run.done)
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.tickets.End(use.ID, run.outcome)
-	d.mu.Unlock()
-	close(run.done)
-	return result, err
 }
 
 // waitForTicketRun waits for a run of the same ticket and replays its response. The
--- a/internal/cwscene/scene.go
+++ b/internal/cwscene/scene.go
@@ -47,6 +47,8 @@
 	Net *cwmemnet.Network
 	// Platform stands in for the configuration service and the list of instances.
 	Platform *cwstandin.Platform
+	// WrapNet, if set, changes the network of the instances that are started.
+	WrapNet func(n cwnet.Net) cwnet.Net
 
 	t            testing.TB
 	configNumber uint64
@@ -199,8 +201,12 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
+	host := s.hostNet(ip)
+	if s.WrapNet != nil {
+		host = s.WrapNet(host)
+	}
 	ctx, stop := context.WithCancel(context.Background())
-	i := &Instance{App: cwapp.NewApp(settings, newLogger(), s.hostNet(ip)), IP: ip, stop: stop, done: make(chan struct{})}
+	i := &Instance{App: cwapp.NewApp(settings, newLogger(), host), IP: ip, stop: stop, done: make(chan struct{})}
 	s.instances = append(s.instances, i)
 	go func() {
 		defer close(i.done)
--- a/internal/cwstandin/plain_service.go
+++ b/internal/cwstandin/plain_service.go
@@ -40,6 +40,13 @@
 	}
 }
 
+// SetSlots sets the number of requests that the service reports to run at the same time.
+func (p *PlainService) SetSlots(slots int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.slots = slots
+}
+
 // Runs returns the number of times that the request with the key ran.
 func (p *PlainService) Runs(key string) int {
 	p.mu.Lock()
