--- a/internal/cwapp/routed_panic_test.go
+++ b/internal/cwapp/routed_panic_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -69,3 +70,54 @@
 		is.Equal(resp.Status, http.StatusOK)
 	})
 }
+
+// closePanicNet is a network on which the read of a response panics once its connection is closed.
+type closePanicNet struct {
+	cwnet.Net
+	address string
+}
+
+func (n closePanicNet) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := n.Net.DialContext(ctx, network, address)
+	if err != nil || !strings.HasPrefix(address, n.address) {
+		return c, err
+	}
+	return closePanicConn{Conn: c}, nil
+}
+
+type closePanicConn struct {
+	net.Conn
+}
+
+func (c closePanicConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err != nil {
+		panic("fault in a read")
+	}
+	return n, nil
+}
+
+// TestPanicFreesReservedPlace guards against an endpoint that counts a request as in progress for
+// good: it was reserved for an overdue request, whose attempt then panicked.
+func TestPanicFreesReservedPlace(t *testing.T) {
+	inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+		s.WrapNet = func(n cwnet.Net) cwnet.Net { return closePanicNet{Net: n, address: "10.1.1.1:"} }
+		s.Publish(nil, cwscene.NewRoute("r", "safe", cwscene.RoutedRoute{"max-attempts": 2}))
+		silent := s.AddWorker("north-a", "10.1.1.1")
+		silent.SetDefaultFault(cwstandin.FaultHang)
+		i := s.AddInstance("10.1.0.1", "north-a")
+		s.AwaitReady()
+		other := make(chan struct{})
+		time.AfterFunc(100*time.Millisecond, func() {
+			defer close(other)
+			s.AddWorker("north-a", "10.1.1.2")
+		})
+		resp := s.Do(t.Context(), i, cwscene.RoutedRequest{Method: http.MethodGet, Path: "/r/x"})
+		<-other
+		is.NoErr(resp.Err)
+		is.Equal(resp.Status, http.StatusInternalServerError)
+		is.True(resp.Elapsed < 4*time.Second) // the attempt was cancelled in favor of the other endpoint
+		status := s.FetchAdmin(t, i, "/status")
+		is.True(!strings.Contains(status, `"inFlight": 1`))
+	})
+}
--- a/internal/cwgate/attempt.go
+++ b/internal/cwgate/attempt.go
@@ -60,7 +60,7 @@
 }
 
 // runAttempt makes one attempt as decided. It releases the next placement, if one was
-// reserved, when the attempt succeeds nevertheless.
+// reserved, when the attempt succeeds nevertheless or panics.
 func (g *Gate) runAttempt(ctx context.Context, routed *routedRequest, d cwplacement.Decision) result {
 	a := &attempt{Gate: g, req: routed, placement: d.Placement}
 	if d.Action == cwplacement.ActionRelay {
@@ -83,16 +83,26 @@
 	defer a.stallTimer.stop()
 	// If the attempt panics, its placement must not stay in use.
 	defer a.recordEnd(ctx, cwplacement.Abandoned)
+	hasNext := false
+	defer func() {
+		if next := a.end(); !hasNext {
+			a.releasePlacement(next)
+		}
+	}()
 	r := a.run(ctx)
-	a.mu.Lock()
-	a.hasEnded, r.next = true, a.next
-	a.mu.Unlock()
-	if r.done {
-		a.releasePlacement(r.next)
-	}
+	r.next = a.end()
+	hasNext = !r.done
 	return r
 }
 
+// end prevents that another place is reserved, and returns the one that was.
+func (a *attempt) end() *cwplacement.Decision {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.hasEnded = true
+	return a.next
+}
+
 // firstByteTimeout returns how long the attempt waits for the first byte, or for the whole
 // of a buffered response, before it is overdue.
 func (a *attempt) firstByteTimeout(d cwplacement.Decision) time.Duration {
