--- a/internal/cwapp/routed_rate_limit_test.go
+++ b/internal/cwapp/routed_rate_limit_test.go
@@ -326,3 +326,24 @@
 		})
 	}
 }
+
+// TestHugeRateLimitIsNoLimit guards against an endpoint that gets no requests because it names a
+// limit that is out of range: its number of unspent requests became negative.
+func TestHugeRateLimitIsNoLimit(t *testing.T) {
+	for _, perSecond := range []float64{1e9, 1e20, 1e300} {
+		t.Run(strconv.FormatFloat(perSecond, 'g', -1, 64), func(t *testing.T) {
+			inLimitedScene(t, 2, func(s *limitedScene) {
+				worker := s.AddWorker("north-a", "10.1.1.1")
+				worker.SetRateLimit(perSecond)
+				s.AwaitReady()
+				time.Sleep(4 * time.Second) // an instance that has just started sends few requests
+				for n := range 40 {
+					resp := s.Do(s.t.Context(), s.instances[n%2], cwscene.RoutedRequest{Path: "/r/x"})
+					s.is.NoErr(resp.Err)
+					s.is.Equal(resp.Status, http.StatusOK)
+					time.Sleep(100 * time.Millisecond)
+				}
+			})
+		})
+	}
+}
