--- a/internal/cwapp/routed_rate_limit_test.go
+++ b/internal/cwapp/routed_rate_limit_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -337,6 +338,12 @@
 				worker.SetRateLimit(perSecond)
 				s.AwaitReady()
 				time.Sleep(4 * time.Second) // an instance that has just started sends few requests
+				// A share that an instance has just got has no unspent requests.
+				s.is.NoErr(s.Do(s.t.Context(), s.instances[0], cwscene.RoutedRequest{Path: "/r/x"}).Err)
+				s.Await(func() bool {
+					return strings.Contains(s.FetchAdmin(s.t, s.instances[1], "/status"), `"rateLimit": 1`)
+				})
+				time.Sleep(100 * time.Millisecond)
 				for n := range 40 {
 					resp := s.Do(s.t.Context(), s.instances[n%2], cwscene.RoutedRequest{Path: "/r/x"})
 					s.is.NoErr(resp.Err)
