--- a/internal/cwapp/leaving_test.go
+++ b/internal/cwapp/leaving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -114,3 +115,43 @@
 		<-p.a.Done()
 	})
 }
+
+// TestRequestAtTheEndOfDrainTimeoutIsAnswered guards against requests whose connection is closed
+// without a response because they take longer than the drain timeout. The caller must learn
+// whether the request may have run.
+func TestRequestAtTheEndOfDrainTimeoutIsAnswered(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		waiting int
+		outcome cwanswer.Outcome
+		status  int
+	}{
+		{"at the endpoint", 0, cwanswer.Unknown, http.StatusBadGateway},
+		{"in the queue", 1, cwanswer.NotRun, http.StatusServiceUnavailable},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inScene(t, services(cwscene.NewLookupService("north")), func(t *testing.T, is *is.I, s *cwscene.Scene) {
+				plain := cwstandin.NewPlainService("plain", 0)
+				plain.BlockUntil = make(chan struct{})
+				plain.SetSlots(1)
+				s.AddEndpoint("north-a", "10.1.0.5", "lookup", plain.Handler())
+				s.Publish()
+				i := s.AddInstance("10.1.0.1", "north", "north-a", "--drain-timeout=1s")
+				s.AwaitReady()
+				responses := make([]cwscene.Response, c.waiting+1)
+				var wg sync.WaitGroup
+				for n := range responses {
+					wg.Go(func() { responses[n] = sendLookup(t, s, i) })
+					time.Sleep(100 * time.Millisecond)
+				}
+				i.Stop()
+				<-i.Done()
+				wg.Wait()
+				last := responses[c.waiting]
+				is.NoErr(last.Err)
+				is.Equal(last.Status, c.status)
+				is.Equal(decodeProblem(last).Outcome, c.outcome)
+			})
+		})
+	}
+}
--- a/internal/cwapp/shutdown.go
+++ b/internal/cwapp/shutdown.go
@@ -16,7 +16,7 @@
 
 // shutdown stops the instance gracefully: it notifies peers and callers, hands the tickets
 // over to a successor and waits for requests in flight. Those that take longer than the
-// drain timeout and closeTimeout are aborted.
+// drain timeout get a response or, if it has begun, are broken off.
 func (a *App) shutdown(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, a.Settings.DrainTimeout+closeTimeout)
 	defer cancel()
@@ -29,6 +29,7 @@
 	case <-a.dispatcher.Drained():
 	case <-time.After(a.Settings.DrainTimeout):
 		a.Log.Warn("drain timeout", zap.Int("inFlight", a.dispatcher.InFlight()))
+		a.dispatcher.End()
 	}
 	// The outcomes of requests that ended since the first handover go to the same successor.
 	a.handOverTickets(ctx, successor)
--- a/internal/cwdispatch/dispatcher.go
+++ b/internal/cwdispatch/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -26,6 +27,9 @@
 	control   *cwcontrol.Control
 	endpoints *cwendpoint.Client
 	forwarder *cwpeer.Forwarder
+	// ended is done when the instance ends, by a call of end.
+	ended context.Context
+	end   context.CancelCauseFunc
 
 	// mu guards the fields below. The control goroutine never locks it.
 	mu                sync.Mutex
@@ -54,7 +58,10 @@
 // NewDispatcher returns a dispatcher. The key authenticates the tickets of this
 // incarnation; the seed initializes the random number generator.
 func NewDispatcher(common *cwcommon.Common, control *cwcontrol.Control, endpoints *cwendpoint.Client, forwarder *cwpeer.Forwarder, key cwpolicy.TicketKey, seed uint64) *Dispatcher {
+	ended, end := context.WithCancelCause(context.Background())
 	return &Dispatcher{
+		ended:             ended,
+		end:               end,
 		Common:            common,
 		control:           control,
 		endpoints:         endpoints,
@@ -71,6 +78,14 @@
 	}
 }
 
+var errEnded = errors.New("instance ends")
+
+// End ends all requests in progress. Those whose response has not begun get one, which states
+// whether the request may have run.
+func (d *Dispatcher) End() {
+	d.end(errEnded)
+}
+
 // Run updates the request rate, the limit shares and this instance's load, and
 // processes all queues, once per second until ctx is done. It always returns nil.
 func (d *Dispatcher) Run(ctx context.Context) error {
--- a/internal/cwdispatch/serve.go
+++ b/internal/cwdispatch/serve.go
@@ -31,6 +31,9 @@
 // complete response was delivered. It wraps ErrTruncated if only a part was, and
 // otherwise is a *cwanswer.Problem, with nothing delivered. The result is never nil.
 func (d *Dispatcher) Serve(ctx context.Context, job *Job, sink Sink) (*ServeResult, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer context.AfterFunc(d.ended, func() { cancel(errEnded) })()
 	result := &ServeResult{Instance: d.Settings.PeerAddress, Region: d.Settings.Region}
 	tracked := &trackingSink{Sink: sink}
 	var lastErr error
