--- a/internal/cwapp/process_test.go
+++ b/internal/cwapp/process_test.go
@@ -43,9 +43,19 @@
 // startProcess runs an instance and waits until it is ready.
 func (p *processScene) startProcess(t *testing.T, ip string) *exec.Cmd {
 	t.Helper()
-	cmd := exec.Command(p.binary, append([]string{"serve"}, p.Flags(ip, "north", "north-a")...)...)
+	var log *os.File
 	if os.Getenv("SCENE_LOG") != "" {
-		cmd.Stderr = os.Stderr
+		log = os.Stderr
+	}
+	return p.startLoggingProcess(t, ip, log)
+}
+
+// startLoggingProcess runs an instance that logs to the file and waits until it is ready.
+func (p *processScene) startLoggingProcess(t *testing.T, ip string, log *os.File) *exec.Cmd {
+	t.Helper()
+	cmd := exec.Command(p.binary, append([]string{"serve"}, p.Flags(ip, "north", "north-a")...)...)
+	if log != nil {
+		cmd.Stderr = log
 	}
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
@@ -160,3 +170,18 @@
 		})
 	}
 }
+
+// TestProcessOutlivesReaderOfItsLog guards against an instance that the next log line ends, with
+// all its requests, because the program that read its log is gone.
+func TestProcessOutlivesReaderOfItsLog(t *testing.T) {
+	is := is.New(t)
+	s := newProcessScene(t)
+	defer s.Close()
+	reader, writer, err := os.Pipe()
+	is.NoErr(err)
+	defer func() { _ = writer.Close() }()
+	cmd := s.startLoggingProcess(t, "127.31.0.1", writer)
+	is.NoErr(reader.Close())
+	is.NoErr(cmd.Process.Signal(syscall.SIGTERM))
+	is.NoErr(cmd.Wait()) // it has written its log at its end, and was not killed by SIGPIPE
+}
--- a/internal/cwcommand/serve.go
+++ b/internal/cwcommand/serve.go
@@ -26,6 +26,8 @@
 	}
 	cwsetting.AddFlags(cmd.Flags())
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		// Without a reader of the log, a line would end the process.
+		signal.Ignore(syscall.SIGPIPE)
 		if path, ok := os.LookupEnv(cwwire.SettingsEnv); ok {
 			return serveRouted(cmd, path)
 		}
