--- a/internal/cwapp/routed_panic_test.go
+++ b/internal/cwapp/routed_panic_test.go
@@ -121,3 +121,35 @@
 		is.True(!strings.Contains(status, `"inFlight": 1`))
 	})
 }
+
+// TestPanicFreesConnection guards against an endpoint that gets no further requests: a connection
+// whose opening or response ended by a fault of the program still counted as open, and the
+// service limits them.
+func TestPanicFreesConnection(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		wrap  func(n cwnet.Net) cwnet.Net
+		fault cwstandin.WorkerFault
+	}{
+		{"connecting", func(n cwnet.Net) cwnet.Net { return panickingNet{Net: n, skipped: &atomic.Int64{}} }, cwstandin.FaultNone},
+		{"reading", func(n cwnet.Net) cwnet.Net { return closePanicNet{Net: n, address: "10.1.1.1:"} }, cwstandin.FaultHang},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+				s.WrapNet = c.wrap
+				service := cwstandin.NewPublishedPlainService("app")
+				service["max-connections"] = 1
+				s.Publish([]map[string]any{service}, cwscene.NewRoute("r", "unsafe", nil))
+				worker := s.AddWorker("north-a", "10.1.1.1")
+				worker.QueueFaults(c.fault)
+				i := s.AddInstance("10.1.0.1", "north-a")
+				s.AwaitReady()
+				resp := s.Do(t.Context(), i, cwscene.RoutedRequest{Path: "/r/x", Timeout: time.Second})
+				is.NoErr(resp.Err)
+				is.Equal(resp.Status, http.StatusInternalServerError)
+				resp = s.Do(t.Context(), i, cwscene.RoutedRequest{Path: "/r/x"})
+				is.Equal(resp.Status, http.StatusOK)
+			})
+		})
+	}
+}
--- a/internal/cwconn/conn.go
+++ b/internal/cwconn/conn.go
@@ -63,15 +63,20 @@
 	reused := c.used
 	c.used = true
 	c.cancelCloseHook = context.AfterFunc(ctx, func() { _ = c.Conn.Close() })
+	hasResponse := false
+	defer func() {
+		if !hasResponse {
+			c.finish(false, nil)
+		}
+	}()
 	if n, err := c.send(call); err != nil {
-		c.finish(false, nil)
 		return nil, &CallError{Step: "send to", Peer: call.Address, Sent: n > 0, Reused: reused, Err: withContextCause(ctx, err)}
 	}
 	resp, err := c.readMatchingHead(call)
 	if err != nil {
-		c.finish(false, nil)
 		return nil, &CallError{Step: "read response from", Peer: call.Address, Sent: true, Reused: reused, Err: withContextCause(ctx, cwlimit.ShortenError(err))}
 	}
+	hasResponse = true
 	return &Response{Response: resp, Reused: reused, conn: c}, nil
 }
 
--- a/internal/cwconn/pool.go
+++ b/internal/cwconn/pool.go
@@ -123,13 +123,19 @@
 	if !pool.reserveConn(call.MaxConns) {
 		return nil, ErrConnLimit
 	}
+	isOpen := false
+	defer func() {
+		if !isOpen {
+			pool.releaseConn()
+		}
+	}()
 	dialCtx, cancel := context.WithTimeout(ctx, DialTimeout)
 	defer cancel()
 	raw, err := p.net.DialContext(dialCtx, "tcp", call.Address)
 	if err != nil {
-		pool.releaseConn()
 		return nil, withContextCause(ctx, err)
 	}
+	isOpen = true
 	headReader := cwlimit.NewHeadReader(raw, call.Address)
 	return &conn{Conn: raw, pool: pool, headReader: headReader, reader: bufio.NewReaderSize(headReader, readBufferBytes)}, nil
 }
