--- a/internal/cwserver/server.go
+++ b/internal/cwserver/server.go
@@ -171,7 +171,7 @@
 // endBody limits the time for what the handler has left of the request's body, which is nil if
 // there is none.
 func endBody(c *conn, w http.ResponseWriter, body *trackedBody) {
-	if body == nil || body.hasEnded {
+	if body == nil || body.hasEnded.Load() {
 		// From here on net/http waits for the next request. A time limit would end that, and
 		// cancel all further requests of the connection, if the response takes long to write.
 		return
