--- a/internal/cwapp/routed_stuck_caller_test.go
+++ b/internal/cwapp/routed_stuck_caller_test.go
@@ -17,14 +17,16 @@
 	"github.com/clementinewell/clementinewell/internal/cwstandin"
 )
 
-// stuckNet is a network on which callers read nothing of the responses to them.
+// stuckNet is a network on which callers, who connect to the port, read nothing of the responses
+// to them.
 type stuckNet struct {
 	cwnet.Net
+	port string
 }
 
 func (n stuckNet) Listen(ctx context.Context, address string) (net.Listener, error) {
 	l, err := n.Net.Listen(ctx, address)
-	if err != nil || !strings.HasSuffix(address, ":8001") {
+	if err != nil || !strings.HasSuffix(address, n.port) {
 		return l, err
 	}
 	return stuckListener{Listener: l}, nil
@@ -78,7 +80,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
-				s.WrapNet = func(n cwnet.Net) cwnet.Net { return stuckNet{Net: n} }
+				s.WrapNet = func(n cwnet.Net) cwnet.Net { return stuckNet{Net: n, port: ":8001"} }
 				s.Publish(nil, cwscene.NewRoute("r", c.kind, nil))
 				s.Serve("10.1.1.1:8010", c.response)
 				s.RegisterWorker("worker-10.1.1.1", "north-a", "10.1.1.1", nil)
@@ -95,3 +97,28 @@
 		})
 	}
 }
+
+// TestDispatchToCallerThatReadsNothingEnds guards against the same at the product's own interface:
+// the request stayed in progress, and a shutdown waited for it until the drain timeout.
+func TestDispatchToCallerThatReadsNothingEnds(t *testing.T) {
+	lookup := cwscene.NewLookupService("north")
+	inScene(t, services(lookup), func(t *testing.T, is *is.I, s *cwscene.Scene) {
+		s.WrapNet = func(n cwnet.Net) cwnet.Net { return stuckNet{Net: n, port: ":7080"} }
+		plain := cwstandin.NewPlainService("plain", 0).Handler()
+		s.AddEndpoint("north-a", "10.1.0.5", "lookup", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			plain.ServeHTTP(w, r)
+			if r.URL.Path == "/x" {
+				_, _ = io.WriteString(w, strings.Repeat(" ", 1<<20))
+			}
+		}))
+		s.Publish()
+		i := s.AddInstance("10.1.0.1", "north", "north-a")
+		s.AwaitReady()
+		go sendLookup(t, s, i)
+		time.Sleep(lookup.Targets.Deadline() + 5*time.Second)
+		start := time.Now()
+		i.Stop()
+		<-i.Done()
+		is.True(time.Since(start) < 5*time.Second)
+	})
+}
--- a/internal/cwentry/handler.go
+++ b/internal/cwentry/handler.go
@@ -14,6 +14,7 @@
 	"github.com/clementinewell/clementinewell/internal/cwcontrol"
 	"github.com/clementinewell/clementinewell/internal/cwdispatch"
 	"github.com/clementinewell/clementinewell/internal/cwpolicy"
+	"github.com/clementinewell/clementinewell/internal/cwserver"
 	"github.com/clementinewell/clementinewell/pkg/cwanswer"
 	"github.com/clementinewell/clementinewell/pkg/cwservice"
 )
@@ -108,6 +109,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), job.Deadline)
 	defer cancel()
+	defer cwserver.LimitWrites(ctx, w)()
 	result, err := h.serve(ctx, job, newResponseSink(w))
 	h.finish(w, job, result, err)
 }
--- a/internal/cwgate/serve.go
+++ b/internal/cwgate/serve.go
@@ -15,6 +15,7 @@
 	"github.com/clementinewell/clementinewell/internal/cwevent"
 	"github.com/clementinewell/clementinewell/internal/cwplacement"
 	"github.com/clementinewell/clementinewell/internal/cwroute"
+	"github.com/clementinewell/clementinewell/internal/cwserver"
 )
 
 const (
@@ -69,33 +70,11 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(ctx, routed.deadline, errDeadline)
 	defer cancel()
-	defer limitWrites(ctx, w)()
+	defer cwserver.LimitWrites(ctx, w)()
 	defer routed.releaseErrorResponse()
 	g.runAttempts(ctx, routed)
 }
 
-// lateWriteTimeout is how long a response may take to write after the end of its request. It
-// allows for what is left of a long response on a slow link.
-const lateWriteTimeout = 4 * time.Second
-
-// limitWrites sets a time limit for writing the response once ctx has ended: a caller that reads
-// nothing would hold its request and its response for as long as it keeps the connection. The
-// function that it returns is called when the request ends.
-func limitWrites(ctx context.Context, w http.ResponseWriter) func() {
-	limited := make(chan struct{})
-	stop := context.AfterFunc(ctx, func() {
-		defer close(limited)
-		// If a deadline can't be set, the connection is closed already.
-		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(lateWriteTimeout))
-	})
-	return func() {
-		if !stop() {
-			// The deadline must not be set while the next request is served.
-			<-limited
-		}
-	}
-}
-
 // waitForConfig returns the configuration in force, nil if there is none within configWait and
 // the caller's timeout. An instance that has just started gets one within some round trips to
 // the store. Requests wait that long instead of being refused.
