--- a/internal/cwserver/listener.go
+++ b/internal/cwserver/listener.go
@@ -48,7 +48,7 @@
 			return &conn{Conn: raw, server: l.server, openedAt: time.Now()}, nil
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
-			return nil, err
+			return nil, asAcceptError(err)
 		}
 	}
 }
