--- a/internal/cwgate/attempt_failure.go
+++ b/internal/cwgate/attempt_failure.go
@@ -58,7 +58,7 @@
 	}
 	a.conns.CloseIdle(a.address)
 	endpoint, address, service, dialedAt := a.placement.Endpoint, a.address, a.req.service, time.Now()
-	go func() {
+	a.Go("probeEndpoint", func() {
 		err := a.conns.Preconnect(context.WithoutCancel(ctx), address, a.maxConns(service), cwconn.DialTimeout)
 		if err == nil || errors.Is(err, cwconn.ErrConnLimit) {
 			return
@@ -72,7 +72,7 @@
 			endpoint.MarkUnreachable(time.Now())
 		}
 		a.startRedialing(endpoint, service)
-	}()
+	})
 }
 
 // handleRejection handles a response which states that the request was not run.
--- a/internal/cwgate/redial.go
+++ b/internal/cwgate/redial.go
@@ -26,11 +26,13 @@
 func (g *Gate) startRedialing(e *cwplacement.Endpoint, service string) {
 	if !g.redialing[e] {
 		g.redialing[e] = true
-		go g.redial(e, e.Address, service)
+		address := e.Address
+		g.Go("redial", func() { g.redial(e, address, service) })
 	}
 }
 
 func (g *Gate) redial(e *cwplacement.Endpoint, address, service string) {
+	defer g.stopRedialing(e)
 	start := time.Now()
 	for time.Since(start) < redialPeriod {
 		dialedAt := time.Now()
@@ -40,6 +42,9 @@
 		}
 		time.Sleep(time.Until(dialedAt.Add(redialInterval)))
 	}
+}
+
+func (g *Gate) stopRedialing(e *cwplacement.Endpoint) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.redialing, e)
--- a/internal/cwgate/serve.go
+++ b/internal/cwgate/serve.go
@@ -15,6 +15,7 @@
 	"github.com/clementinewell/clementinewell/internal/cwevent"
 	"github.com/clementinewell/clementinewell/internal/cwplacement"
 	"github.com/clementinewell/clementinewell/internal/cwroute"
+	"github.com/clementinewell/clementinewell/internal/cwserver"
 )
 
 const (
@@ -69,6 +70,7 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(ctx, routed.deadline, errDeadline)
 	defer cancel()
+	defer cwserver.LimitWrites(ctx, w)()
 	defer routed.releaseErrorResponse()
 	g.runAttempts(ctx, routed)
 }
