--- a/internal/cwapp/routed_silence_test.go
+++ b/internal/cwapp/routed_silence_test.go
@@ -283,3 +283,35 @@
 		}
 	}
 }
+
+// TestSilenceOfAllRegionsCostsStreamsNothing guards against streams that fail because an overdue
+// attempt was cancelled for places that are silent too: with the dials to each of them the
+// caller's time is over.
+func TestSilenceOfAllRegionsCostsStreamsNothing(t *testing.T) {
+	for _, acceptsConns := range []bool{true, false} {
+		t.Run(fmt.Sprintf("accepts=%t", acceptsConns), func(t *testing.T) {
+			inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+				s.Publish(cwscene.NewEngineService(0), cwscene.NewRoute("r", "streaming", cwscene.RoutedRoute{"resumable": true, "max-attempts": 2}))
+				hosts := []string{"10.1.1.1", "10.1.1.2", "10.2.1.1", "10.2.1.2"}
+				for _, ip := range hosts {
+					domain := "north-a"
+					if strings.HasPrefix(ip, "10.2.") {
+						domain = "south-a"
+					}
+					s.AddWorker(domain, ip).SetServiceTime(300 * time.Millisecond)
+				}
+				instances := []*cwscene.RoutedInstance{s.AddInstance("10.1.0.1", "north-a"), s.AddInstance("10.2.0.1", "south-a")}
+				s.AwaitReady()
+				time.Sleep(10 * time.Second)
+				duration := 1400 * time.Millisecond
+				counts := runSilence(t, s, instances, func() []string { return hosts }, acceptsConns, duration, 0, newPromptHeader())
+				is.Equal(counts.unserved, 0)
+				is.Equal(counts.late, 0)
+				is.True(counts.worst <= streamAbandonTime)
+			})
+		})
+	}
+}
+
+// streamAbandonTime is the shortest gap after which callers abandon a stream.
+const streamAbandonTime = 2 * time.Second
