--- a/internal/cwconn/pool.go
+++ b/internal/cwconn/pool.go
@@ -8,6 +8,8 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
+	"net"
 	"sync"
 	"time"
 
@@ -138,6 +140,10 @@
 	dialCtx, cancel := context.WithTimeoutCause(ctx, timeout, ErrNoAnswer)
 	defer cancel()
 	raw, err := p.net.DialContext(dialCtx, "tcp", call.Address)
+	if isDialTimeout(err) && dialCtx.Err() == nil {
+		// The dialer may notice the end of the timeout before the context does.
+		return nil, fmt.Errorf("%w: %w", ErrNoAnswer, err)
+	}
 	if err != nil {
 		return nil, withContextCause(dialCtx, err)
 	}
@@ -145,3 +151,8 @@
 	headReader := cwlimit.NewHeadReader(raw, call.Address)
 	return &conn{Conn: raw, pool: pool, headReader: headReader, reader: bufio.NewReaderSize(headReader, readBufferBytes)}, nil
 }
+
+func isDialTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
