endpoint lost names the request and the parts of its prompt

Cause: nothing told which requests were at an endpoint that ended, so a request that ends endpoints looked like a crash without a reason. The line now has the request, its route, how long the attempt was open, how long ago its first event came, and the prompt's parts as the caller spelled them.

--- a/internal/cwgate/attempt.go
+++ b/internal/cwgate/attempt.go
@@ -54,10 +54,12 @@
 	stallTimer          *stallTimer
 	startedAt           time.Time
 
-	// hasEnded is set when the attempt has ended, and next when it is cancelled in favor of
-	// another place. The gate's mu guards both.
-	hasEnded bool
-	next     *cwplacement.Decision
+	// firstEventAt is when the first events of a stream arrived in this attempt. hasEnded is
+	// set when the attempt has ended, and next when it is cancelled in favor of another place.
+	// The gate's mu guards all three.
+	firstEventAt time.Time
+	hasEnded     bool
+	next         *cwplacement.Decision
 }
 
 // runAttempt makes one attempt as decided. It releases the next placement, if one was
--- a/internal/cwgate/attempt_failure.go
+++ b/internal/cwgate/attempt_failure.go
@@ -6,8 +6,6 @@
 	"fmt"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/clementinewell/clementinewell/internal/cwconn"
 	"github.com/clementinewell/clementinewell/internal/cwlimit"
 	"github.com/clementinewell/clementinewell/internal/cwplacement"
@@ -63,7 +61,7 @@
 		if err == nil || errors.Is(err, cwconn.ErrConnLimit) {
 			return
 		}
-		a.Log.Warn("endpoint lost", zap.String("endpoint", a.placement.EndpointID), zap.Error(err))
+		a.logEndpointLost(err)
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		if errors.Is(err, cwconn.ErrNoAnswer) {
--- a/internal/cwgate/attempt_stream.go
+++ b/internal/cwgate/attempt_stream.go
@@ -103,6 +103,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.req.responder.recordEvent(now)
+	if a.firstEventAt.IsZero() {
+		a.firstEventAt = now
+	}
 	if a.placement != nil {
 		a.placement.OnEvent(now)
 	}
--- a/internal/cwgate/request.go
+++ b/internal/cwgate/request.go
@@ -42,8 +42,18 @@
 	Tokens, MaxOutputTokens int
 	// OutputTokensHint is the caller's estimate of the output; 0 if there is none.
 	OutputTokensHint int
-	// Parts are the parts of the prompt.
-	Parts []cwplacement.PromptPart
+	// Parts are the parts of the prompt, and SpelledParts the list of them as the caller sent
+	// it.
+	Parts        []cwplacement.PromptPart
+	SpelledParts string
+}
+
+// spelledParts returns the parts as the caller spelled them. The prompt may be nil.
+func (p *Prompt) spelledParts() string {
+	if p == nil {
+		return ""
+	}
+	return p.SpelledParts
 }
 
 // expectedOutputTokens returns the expected output in tokens.
