--- /dev/null
+++ b/internal/cwscene/crashing_fleet.go
@@ -0,0 +1,120 @@
+package cwscene
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/clementinewell/clementinewell/internal/cwstandin"
+)
+
+const (
+	// crashedWorkerReturn is the time after which a worker that ended is back under a new
+	// entry, and crashedEntryExpiry that after which its old entry has expired.
+	crashedWorkerReturn = 2500 * time.Millisecond
+	crashedEntryExpiry  = 3600 * time.Millisecond
+	// crashedWorkerCold is how long a worker is cold after its return.
+	crashedWorkerCold = 2 * time.Second
+)
+
+// CrashingFleet is a set of workers that end under certain requests, each of which is back
+// some seconds later under a new entry.
+type CrashingFleet struct {
+	// Crash describes the requests. Its End is set by the fleet.
+	Crash cwstandin.Crash
+	// PartInterval is the time between the events of a stream, and ServiceTime the time before
+	// a response.
+	PartInterval, ServiceTime time.Duration
+
+	scene *RoutedScene
+
+	mu sync.Mutex
+	// workers are all that ever ran, running those that run now, by address.
+	workers []*cwstandin.Worker
+	running map[string]*cwstandin.Worker
+	ends    []time.Time
+	isOver  bool
+}
+
+// NewCrashingFleet returns a fleet without workers.
+func (s *RoutedScene) NewCrashingFleet(crash cwstandin.Crash) *CrashingFleet {
+	return &CrashingFleet{Crash: crash, scene: s, running: make(map[string]*cwstandin.Worker)}
+}
+
+// Add starts a worker in a failure domain.
+func (f *CrashingFleet) Add(domain, ip string) {
+	f.start(domain, ip, nil)
+}
+
+func (f *CrashingFleet) start(domain, ip string, entry map[string]any) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.isOver {
+		return
+	}
+	w := cwstandin.NewWorker(fmt.Sprintf("worker-%s-%d", ip, len(f.workers)))
+	crash := f.Crash
+	crash.End = func() { f.End(domain, ip, w) }
+	w.SetCrash(&crash)
+	w.SetPartInterval(f.PartInterval)
+	w.SetServiceTime(f.ServiceTime)
+	f.workers, f.running[ip] = append(f.workers, w), w
+	f.scene.Net.RestoreHost(ip)
+	f.scene.Serve(ip+routedBackendPort, w)
+	f.scene.RegisterWorker(w.ID, domain, ip, entry)
+}
+
+// End ends a worker as a crash does, unless it has ended already. It is back some seconds
+// later.
+func (f *CrashingFleet) End(domain, ip string, w *cwstandin.Worker) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.running[ip] != w || f.isOver {
+		return
+	}
+	delete(f.running, ip)
+	f.ends = append(f.ends, time.Now())
+	f.scene.Net.KillHost(ip)
+	time.AfterFunc(crashedWorkerReturn, func() {
+		f.start(domain, ip, map[string]any{"cold-remaining-ms": crashedWorkerCold.Milliseconds(), "born": time.Now().UnixMilli()})
+	})
+	time.AfterFunc(crashedEntryExpiry, func() { f.scene.Store.Remove(cwstandin.WorkerKeyPrefix + w.ID) })
+}
+
+// Running returns the worker that runs at the address, nil if it has ended.
+func (f *CrashingFleet) Running(ip string) *cwstandin.Worker {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.running[ip]
+}
+
+// Ends returns the times at which workers ended, in order.
+func (f *CrashingFleet) Ends() []time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]time.Time(nil), f.ends...)
+}
+
+// Arrivals returns the times at which requests with matching fields and body reached workers
+// after the time.
+func (f *CrashingFleet) Arrivals(matches func(header http.Header, body string) bool, after time.Time) []time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var arrivals []time.Time
+	for _, w := range f.workers {
+		for _, run := range w.Runs() {
+			if run.ReceivedAt.After(after) && matches(run.Header, run.Body) {
+				arrivals = append(arrivals, run.ReceivedAt)
+			}
+		}
+	}
+	return arrivals
+}
+
+// Close prevents that workers end or start from now on.
+func (f *CrashingFleet) Close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.isOver = true
+}
--- a/internal/cwstandin/worker.go
+++ b/internal/cwstandin/worker.go
@@ -30,6 +30,7 @@
 	serviceTime time.Duration
 	// partInterval is the time between the events of a stream, or the halves of another body.
 	partInterval time.Duration
+	crash        *Crash
 }
 
 // WorkerRun is a request that the worker ran.
@@ -232,6 +233,9 @@
 	if fault != FaultOmitSignature {
 		header.Set("Clementinewell-Response-Signature", "signature of "+w.ID)
 	}
+	if w.crashUnder(rw, r, string(body)) {
+		return
+	}
 	text := "answer of " + w.ID + " to " + id
 	if fault >= FaultEndlessLine {
 		w.writeEndless(rw, fault, id)
