A part of prompts that ends endpoints is blocked at all instances

Callers saw: requests with one part in their prompts ended one endpoint after the other; sound requests broke with them.

Cause: nothing remembers what ended an endpoint, and a request under which one ended is sent to the next. Ruled out: cold endpoints (the ends come also at warm ones) and crashes without regard to requests (the scene has none).

Change: an endpoint that breaks off a response and then refuses a connection has ended, unless it was leaving. Each instance records the ends under each part but the last (cwcrash), and the requests that did not end their endpoint. All derive the same blocks: the part with most ends beyond those required (3, and 2 for each request that was served since the first) is blocked and explains its ends, which then don't count against the parts that were beside it. A blocked request gets 503 with a time to return and has not run. A request under which two endpoints ended goes to no third.

--- a/internal/cwapp/routed_app.go
+++ b/internal/cwapp/routed_app.go
@@ -53,7 +53,9 @@
 	r.gate = cwgate.NewGate(r.Common, site, r.Control, r.State, cwwire.Codec{}, newSeed())
 	puller := cwsync.NewPublishedPuller(r.Common, r.State, r.peerClient, r.follower)
 	r.exchanger = cwpeer.NewExchanger(r.Common, r.Control, r.peerClient, r.gate, puller)
-	peerServer := cwpeer.NewServer(r.Common, r.Control, r.gate, cwpeer.Sources{Published: r.State}, puller, r.auth)
+	r.exchanger.Crashes = r.gate.Crashes()
+	spreader := cwpeer.NewCrashSpreader(r.Common, r.Control, r.peerClient, r.gate.Crashes())
+	peerServer := cwpeer.NewServer(r.Common, r.Control, r.gate, cwpeer.Sources{Published: r.State, Crashes: r.gate.Crashes()}, puller, r.auth)
 	adminHandler := cwadmin.NewRoutedHandler(r.Common, r.Control, r.State, r.gate, r.gate.Burn, r.metricsHandler)
 	r.forwardingServers = []*cwserver.Server{
 		cwserver.NewServer(r.Common, "caller", site.CallerAddress, cwwire.NewFrontHandler(r.gate), cwserver.Limits{Conns: settings.MaxConnections, Times: r.callerTimeLimits}),
@@ -76,6 +78,7 @@
 		r.follower.Run,
 		r.gate.Conns().Run,
 		r.exchanger.Run,
+		spreader.Run,
 		newFreezeDetector(r.handleFreeze).Run,
 	}
 	return r
--- a/internal/cwapp/routed_crashing_prompt_test.go
+++ b/internal/cwapp/routed_crashing_prompt_test.go
@@ -157,17 +157,15 @@
 	return strings.Contains(h.Get("Clementinewell-Prompt-Prefix"), crashingPart+":")
 }
 
-// checkCrashesEnd checks the arrivals of crashing requests after the given number of ends, and
-// the sound requests of the rest of the crash phase.
+// checkCrashesEnd checks the arrivals of crashing requests after the given number of ends, or the
+// last one if there are fewer, and the sound requests of the rest of the crash phase.
 func checkCrashesEnd(t *testing.T, is *is.I, l *crashLoad, fleet *cwscene.CrashingFleet, matches func(http.Header, string) bool, ends int, start time.Time) {
 	t.Helper()
 	ended := fleet.Ends()
 	t.Logf("%d endpoints ended, statuses of the crashing requests %v, sound requests served %.3f", len(ended), l.statuses, l.servedShare(start, start.Add(crashPhase)))
 	before := l.servedShare(start.Add(-10*time.Second), start)
-	if len(ended) < ends {
-		is.True(len(ended) > 0)
-		return
-	}
+	is.True(len(ended) > 0)
+	ends = min(ends, len(ended))
 	late := fleet.Arrivals(matches, ended[ends-1].Add(crashContactTime))
 	soundAfter := l.servedShare(ended[ends-1].Add(2*crashContactTime), start.Add(crashPhase))
 	t.Logf("%d arrivals more than %v after end %d (at %v); sound requests served %.3f before, %.3f from twice that on", len(late), crashContactTime, ends, ended[ends-1].Sub(start), before, soundAfter)
--- /dev/null
+++ b/internal/cwcrash/ledger.go
@@ -0,0 +1,327 @@
+// Package cwcrash decides which requests end endpoints. Each instance records under which
+// requests it saw endpoints end, and which requests did not end theirs; instances exchange
+// these records, and all derive the same blocks from the same records.
+package cwcrash
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// maxRecords bounds the traits with evidence, and maxSuspects those of one end.
+	maxRecords  = 512
+	maxSuspects = 64
+	// retention is how long evidence is kept after the latest end, and a block after the latest
+	// request that it refused.
+	retention = 10 * time.Minute
+	// changeReportPeriod is how long a change is told to the other instances. It covers several
+	// exchanges.
+	changeReportPeriod = 15 * time.Second
+	// maxReported bounds the records in one message.
+	maxReported = 32
+)
+
+// Ledger holds the evidence of an instance. Its methods may be called concurrently.
+type Ledger struct {
+	// salt distinguishes the survivals that this instance remembers from those of others.
+	salt uint64
+	// changed gets a value when evidence was added that others must be told without delay.
+	changed chan struct{}
+	// verdict is what follows from records; nil if there are none.
+	verdict atomic.Pointer[verdict]
+	// onBlocks is called with the blocks that are new, and those that have ended.
+	onBlocks func(begun, ended []*Block)
+
+	// mu guards the fields below.
+	mu      sync.Mutex
+	records map[Trait]*record
+	recent  recentSurvivals
+}
+
+// record is the evidence about a trait, with the time of the latest change.
+type record struct {
+	Evidence
+	changedAt time.Time
+}
+
+// NewLedger returns an empty ledger. The incarnation identifies the instance. onBlocks is
+// called when blocks begin or end, while the ledger is locked.
+func NewLedger(incarnation uint64, onBlocks func(begun, ended []*Block)) *Ledger {
+	return &Ledger{salt: incarnation, changed: make(chan struct{}, 1), onBlocks: onBlocks, records: make(map[Trait]*record), recent: recentSurvivals{startedAt: time.Now()}}
+}
+
+// Changed returns a channel that gets a value when Reports has news for other instances.
+func (l *Ledger) Changed() <-chan struct{} {
+	return l.changed
+}
+
+// IsEmpty reports whether nothing is blocked or suspected, so that no request needs Match.
+func (l *Ledger) IsEmpty() bool {
+	return l.verdict.Load() == nil
+}
+
+// Match returns the block that refuses a request with the traits; nil if there is none.
+func (l *Ledger) Match(traits []Trait) *Block {
+	v := l.verdict.Load()
+	if v == nil {
+		return nil
+	}
+	for _, b := range v.blocks {
+		if b.Matches(traits) {
+			return b
+		}
+	}
+	return nil
+}
+
+// IsSuspect reports whether one of the traits would be blocked after another end.
+func (l *Ledger) IsSuspect(traits []Trait) bool {
+	v := l.verdict.Load()
+	if v == nil {
+		return false
+	}
+	return slices.ContainsFunc(traits, func(t Trait) bool { return v.suspects[t] })
+}
+
+// RecordRefusal records that a block has refused a request.
+func (l *Ledger) RecordRefusal(b *Block, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, t := range b.Traits {
+		if r := l.records[t]; r != nil {
+			r.SeenAt = now
+		}
+	}
+}
+
+// RecordEnd records that an endpoint ended under a request with the suspected traits. The
+// identifier is that of the endpoint's incarnation.
+func (l *Ledger) RecordEnd(endpoint uint32, suspects []Suspect, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	isNew := false
+	for _, s := range suspects[:min(len(suspects), maxSuspects)] {
+		r := l.record(s, now)
+		if r.addEnd(Event{ID: endpoint, At: now}) {
+			r.changedAt, isNew = now, true
+		}
+	}
+	if isNew {
+		l.update()
+		l.signal()
+	}
+}
+
+// RecordSurvival records that a request with the traits did not end its endpoint. The
+// identifier is that of the request.
+func (l *Ledger) RecordSurvival(request uint32, traits []Trait, now time.Time) {
+	if len(traits) == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	isNew := false
+	for _, t := range traits {
+		l.recent.add(t, now)
+		if r := l.records[t]; r != nil && r.addSurvival(Event{ID: request, At: now}) {
+			r.changedAt = now
+			isNew = isNew || len(r.Ends) >= minEnds-1
+		}
+	}
+	if isNew {
+		l.update()
+		l.signal()
+	}
+}
+
+// record returns the record of a trait; it adds one if there is none, with the survivals that
+// this instance remembers.
+func (l *Ledger) record(s Suspect, now time.Time) *record {
+	r := l.records[s.Trait]
+	if r != nil {
+		return r
+	}
+	if len(l.records) >= maxRecords {
+		l.evict()
+	}
+	r = &record{Evidence: Evidence{Suspect: s}, changedAt: now}
+	l.recent.appendTo(&r.Evidence, l.salt)
+	l.records[s.Trait] = r
+	return r
+}
+
+// evict removes the record with the fewest ends, and of these the oldest.
+func (l *Ledger) evict() {
+	var victim *record
+	for _, r := range l.records {
+		if victim == nil || len(r.Ends) < len(victim.Ends) || len(r.Ends) == len(victim.Ends) && r.lastActivity().Before(victim.lastActivity()) {
+			victim = r
+		}
+	}
+	delete(l.records, victim.Trait)
+}
+
+// Merge adds the evidence of another instance.
+func (l *Ledger) Merge(reports []*Evidence, now time.Time) {
+	if len(reports) == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	isNew, mustTell := false, false
+	for _, e := range reports {
+		if now.Sub(e.lastActivity()) > retention {
+			continue
+		}
+		isKnown := l.records[e.Trait] != nil
+		r := l.record(e.Suspect, now)
+		if changed := r.merge(e); changed || !isKnown {
+			r.changedAt, isNew = now, true
+			// Survivals alone, of which sound traits have many, wait for the next exchange.
+			mustTell = mustTell || len(r.Ends) >= minEnds-1 || !r.LiftedAt.IsZero()
+		}
+	}
+	if isNew {
+		l.update()
+	}
+	if mustTell {
+		l.signal()
+	}
+}
+
+// Reports returns the evidence to tell another instance: that of blocks, and recent changes,
+// those next to a block first.
+func (l *Ledger) Reports(now time.Time) []*Evidence {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.records) == 0 {
+		return nil
+	}
+	l.expire(now)
+	var due []*record
+	blocked := l.blockedTraits()
+	for t, r := range l.records {
+		if blocked[t] || now.Sub(r.changedAt) < changeReportPeriod {
+			due = append(due, r)
+		}
+	}
+	priority := func(r *record) int {
+		if blocked[r.Trait] || len(r.Ends) == 0 {
+			// Without ends the record is that of a lifted block.
+			return maxEnds
+		}
+		return len(r.Ends) - r.requiredEnds()
+	}
+	slices.SortFunc(due, func(a, b *record) int {
+		return cmp.Or(cmp.Compare(priority(b), priority(a)), b.changedAt.Compare(a.changedAt))
+	})
+	reports := make([]*Evidence, 0, min(len(due), maxReported))
+	for _, r := range due[:min(len(due), maxReported)] {
+		reports = append(reports, r.clone())
+	}
+	return reports
+}
+
+// Blocks returns the blocks in force.
+func (l *Ledger) Blocks(now time.Time) []*Block {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expire(now)
+	l.update()
+	if v := l.verdict.Load(); v != nil {
+		return v.blocks
+	}
+	return nil
+}
+
+// Lift ends the blocks with the trait. It returns false if there is none.
+func (l *Ledger) Lift(t Trait, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.Match([]Trait{t})
+	if v := l.verdict.Load(); b == nil && v != nil {
+		if i := slices.IndexFunc(v.blocks, func(b *Block) bool { return slices.Contains(b.Traits, t) }); i >= 0 {
+			b = v.blocks[i]
+		}
+	}
+	if b == nil {
+		return false
+	}
+	for _, t := range b.Traits {
+		if r := l.records[t]; r != nil {
+			r.lift(now)
+			r.changedAt = now
+		}
+	}
+	l.update()
+	l.signal()
+	return true
+}
+
+// expire removes evidence that is older than retention.
+func (l *Ledger) expire(now time.Time) {
+	before := len(l.records)
+	for t, r := range l.records {
+		if now.Sub(r.lastActivity()) > retention {
+			delete(l.records, t)
+		}
+	}
+	if len(l.records) != before {
+		l.update()
+	}
+}
+
+func (l *Ledger) blockedTraits() map[Trait]bool {
+	blocked := make(map[Trait]bool)
+	if v := l.verdict.Load(); v != nil {
+		for _, b := range v.blocks {
+			for _, t := range b.Traits {
+				blocked[t] = true
+			}
+		}
+	}
+	return blocked
+}
+
+// update derives the verdict from the records anew.
+func (l *Ledger) update() {
+	evidence := make(map[Trait]*Evidence, len(l.records))
+	for t, r := range l.records {
+		evidence[t] = &r.Evidence
+	}
+	before := l.verdict.Load()
+	v := decide(evidence)
+	if len(v.blocks) == 0 && len(v.suspects) == 0 {
+		v = nil
+	}
+	l.verdict.Store(v)
+	if begun, ended := v.without(before), before.without(v); l.onBlocks != nil && len(begun)+len(ended) > 0 {
+		l.onBlocks(begun, ended)
+	}
+}
+
+// without returns the blocks of v that are not in other. Both may be nil.
+func (v *verdict) without(other *verdict) []*Block {
+	if v == nil {
+		return nil
+	}
+	var blocks []*Block
+	for _, b := range v.blocks {
+		if other == nil || !slices.ContainsFunc(other.blocks, func(o *Block) bool { return slices.Equal(o.Traits, b.Traits) }) {
+			blocks = append(blocks, b)
+		}
+	}
+	return blocks
+}
+
+// signal states that Reports has news.
+func (l *Ledger) signal() {
+	select {
+	case l.changed <- struct{}{}:
+	default:
+	}
+}
--- a/internal/cwgate/attempt.go
+++ b/internal/cwgate/attempt.go
@@ -37,7 +37,10 @@
 	// notSent is set if no byte of the request was sent, and notRun if the request was
 	// certainly not run.
 	notSent, notRun bool
-	err             error
+	// isBrokenOff is set if the place broke off its response, and hasEndedPlace if an endpoint
+	// ended that the request may have ended.
+	isBrokenOff, hasEndedPlace bool
+	err                        error
 	// next is the decision for the next attempt, if this one was cancelled in favor of it.
 	next *cwplacement.Decision
 }
@@ -53,6 +56,10 @@
 	address, exitDomain string
 	stallTimer          *stallTimer
 	startedAt           time.Time
+	// endCheck gets whether the endpoint has ended; nil if it is not checked. hasSurvived is set
+	// once it is recorded that the request did not end the endpoint.
+	endCheck    <-chan bool
+	hasSurvived bool
 
 	// firstEventAt is when the first events of a stream arrived in this attempt. hasEnded is
 	// set when the attempt has ended, and next when it is cancelled in favor of another place.
@@ -93,6 +100,7 @@
 		}
 	}()
 	r := a.run(ctx)
+	r.hasEndedPlace = a.awaitEndCheck(r)
 	r.next = a.end()
 	hasNext = !r.done
 	return r
@@ -135,7 +143,10 @@
 		return a.handleRejection(ctx, response)
 	case !head.IsSigned || head.IsEncoded:
 		a.req.possibleRuns++
-		return a.failUnknown(ctx, fmt.Errorf("status %d from %s: %w", response.StatusCode, a.address, errUnexpectedResponse))
+		r := a.failUnknown(ctx, fmt.Errorf("status %d from %s: %w", response.StatusCode, a.address, errUnexpectedResponse))
+		// An exit responds with this status if an endpoint broke off its response.
+		r.isBrokenOff = response.StatusCode == http.StatusBadGateway
+		return r
 	case response.StatusCode >= http.StatusMultipleChoices:
 		a.req.possibleRuns++
 		return a.handleErrorResponse(ctx, response)
@@ -284,7 +295,7 @@
 func (a *attempt) forwardBuffered(ctx context.Context, response *cwconn.Response) result {
 	body, err := a.readBody(response)
 	if err != nil {
-		return a.failUnknown(ctx, err)
+		return a.failBroken(ctx, err)
 	}
 	defer body.Release()
 	if a.hasRelayMarkers(response) {
@@ -298,6 +309,7 @@
 	a.recordFirstByte()
 	a.req.mergeOutcome(cwanswer.Ran)
 	a.recordEnd(ctx, cwplacement.Served)
+	a.recordSurvival()
 	if err := a.req.responder.writeBuffered(&bufferedResponse{status: response.StatusCode, header: response.Header, body: body}); err != nil {
 		return result{err: err}
 	}
--- a/internal/cwgate/attempt_failure.go
+++ b/internal/cwgate/attempt_failure.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"time"
 
 	"github.com/clementinewell/clementinewell/internal/cwconn"
 	"github.com/clementinewell/clementinewell/internal/cwlimit"
@@ -39,38 +38,19 @@
 	a.excludePlace()
 	a.req.possibleRuns++
 	a.req.mergeOutcome(cwanswer.Unknown)
+	a.closeIdleConns(ctx)
 	a.probeEndpoint(ctx)
 	a.recordEnd(ctx, cwplacement.Failed)
-	return result{err: err}
+	return result{err: err, isBrokenOff: !errors.Is(err, errStalled)}
 }
 
-// probeEndpoint opens a new connection to an endpoint whose response was interrupted, and
-// marks the endpoint unreachable if that fails. It does not wait for the result. The idle
-// connections to the endpoint are closed, since the cause may have interrupted all of them.
-// Nothing is done for a relayed request, or if the caller or the deadline ended the
-// attempt.
-func (a *attempt) probeEndpoint(ctx context.Context) {
-	cause := context.Cause(ctx)
-	if a.placement == nil || cause != nil && !errors.Is(cause, errStalled) {
-		return
+// closeIdleConns closes the idle connections to the place of the attempt, whose connection broke:
+// the cause may have interrupted all of them. It does nothing if the caller or the deadline ended
+// the attempt.
+func (a *attempt) closeIdleConns(ctx context.Context) {
+	if cause := context.Cause(ctx); a.placement != nil && (cause == nil || errors.Is(cause, errStalled)) {
+		a.conns.CloseIdle(a.address)
 	}
-	a.conns.CloseIdle(a.address)
-	endpoint, address, service, dialedAt := a.placement.Endpoint, a.address, a.req.service, time.Now()
-	a.Go("probeEndpoint", func() {
-		err := a.conns.Preconnect(context.WithoutCancel(ctx), address, a.maxConns(service), cwconn.DialTimeout)
-		if err == nil || errors.Is(err, cwconn.ErrConnLimit) {
-			return
-		}
-		a.logEndpointLost(err)
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		if errors.Is(err, cwconn.ErrNoAnswer) {
-			endpoint.MarkSilent(dialedAt, time.Now())
-		} else {
-			endpoint.MarkUnreachable(time.Now())
-		}
-		a.startRedialing(endpoint, service)
-	})
 }
 
 // handleRejection handles a response which states that the request was not run.
@@ -82,6 +62,14 @@
 	return result{notRun: true, err: fmt.Errorf("%s rejected the request with status %d", a.address, response.StatusCode)}
 }
 
+// failBroken handles an attempt whose response was broken off.
+func (a *attempt) failBroken(ctx context.Context, err error) result {
+	a.probeEndpoint(ctx)
+	r := a.failUnknown(ctx, err)
+	r.isBrokenOff = !errors.Is(err, errStalled)
+	return r
+}
+
 // failUnknown handles an attempt that may have run and has no usable response.
 func (a *attempt) failUnknown(ctx context.Context, err error) result {
 	a.excludePlace()
@@ -95,7 +83,7 @@
 func (a *attempt) handleErrorResponse(ctx context.Context, response *cwconn.Response) result {
 	body, err := a.readBody(response)
 	if err != nil {
-		return a.failUnknown(ctx, err)
+		return a.failBroken(ctx, err)
 	}
 	a.excludePlace()
 	a.req.mergeOutcome(cwanswer.Ran)
--- a/internal/cwgate/attempt_stream.go
+++ b/internal/cwgate/attempt_stream.go
@@ -54,8 +54,8 @@
 			if cause := context.Cause(ctx); cause != nil {
 				err = fmt.Errorf("%w: %w", cause, err)
 			}
-			a.probeEndpoint(ctx)
-			return a.failUnknown(ctx, fmt.Errorf("read stream from %s: %w", a.address, err))
+			a.closeIdleConns(ctx)
+			return a.failBroken(ctx, fmt.Errorf("read stream from %s: %w", a.address, err))
 		}
 	}
 }
@@ -84,12 +84,13 @@
 func (a *attempt) finishStream(ctx context.Context, splitter *cwevent.Splitter) result {
 	switch {
 	case len(splitter.TakePartial()) > 0:
-		return a.failUnknown(ctx, errPartialEvent)
+		return a.failBroken(ctx, errPartialEvent)
 	case !a.req.responder.hasBegun:
-		return a.failUnknown(ctx, errNoEvent)
+		return a.failBroken(ctx, errNoEvent)
 	}
 	a.req.mergeOutcome(cwanswer.Ran)
 	a.recordEnd(ctx, cwplacement.Served)
+	a.recordSurvival()
 	if err := a.req.responder.endStream(); err != nil {
 		return result{err: err}
 	}
@@ -106,6 +107,9 @@
 	if a.firstEventAt.IsZero() {
 		a.firstEventAt = now
 	}
+	if !a.mayHaveCausedEnd(now) {
+		a.recordSurvival()
+	}
 	if a.placement != nil {
 		a.placement.OnEvent(now)
 	}
--- a/internal/cwgate/gate.go
+++ b/internal/cwgate/gate.go
@@ -13,6 +13,7 @@
 	"github.com/clementinewell/clementinewell/internal/cwcommon"
 	"github.com/clementinewell/clementinewell/internal/cwconn"
 	"github.com/clementinewell/clementinewell/internal/cwcontrol"
+	"github.com/clementinewell/clementinewell/internal/cwcrash"
 	"github.com/clementinewell/clementinewell/internal/cwplacement"
 	"github.com/clementinewell/clementinewell/internal/cwpublished"
 	"github.com/clementinewell/clementinewell/internal/cwsite"
@@ -31,6 +32,7 @@
 	conns   *cwconn.Pool
 	codec   Codec
 	metrics *metrics
+	crashes *cwcrash.Ledger
 
 	// mu guards the fields below, except startedAt and the atomic ones.
 	mu  sync.Mutex
@@ -68,7 +70,7 @@
 // choices.
 func NewGate(common *cwcommon.Common, site *cwsite.Site, control *cwcontrol.Control, state *cwpublished.State, codec Codec, seed uint64) *Gate {
 	ended, end := context.WithCancelCause(context.Background())
-	return &Gate{
+	g := &Gate{
 		ended:            ended,
 		end:              end,
 		Common:           common,
@@ -90,6 +92,13 @@
 		redialing:        make(map[*cwplacement.Endpoint]bool),
 		startedAt:        time.Now(),
 	}
+	g.crashes = cwcrash.NewLedger(common.Incarnation, g.logBlocks)
+	return g
+}
+
+// Crashes returns the evidence about requests that end endpoints.
+func (g *Gate) Crashes() *cwcrash.Ledger {
+	return g.crashes
 }
 
 // Conns returns the pool of connections to endpoints and other instances.
--- a/internal/cwgate/log.go
+++ b/internal/cwgate/log.go
@@ -1,6 +1,7 @@
 package cwgate
 
 import (
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -39,17 +40,23 @@
 // logEndpointLost logs that the endpoint of the attempt refused a connection after it had broken
 // off the response, with the request and the parts of its prompt, as the
 // caller spelled them.
-func (a *attempt) logEndpointLost(err error) {
+func (a *attempt) logEndpointLost(isSuspect bool, err error) {
 	a.mu.Lock()
 	sinceFirstEvent := time.Duration(0)
 	if !a.firstEventAt.IsZero() {
 		sinceFirstEvent = time.Since(a.firstEventAt)
 	}
 	a.mu.Unlock()
-	a.Log.Warn("endpoint lost", zap.String("endpoint", a.placement.EndpointID), zap.String("request", a.req.ID), zap.String("route", a.req.route.Name),
+	a.Log.Warn("endpoint lost", zap.String("endpoint", a.placement.EndpointID), zap.String("end", formatEnd(a.endID())), zap.Bool("suspect", isSuspect),
+		zap.String("request", a.req.ID), zap.String("route", a.req.route.Name),
 		zap.Duration("open", time.Since(a.startedAt)), zap.Duration("sinceFirst", sinceFirstEvent), zap.String("parts", a.req.Prompt.spelledParts()), zap.Error(err))
 }
 
+// formatEnd returns the identifier of an end as it is logged.
+func formatEnd(id uint32) string {
+	return strconv.FormatUint(uint64(id), 16)
+}
+
 // logRefused logs a request that was refused for lack of a place, and records it for the
 // error budget.
 func (g *Gate) logRefused(routed *routedRequest, d cwplacement.Decision) {
--- a/internal/cwgate/metrics.go
+++ b/internal/cwgate/metrics.go
@@ -19,6 +19,8 @@
 	relays    tally.Counter
 	// limitedSends counts the requests sent to endpoints that name a rate limit.
 	limitedSends tally.Counter
+	// blocks counts the blocks of requests that end endpoints.
+	blocks tally.Counter
 }
 
 func newMetrics(root tally.Scope) *metrics {
@@ -30,6 +32,7 @@
 		retries:      root.Counter("routed_repeats"),
 		relays:       root.Counter("routed_relays"),
 		limitedSends: root.Counter("routed_limited_sends"),
+		blocks:       root.Counter("crash_blocks"),
 	}
 }
 
--- a/internal/cwgate/routed_request.go
+++ b/internal/cwgate/routed_request.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/clementinewell/clementinewell/internal/cwcrash"
 	"github.com/clementinewell/clementinewell/internal/cwlimit"
 	"github.com/clementinewell/clementinewell/internal/cwplacement"
 	"github.com/clementinewell/clementinewell/internal/cwroute"
@@ -44,6 +45,12 @@
 	// errorResponse is the latest error response of an endpoint, which is forwarded if no
 	// later attempt succeeds.
 	errorResponse *bufferedResponse
+	// traits are what requests may have in common that end endpoints. They are kept in
+	// traitBuffer if they are few.
+	traits      []cwcrash.Trait
+	traitBuffer [8]cwcrash.Trait
+	// ends is the number of endpoints that ended while the request may have been the cause.
+	ends int
 }
 
 // bufferedResponse is a response that was read to its end.
--- a/internal/cwgate/serve.go
+++ b/internal/cwgate/serve.go
@@ -58,6 +58,7 @@
 		return
 	}
 	routed := &routedRequest{Request: r, route: route, responder: responder, deadline: deadlineOf(r, route)}
+	routed.setTraits()
 	if refusal := g.receiveBody(routed, routed.maxBodyBytes(&config.Limits)); refusal != nil {
 		if refusal.Status != http.StatusRequestEntityTooLarge {
 			w.Header().Set("Connection", "close")
@@ -106,6 +107,10 @@
 // request.
 func (g *Gate) runAttempts(ctx context.Context, routed *routedRequest) {
 	g.assignService(routed)
+	if b := g.findBlock(routed); b != nil {
+		g.refuseBlocked(ctx, routed, b)
+		return
+	}
 	d := g.decidePlacement(routed)
 	for {
 		if d.IsReturnExpected {
@@ -137,7 +142,15 @@
 			g.logEnd(routed, "answered", nil)
 			return
 		}
-		if ctx.Err() != nil || result.next == nil && !g.reserveRetry(routed, result) {
+		if result.hasEndedPlace {
+			routed.ends++
+		}
+		if b := g.findBlock(routed); b != nil && ctx.Err() == nil {
+			g.releasePlacement(result.next)
+			g.refuseBlocked(ctx, routed, b)
+			return
+		}
+		if ctx.Err() != nil || !g.mayEndAnother(routed) || result.next == nil && !g.reserveRetry(routed, result) {
 			g.releasePlacement(result.next)
 			g.finishFailed(ctx, routed, result)
 			return
--- a/internal/cwpeer/client.go
+++ b/internal/cwpeer/client.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/clementinewell/clementinewell/internal/cwcrash"
 	"github.com/clementinewell/clementinewell/internal/cwlimit"
 	"github.com/clementinewell/clementinewell/internal/cwnet"
 	"github.com/clementinewell/clementinewell/internal/cwpolicy"
@@ -90,6 +91,18 @@
 	return d, nil
 }
 
+// ShareCrashes sends evidence about requests that end endpoints to the peer, and returns the
+// peer's.
+func (c *Client) ShareCrashes(ctx context.Context, address string, reports []*cwcrash.Evidence) ([]*cwcrash.Evidence, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	resp, err := c.peerAt(address).ShareCrashes(ctx, &cwproto.CrashEvidence{Records: protoCrashRecords(reports, time.Now())})
+	if err != nil {
+		return nil, fmt.Errorf("share crash evidence with %s: %w", address, cwlimit.ShortenError(err))
+	}
+	return crashReportsOf(resp.GetRecords(), time.Now()), nil
+}
+
 // TakeOver hands tickets over to the peer and returns the peer's incarnation. It returns
 // an error if the peer does not accept them.
 func (c *Client) TakeOver(ctx context.Context, address string, handovers []cwpolicy.TicketHandover) (uint64, error) {
--- /dev/null
+++ b/internal/cwpeer/crash_message.go
@@ -0,0 +1,76 @@
+package cwpeer
+
+import (
+	"time"
+
+	"github.com/clementinewell/clementinewell/internal/cwcrash"
+	"github.com/clementinewell/clementinewell/internal/cwproto"
+)
+
+// CrashLedger holds the evidence about requests that end endpoints.
+type CrashLedger interface {
+	// Reports returns the evidence to send to another instance.
+	Reports(now time.Time) []*cwcrash.Evidence
+	// Merge adds the evidence of another instance.
+	Merge(reports []*cwcrash.Evidence, now time.Time)
+	// Changed returns a channel that gets a value when other instances must be told at once.
+	Changed() <-chan struct{}
+}
+
+// maxCrashNameBytes bounds the name of a trait that another instance sent.
+const maxCrashNameBytes = 200
+
+func protoCrashRecords(reports []*cwcrash.Evidence, now time.Time) []*cwproto.CrashRecord {
+	records := make([]*cwproto.CrashRecord, 0, len(reports))
+	for _, e := range reports {
+		records = append(records, &cwproto.CrashRecord{
+			Trait: uint64(e.Trait), Name: e.Name, FirstPart: e.IsFirstPart, Ends: protoCrashEvents(e.Ends, now), Survivals: protoCrashEvents(e.Survivals, now),
+			SeenAgeMillis: optionalAgeMillis(e.SeenAt, now), LiftedAgeMillis: optionalAgeMillis(e.LiftedAt, now),
+		})
+	}
+	return records
+}
+
+func protoCrashEvents(events []cwcrash.Event, now time.Time) []*cwproto.CrashEvent {
+	list := make([]*cwproto.CrashEvent, 0, len(events))
+	for _, e := range events {
+		list = append(list, &cwproto.CrashEvent{Id: e.ID, AgeMillis: uint32(max(now.Sub(e.At), 0).Milliseconds())})
+	}
+	return list
+}
+
+// optionalAgeMillis returns the age of a time plus 1 ms, 0 if the time is zero.
+func optionalAgeMillis(at, now time.Time) uint32 {
+	if at.IsZero() {
+		return 0
+	}
+	return uint32(max(now.Sub(at), 0).Milliseconds()) + 1
+}
+
+func crashReportsOf(records []*cwproto.CrashRecord, now time.Time) []*cwcrash.Evidence {
+	reports := make([]*cwcrash.Evidence, 0, len(records))
+	for _, r := range records {
+		name := r.GetName()
+		reports = append(reports, &cwcrash.Evidence{
+			Suspect: cwcrash.Suspect{Trait: cwcrash.Trait(r.GetTrait()), Name: name[:min(len(name), maxCrashNameBytes)], IsFirstPart: r.GetFirstPart()},
+			Ends:    crashEventsOf(r.GetEnds(), now), Survivals: crashEventsOf(r.GetSurvivals(), now),
+			SeenAt: optionalTimeOf(r.GetSeenAgeMillis(), now), LiftedAt: optionalTimeOf(r.GetLiftedAgeMillis(), now),
+		})
+	}
+	return reports
+}
+
+func crashEventsOf(list []*cwproto.CrashEvent, now time.Time) []cwcrash.Event {
+	events := make([]cwcrash.Event, 0, len(list))
+	for _, e := range list {
+		events = append(events, cwcrash.Event{ID: e.GetId(), At: now.Add(-time.Duration(e.GetAgeMillis()) * time.Millisecond)})
+	}
+	return events
+}
+
+func optionalTimeOf(ageMillis uint32, now time.Time) time.Time {
+	if ageMillis == 0 {
+		return time.Time{}
+	}
+	return now.Add(-time.Duration(ageMillis-1) * time.Millisecond)
+}
--- a/internal/cwpeer/exchanger.go
+++ b/internal/cwpeer/exchanger.go
@@ -30,6 +30,8 @@
 	client  *Client
 	traffic Traffic
 	puller  Puller
+	// Crashes holds the evidence about requests that end endpoints; nil if there is none.
+	Crashes CrashLedger
 
 	mu sync.Mutex
 	// inProgress holds the addresses of the peers with an exchange in progress.
@@ -209,6 +211,9 @@
 	now := time.Now()
 	region, domain := locationOf(s, address)
 	message := buildExchangeMessage(s, x.traffic, region, domain, now)
+	if x.Crashes != nil {
+		message.Crashes = protoCrashRecords(x.Crashes.Reports(now), now)
+	}
 	response, roundTrip, err := x.client.Exchange(ctx, address, message)
 	if err != nil {
 		x.Log.Debug("exchange failed", zap.String("peer", address), zap.Error(err))
@@ -217,6 +222,9 @@
 		return
 	}
 	x.control.Post(ctx, eventOf(response, roundTrip, time.Now()))
+	if x.Crashes != nil {
+		x.Crashes.Merge(crashReportsOf(response.GetCrashes(), time.Now()), time.Now())
+	}
 	offered := versionOf(response.GetConfig())
 	x.puller.Pull(ctx, address, offered)
 	if response.GetConfigConfirmed() {
--- a/internal/cwpeer/server.go
+++ b/internal/cwpeer/server.go
@@ -31,6 +31,8 @@
 	Manifests ManifestSource
 	// Published is set if the configuration is part of the published state in a store.
 	Published PublishedSource
+	// Crashes holds the evidence about requests that end endpoints; nil if there is none.
+	Crashes CrashLedger
 }
 
 // PublishedSource provides published items.
@@ -74,7 +76,22 @@
 	if message.GetConfigConfirmed() {
 		s.control.Post(ctx, cwcontrol.ConfigConfirmed{Version: versionOf(message.GetConfig())})
 	}
-	return buildExchangeMessage(snapshot, s.traffic, event.Member.Region, event.Member.Domain, now), nil
+	answer := buildExchangeMessage(snapshot, s.traffic, event.Member.Region, event.Member.Domain, now)
+	if s.sources.Crashes != nil {
+		s.sources.Crashes.Merge(crashReportsOf(message.GetCrashes(), now), now)
+		answer.Crashes = protoCrashRecords(s.sources.Crashes.Reports(now), now)
+	}
+	return answer, nil
+}
+
+// ShareCrashes adds the evidence that a peer sent and returns that of this instance.
+func (s *Server) ShareCrashes(_ context.Context, evidence *cwproto.CrashEvidence) (*cwproto.CrashEvidence, error) {
+	if s.sources.Crashes == nil {
+		return &cwproto.CrashEvidence{}, nil
+	}
+	now := time.Now()
+	s.sources.Crashes.Merge(crashReportsOf(evidence.GetRecords(), now), now)
+	return &cwproto.CrashEvidence{Records: protoCrashRecords(s.sources.Crashes.Reports(now), now)}, nil
 }
 
 // pullFrom fetches the offered configuration from the calling peer if it is newer than
--- a/internal/cwstandin/peers.go
+++ b/internal/cwstandin/peers.go
@@ -43,6 +43,11 @@
 	return &cwproto.FetchPublishedResponse{}, nil
 }
 
+// ShareCrashes returns no evidence.
+func (p *peer) ShareCrashes(context.Context, *cwproto.CrashEvidence) (*cwproto.CrashEvidence, error) {
+	return &cwproto.CrashEvidence{}, nil
+}
+
 // TakeOver takes over no tickets.
 func (p *peer) TakeOver(context.Context, *cwproto.TakeOverRequest) (*cwproto.TakeOverResponse, error) {
 	return &cwproto.TakeOverResponse{}, nil
