Evidence about crashes reaches instances that were cut off; tests of blame

Cause: evidence was told for 15 s after a change and then only if it blocks. Two halves that each saw an end or two before a longer cut never put them together.

Change: each message also has the four older records that are closest to a block.

TestBlame and the other tests of cwcrash pass: two causes, sound requests beside the cause, endpoints that end together, a part that only some endpoints survive, shared first parts, halves that meet, retention and lift, made-up parts.

--- a/internal/cwcrash/ledger.go
+++ b/internal/cwcrash/ledger.go
@@ -21,8 +21,10 @@
 	// changeReportPeriod is how long a change is told to the other instances. It covers several
 	// exchanges.
 	changeReportPeriod = 15 * time.Second
-	// maxReported bounds the records in one message.
-	maxReported = 32
+	// maxReported bounds the records in one message, and maxOldReported those of them that are
+	// neither blocked nor changed lately: instances that were cut off don't know them.
+	maxReported    = 32
+	maxOldReported = 4
 )
 
 // Ledger holds the evidence of an instance. Its methods may be called concurrently.
@@ -193,8 +195,8 @@
 	}
 }
 
-// Reports returns the evidence to tell another instance: that of blocks, and recent changes,
-// those next to a block first.
+// Reports returns the evidence to tell another instance: that of blocks, recent changes, and a
+// few older ones, in each group those next to a block first.
 func (l *Ledger) Reports(now time.Time) []*Evidence {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -202,11 +204,13 @@
 		return nil
 	}
 	l.expire(now)
-	var due []*record
+	var due, old []*record
 	blocked := l.blockedTraits()
 	for t, r := range l.records {
 		if blocked[t] || now.Sub(r.changedAt) < changeReportPeriod {
 			due = append(due, r)
+		} else {
+			old = append(old, r)
 		}
 	}
 	priority := func(r *record) int {
@@ -219,6 +223,9 @@
 	slices.SortFunc(due, func(a, b *record) int {
 		return cmp.Or(cmp.Compare(priority(b), priority(a)), b.changedAt.Compare(a.changedAt))
 	})
+	// The order of the map varies the choice among equal ones.
+	slices.SortStableFunc(old, func(a, b *record) int { return cmp.Compare(priority(b), priority(a)) })
+	due = append(due, old[:min(len(old), maxOldReported)]...)
 	reports := make([]*Evidence, 0, min(len(due), maxReported))
 	for _, r := range due[:min(len(due), maxReported)] {
 		reports = append(reports, r.clone())
