Operators see what is blocked, and can lift it

Cause: a block could be seen in log lines only, and ended only after ten minutes without a request.

Change: /blocks and "clementinewell blocks" show the blocks in force with their ends; DELETE /blocks/ID and "clementinewell unblock" lift one at all instances. The operator interface of the platform listens beside the metrics, so lifting is taken from the same machine only. Connections of the in-memory network have addresses.

--- a/internal/cwadmin/routed_handler.go
+++ b/internal/cwadmin/routed_handler.go
@@ -1,9 +1,12 @@
 package cwadmin
 
 import (
+	"net"
 	"net/http"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/clementinewell/clementinewell/internal/cwburn"
 	"github.com/clementinewell/clementinewell/internal/cwcommon"
 	"github.com/clementinewell/clementinewell/internal/cwcontrol"
@@ -55,16 +58,46 @@
 	Endpoints []cwgate.EndpointStatus `json:"endpoints"`
 }
 
-// Mux returns the routes of the operator interface. All of them are read-only.
+// Mux returns the routes of the operator interface. All of them are read-only, except the one
+// that lifts a block.
 func (h *RoutedHandler) Mux() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.Handle("GET /metrics", h.metrics)
 	mux.HandleFunc("GET /burn", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, h.burn.Report(time.Now())) })
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, h.Status(time.Now())) })
+	mux.HandleFunc("GET /blocks", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, h.gate.BlockStatuses(time.Now())) })
+	mux.HandleFunc("DELETE /blocks/{id}", h.liftBlock)
 	return mux
 }
 
+// liftBlock lifts a block. Only operators on the instance's machine may, since the interface
+// also serves those that read metrics from elsewhere.
+func (h *RoutedHandler) liftBlock(w http.ResponseWriter, r *http.Request) {
+	if !isFromSameMachine(r) {
+		http.Error(w, "lift blocks from the instance's machine", http.StatusForbidden)
+		return
+	}
+	id := r.PathValue("id")
+	if !h.gate.LiftBlock(id, time.Now()) {
+		http.Error(w, "no such block", http.StatusNotFound)
+		return
+	}
+	h.Log.Info("block lifted by an operator", zap.String("block", id), zap.String("remote", r.RemoteAddr))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// isFromSameMachine reports whether both ends of the request's connection have the same address.
+func isFromSameMachine(r *http.Request) bool {
+	local, ok := r.Context().Value(http.LocalAddrContextKey).(net.Addr)
+	if !ok {
+		return false
+	}
+	localIP, _, localErr := net.SplitHostPort(local.String())
+	remoteIP, _, remoteErr := net.SplitHostPort(r.RemoteAddr)
+	return localErr == nil && remoteErr == nil && localIP == remoteIP
+}
+
 // Status returns the status at now.
 func (h *RoutedHandler) Status(now time.Time) RoutedStatus {
 	s, view := h.control.Snapshot(), h.state.View()
--- a/internal/cwcommand/operator.go
+++ b/internal/cwcommand/operator.go
@@ -18,27 +18,43 @@
 
 const adminTimeout = 3 * time.Second
 
+// maxAdminBytes bounds a response of the operator interface.
+const maxAdminBytes = 16 << 20
+
 const defaultAdminAddress = "127.0.0.1:8082"
 
-// getJSON queries the operator interface of an instance and decodes the response into
-// out.
-func getJSON(ctx context.Context, address, path string, out any) error {
+// callAdmin calls the operator interface of an instance and returns the response's body. A
+// response with another status than 2xx is an error.
+func callAdmin(ctx context.Context, method, address, path string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, adminTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, nil)
 	if err != nil {
-		return fmt.Errorf("query instance at %s: %w", address, err)
+		return nil, fmt.Errorf("query instance at %s: %w", address, err)
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return fmt.Errorf("query instance at %s: %w", address, err)
+		return nil, fmt.Errorf("query instance at %s: %w", address, err)
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		body, _ := io.ReadAll(io.LimitReader(resp.Body, 512))
-		return fmt.Errorf("query instance at %s for %s: status %d: %s", address, path, resp.StatusCode, strings.TrimSpace(string(body)))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAdminBytes))
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return nil, fmt.Errorf("query instance at %s for %s: status %d: %s", address, path, resp.StatusCode, strings.TrimSpace(string(body[:min(len(body), 512)])))
 	}
-	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+	if err != nil {
+		return nil, fmt.Errorf("query instance at %s for %s: %w", address, path, err)
+	}
+	return body, nil
+}
+
+// getJSON queries the operator interface of an instance and decodes the response into
+// out.
+func getJSON(ctx context.Context, address, path string, out any) error {
+	body, err := callAdmin(ctx, http.MethodGet, address, path)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(body, out); err != nil {
 		return fmt.Errorf("query instance at %s for %s: %w", address, path, err)
 	}
 	return nil
@@ -113,6 +129,37 @@
 	return cmd
 }
 
+func newBlocks() *cobra.Command {
+	var instance string
+	cmd := &cobra.Command{
+		Use:   "blocks",
+		Short: "Print which requests an instance refuses because such requests end endpoints",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return printJSON(cmd, instance, "/blocks")
+		},
+	}
+	cmd.Flags().StringVar(&instance, "instance", defaultAdminAddress, "operator address of the instance")
+	return cmd
+}
+
+func newUnblock() *cobra.Command {
+	var instance string
+	cmd := &cobra.Command{
+		Use:   "unblock ID",
+		Short: "Lift a block that \"blocks\" prints, at all instances",
+		Long: "Lift a block that \"blocks\" prints. The instance tells the others. Lift a block when the\n" +
+			"endpoints have been repaired: it begins again with the next three that end.",
+		Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			_, err := callAdmin(cmd.Context(), http.MethodDelete, instance, "/blocks/"+args[0])
+			return err
+		},
+	}
+	cmd.Flags().StringVar(&instance, "instance", defaultAdminAddress, "operator address of the instance")
+	return cmd
+}
+
 func newExplain() *cobra.Command {
 	var instance, account string
 	cmd := &cobra.Command{
--- a/internal/cwcommand/root.go
+++ b/internal/cwcommand/root.go
@@ -20,7 +20,7 @@
 	}
 	root.SetOut(os.Stdout)
 	root.AddCommand(
-		newServe(), newPublish(), newCheck(), newCall(), newBurn(), newStatus(), newExplain(),
+		newServe(), newPublish(), newCheck(), newCall(), newBurn(), newStatus(), newExplain(), newBlocks(), newUnblock(),
 		newReplay(), newSettings(), newTrace(), newVersion(),
 	)
 	return root
--- a/internal/cwmemnet/conn.go
+++ b/internal/cwmemnet/conn.go
@@ -25,8 +25,10 @@
 
 func newConn(n *Network, from, to string) *conn {
 	c := &conn{network: n, from: from, to: to}
-	c.clientEnd, c.clientInner = net.Pipe()
-	c.serverEnd, c.serverInner = net.Pipe()
+	clientPipe, clientInner := net.Pipe()
+	serverPipe, serverInner := net.Pipe()
+	c.clientEnd, c.clientInner = newConnEnd(clientPipe, from, to), clientInner
+	c.serverEnd, c.serverInner = newConnEnd(serverPipe, to, from), serverInner
 	c.startForwarding(c.clientInner, c.serverInner, from, to)
 	c.startForwarding(c.serverInner, c.clientInner, to, from)
 	return c
--- a/internal/cwscene/routed_scene.go
+++ b/internal/cwscene/routed_scene.go
@@ -321,6 +321,22 @@
 	return string(body)
 }
 
+// LiftBlock asks an instance, from a host, to lift a block, and returns the response's status.
+func (s *RoutedScene) LiftBlock(t testing.TB, i *RoutedInstance, fromIP, id string) int {
+	transport := &http.Transport{DialContext: s.Net.Host(fromIP).DialContext}
+	defer transport.CloseIdleConnections()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodDelete, "http://"+i.IP+routedAdminPort+"/blocks/"+id, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode
+}
+
 // Kill ends an instance without a shutdown, as kill -9 would.
 func (s *RoutedScene) Kill(i *RoutedInstance) {
 	s.Net.KillHost(i.IP)
--- a/internal/cwsetting/settings.go
+++ b/internal/cwsetting/settings.go
@@ -12,7 +12,7 @@
 type Settings struct {
 	CallerAddress     string        `name:"caller-address" default:"127.0.0.1:8080" check:"hostport" help:"Host and port on which callers are served."`
 	PeerAddress       string        `name:"peer-address" default:"127.0.0.1:8081" check:"hostport" help:"Host and port on which other instances are served; it names this instance to them."`
-	AdminAddress      string        `name:"admin-address" default:"127.0.0.1:8082" check:"hostport" help:"Host and port of the read-only interface for operators."`
+	AdminAddress      string        `name:"admin-address" default:"127.0.0.1:8082" check:"hostport" help:"Host and port of the interface for operators."`
 	Region            string        `name:"region" default:"" check:"name" help:"Region in which the instance runs."`
 	Domain            string        `name:"domain" default:"" check:"name" help:"Failure domain in which the instance runs."`
 	Size              float64       `name:"size" default:"1" check:"positive" help:"Capacity of the instance relative to the others."`
