Crash evidence is told in small rounds

Cause: each round told 32 records to 8 instances and got as many back, twice a second: above the 13 KB/s for control while endpoints end without pause under requests with made-up parts (by calculation, 300 bytes for a full record).

Change: a round tells the 8 records closest to a block, once a second after a burst, and gets nothing back; exchanges carry 16, equal ones in turn.

--- a/internal/cwcrash/ledger.go
+++ b/internal/cwcrash/ledger.go
@@ -21,9 +21,8 @@
 	// changeReportPeriod is how long a change is told to the other instances. It covers several
 	// exchanges.
 	changeReportPeriod = 15 * time.Second
-	// maxReported bounds the records in one message, and maxOldReported those of them that are
-	// neither blocked nor changed lately: instances that were cut off don't know them.
-	maxReported    = 32
+	// maxOldReported bounds the records in one message that are neither blocked nor changed
+	// lately: instances that were cut off don't know them.
 	maxOldReported = 4
 )
 
@@ -196,8 +195,9 @@
 }
 
 // Reports returns the evidence to tell another instance: that of blocks, recent changes, and a
-// few older ones, in each group those next to a block first.
-func (l *Ledger) Reports(now time.Time) []*Evidence {
+// few older ones, at most limit records, in each group those next to a block first. Equal ones
+// take turns.
+func (l *Ledger) Reports(now time.Time, limit int) []*Evidence {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.records) == 0 {
@@ -220,14 +220,12 @@
 		}
 		return len(r.Ends) - r.requiredEnds()
 	}
-	slices.SortFunc(due, func(a, b *record) int {
-		return cmp.Or(cmp.Compare(priority(b), priority(a)), b.changedAt.Compare(a.changedAt))
-	})
-	// The order of the map varies the choice among equal ones.
+	// The random order of the map varies the choice among equal ones.
+	slices.SortStableFunc(due, func(a, b *record) int { return cmp.Compare(priority(b), priority(a)) })
 	slices.SortStableFunc(old, func(a, b *record) int { return cmp.Compare(priority(b), priority(a)) })
 	due = append(due, old[:min(len(old), maxOldReported)]...)
-	reports := make([]*Evidence, 0, min(len(due), maxReported))
-	for _, r := range due[:min(len(due), maxReported)] {
+	reports := make([]*Evidence, 0, min(len(due), limit))
+	for _, r := range due[:min(len(due), limit)] {
 		reports = append(reports, r.clone())
 	}
 	return reports
--- a/internal/cwcrash/ledger_test.go
+++ b/internal/cwcrash/ledger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -33,6 +34,9 @@
 	worse
 )
 
+// reportLimit is the number of records that instances of a scenario tell each other at once.
+const reportLimit = 16
+
 // instances are the ledgers of a scenario.
 type instances struct {
 	ledgers []*cwcrash.Ledger
@@ -81,7 +85,7 @@
 	for range 2 {
 		for _, from := range in.ledgers {
 			for _, to := range in.ledgers {
-				to.Merge(from.Reports(in.now), in.now)
+				to.Merge(from.Reports(in.now, reportLimit), in.now)
 			}
 		}
 	}
@@ -338,7 +342,7 @@
 		in.observe(o)
 	}
 	in.now = in.now.Add(5 * time.Minute)
-	in.ledgers[1].Merge(in.ledgers[0].Reports(in.now), in.now)
+	in.ledgers[1].Merge(in.ledgers[0].Reports(in.now, reportLimit), in.now)
 	is.True(in.isBlocked(1, first, bad))
 }
 
@@ -358,7 +362,7 @@
 		in.observe(observation{after: time.Millisecond, ended: 100 + n, parts: parts})
 	}
 	is.True(in.isBlocked(0, first, bad))
-	is.True(len(in.ledgers[0].Reports(in.now)) <= 32)
+	is.Equal(len(in.ledgers[0].Reports(in.now, reportLimit)), reportLimit)
 }
 
 // TestSuspects checks that a request is not sent to another endpoint if the next end would block
@@ -403,3 +407,22 @@
 		in.ledgers[0].RecordSurvival(in.request, traits, in.now)
 	}
 }
+
+// BenchmarkFullLedger measures the memory of a ledger with as much evidence as it keeps.
+func BenchmarkFullLedger(b *testing.B) {
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		in := newInstances(1)
+		for n := range uint32(9000) {
+			id := uint64(n%520) + 100
+			in.observe(observation{after: 10 * time.Millisecond, ended: n, parts: []uint64{first, id}})
+			in.observe(observation{parts: []uint64{first, id}})
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "heap-B")
+		runtime.KeepAlive(in)
+	}
+}
--- a/internal/cwcrash/schedule_test.go
+++ b/internal/cwcrash/schedule_test.go
@@ -45,7 +45,7 @@
 				}
 			case 3:
 				from, to := anyInstance.Draw(t, "from"), anyInstance.Draw(t, "to")
-				in.ledgers[to].Merge(in.ledgers[from].Reports(in.now), in.now)
+				in.ledgers[to].Merge(in.ledgers[from].Reports(in.now, reportLimit), in.now)
 			}
 			for _, d := range documents {
 				in.observe(observation{after: time.Millisecond, instance: anyInstance.Draw(t, "at"), parts: []uint64{first, d}})
--- a/internal/cwpeer/client.go
+++ b/internal/cwpeer/client.go
@@ -91,16 +91,15 @@
 	return d, nil
 }
 
-// ShareCrashes sends evidence about requests that end endpoints to the peer, and returns the
-// peer's.
-func (c *Client) ShareCrashes(ctx context.Context, address string, reports []*cwcrash.Evidence) ([]*cwcrash.Evidence, error) {
+// ShareCrashes sends evidence about requests that end endpoints to the peer.
+func (c *Client) ShareCrashes(ctx context.Context, address string, reports []*cwcrash.Evidence) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	resp, err := c.peerAt(address).ShareCrashes(ctx, &cwproto.CrashEvidence{Records: protoCrashRecords(reports, time.Now())})
+	_, err := c.peerAt(address).ShareCrashes(ctx, &cwproto.ShareCrashesRequest{Records: protoCrashRecords(reports, time.Now())})
 	if err != nil {
-		return nil, fmt.Errorf("share crash evidence with %s: %w", address, cwlimit.ShortenError(err))
+		return fmt.Errorf("share crash evidence with %s: %w", address, cwlimit.ShortenError(err))
 	}
-	return crashReportsOf(resp.GetRecords(), time.Now()), nil
+	return nil
 }
 
 // TakeOver hands tickets over to the peer and returns the peer's incarnation. It returns
--- a/internal/cwpeer/crash_message.go
+++ b/internal/cwpeer/crash_message.go
@@ -9,14 +9,17 @@
 
 // CrashLedger holds the evidence about requests that end endpoints.
 type CrashLedger interface {
-	// Reports returns the evidence to send to another instance.
-	Reports(now time.Time) []*cwcrash.Evidence
+	// Reports returns the evidence to send to another instance, at most limit records.
+	Reports(now time.Time, limit int) []*cwcrash.Evidence
 	// Merge adds the evidence of another instance.
 	Merge(reports []*cwcrash.Evidence, now time.Time)
 	// Changed returns a channel that gets a value when other instances must be told at once.
 	Changed() <-chan struct{}
 }
 
+// maxExchangedCrashes bounds the records in one exchange. Blocks beyond it take turns.
+const maxExchangedCrashes = 16
+
 // maxCrashNameBytes bounds the name of a trait that another instance sent.
 const maxCrashNameBytes = 200
 
--- a/internal/cwpeer/crash_spreader.go
+++ b/internal/cwpeer/crash_spreader.go
@@ -20,8 +20,10 @@
 	crashFanOut = 8
 	// crashRoundsPerSecond and crashRoundBurst bound the rounds in which evidence is told. What
 	// comes between two rounds is told together.
-	crashRoundsPerSecond = 2
+	crashRoundsPerSecond = 1
 	crashRoundBurst      = 4
+	// maxSharedCrashes bounds the records that are told in one round.
+	maxSharedCrashes = 8
 )
 
 // CrashSpreader tells other instances about new evidence against requests that end endpoints,
@@ -68,12 +70,9 @@
 }
 
 func (s *CrashSpreader) share(ctx context.Context, address string) {
-	reports, err := s.client.ShareCrashes(ctx, address, s.ledger.Reports(time.Now()))
-	if err != nil {
+	if err := s.client.ShareCrashes(ctx, address, s.ledger.Reports(time.Now(), maxSharedCrashes)); err != nil {
 		// Exchanges tell the instance later; one of an older version does not know the call.
 		s.Log.Debug("crash evidence not shared", zap.String("peer", address), zap.Error(err))
 		s.Metrics.Counter("crash_share_failures").Inc(1)
-		return
 	}
-	s.ledger.Merge(reports, time.Now())
 }
--- a/internal/cwpeer/exchanger.go
+++ b/internal/cwpeer/exchanger.go
@@ -212,7 +212,7 @@
 	region, domain := locationOf(s, address)
 	message := buildExchangeMessage(s, x.traffic, region, domain, now)
 	if x.Crashes != nil {
-		message.Crashes = protoCrashRecords(x.Crashes.Reports(now), now)
+		message.Crashes = protoCrashRecords(x.Crashes.Reports(now, maxExchangedCrashes), now)
 	}
 	response, roundTrip, err := x.client.Exchange(ctx, address, message)
 	if err != nil {
--- a/internal/cwpeer/server.go
+++ b/internal/cwpeer/server.go
@@ -79,19 +79,17 @@
 	answer := buildExchangeMessage(snapshot, s.traffic, event.Member.Region, event.Member.Domain, now)
 	if s.sources.Crashes != nil {
 		s.sources.Crashes.Merge(crashReportsOf(message.GetCrashes(), now), now)
-		answer.Crashes = protoCrashRecords(s.sources.Crashes.Reports(now), now)
+		answer.Crashes = protoCrashRecords(s.sources.Crashes.Reports(now, maxExchangedCrashes), now)
 	}
 	return answer, nil
 }
 
-// ShareCrashes adds the evidence that a peer sent and returns that of this instance.
-func (s *Server) ShareCrashes(_ context.Context, evidence *cwproto.CrashEvidence) (*cwproto.CrashEvidence, error) {
-	if s.sources.Crashes == nil {
-		return &cwproto.CrashEvidence{}, nil
+// ShareCrashes adds the evidence that a peer sent.
+func (s *Server) ShareCrashes(_ context.Context, req *cwproto.ShareCrashesRequest) (*cwproto.ShareCrashesResponse, error) {
+	if s.sources.Crashes != nil {
+		s.sources.Crashes.Merge(crashReportsOf(req.GetRecords(), time.Now()), time.Now())
 	}
-	now := time.Now()
-	s.sources.Crashes.Merge(crashReportsOf(evidence.GetRecords(), now), now)
-	return &cwproto.CrashEvidence{Records: protoCrashRecords(s.sources.Crashes.Reports(now), now)}, nil
+	return &cwproto.ShareCrashesResponse{}, nil
 }
 
 // pullFrom fetches the offered configuration from the calling peer if it is newer than
--- a/internal/cwstandin/peers.go
+++ b/internal/cwstandin/peers.go
@@ -43,9 +43,9 @@
 	return &cwproto.FetchPublishedResponse{}, nil
 }
 
-// ShareCrashes returns no evidence.
-func (p *peer) ShareCrashes(context.Context, *cwproto.CrashEvidence) (*cwproto.CrashEvidence, error) {
-	return &cwproto.CrashEvidence{}, nil
+// ShareCrashes ignores the evidence.
+func (p *peer) ShareCrashes(context.Context, *cwproto.ShareCrashesRequest) (*cwproto.ShareCrashesResponse, error) {
+	return &cwproto.ShareCrashesResponse{}, nil
 }
 
 // TakeOver takes over no tickets.
