--- a/internal/cwapp/routed_crash_blame_test.go
+++ b/internal/cwapp/routed_crash_blame_test.go
@@ -93,14 +93,8 @@
 						sc.disturb(s, fleet)
 					}()
 					l.run(t, 60*time.Second, 0, 60*time.Second)
-					blocked := 0
-					for _, o := range l.outcomes {
-						if o.isBlocked {
-							blocked++
-						}
-					}
-					t.Logf("%d ends, %.3f served, %d refused as the cause", len(fleet.Ends()), l.servedShare(time.Time{}, time.Now()), blocked)
-					is.Equal(blocked, 0)
+					t.Logf("%d ends, %.3f served, %d refused as the cause", len(fleet.Ends()), l.servedShare(time.Time{}, time.Now()), l.blocked())
+					is.Equal(l.blocked(), 0)
 				})
 			})
 		}
--- a/internal/cwapp/routed_crashing_prompt_test.go
+++ b/internal/cwapp/routed_crashing_prompt_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -31,7 +32,8 @@
 
 // crashLoad sends sound requests and some that end endpoints, each to any of the instances.
 type crashLoad struct {
-	scene     *cwscene.RoutedScene
+	scene *cwscene.RoutedScene
+	// instances may be changed by setInstances during the load.
 	instances []*cwscene.RoutedInstance
 	// sound and crashing return the n-th request of each kind.
 	sound, crashing func(n int) cwscene.RoutedRequest
@@ -61,7 +63,7 @@
 		time.Sleep(crashFrom)
 		for n := 0; time.Since(start) < crashUntil; n++ {
 			wg.Go(func() {
-				r := l.scene.Do(t.Context(), l.instances[n*5%len(l.instances)], l.crashing(n))
+				r := l.scene.Do(t.Context(), l.instance(5*n), l.crashing(n))
 				l.mu.Lock()
 				defer l.mu.Unlock()
 				l.statuses[r.Status]++
@@ -73,7 +75,7 @@
 		sentAt := time.Now()
 		wg.Go(func() {
 			request := l.sound(n)
-			r := l.scene.Do(t.Context(), l.instances[n*3%len(l.instances)], request)
+			r := l.scene.Do(t.Context(), l.instance(3*n), request)
 			isServed := r.Err == nil && r.Status == http.StatusOK && (request.Header == nil || strings.HasSuffix(r.Body, "id: 6\ndata: piece 6\n\n"))
 			l.mu.Lock()
 			defer l.mu.Unlock()
@@ -84,6 +86,44 @@
 	wg.Wait()
 }
 
+// instance returns the instance at the position, counted round.
+func (l *crashLoad) instance(n int) *cwscene.RoutedInstance {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.instances[n%len(l.instances)]
+}
+
+// setInstances replaces the instances that get further requests.
+func (l *crashLoad) setInstances(instances []*cwscene.RoutedInstance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.instances = instances
+}
+
+// restart kills the n-th instance and starts another one in the domain, which gets requests in
+// its place as soon as it is ready.
+func (l *crashLoad) restart(s *cwscene.RoutedScene, n int, domain string) {
+	old := l.instance(n)
+	others := slices.Delete(slices.Clone(l.instances), n, n+1)
+	l.setInstances(others)
+	s.Kill(old)
+	i := s.AddInstance(old.IP[:len(old.IP)-1]+fmt.Sprint(5+n/2), domain)
+	s.Await(i.IsReady)
+	l.setInstances(slices.Insert(slices.Clone(others), n, i))
+}
+
+// blocked returns the number of sound requests that were refused because such requests end
+// endpoints.
+func (l *crashLoad) blocked() int {
+	blocked := 0
+	for _, o := range l.outcomes {
+		if o.isBlocked {
+			blocked++
+		}
+	}
+	return blocked
+}
+
 // servedShare returns the part of the sound requests sent within the times that were served.
 func (l *crashLoad) servedShare(from, until time.Time) float64 {
 	served, all := 0, 0
--- a/internal/cwscene/crashing_fleet.go
+++ b/internal/cwscene/crashing_fleet.go
@@ -35,6 +35,8 @@
 	workers []*cwstandin.Worker
 	running map[string]*cwstandin.Worker
 	ends    []time.Time
+	// crashes are the ends under requests.
+	crashes []time.Time
 	isOver  bool
 }
 
@@ -56,7 +58,7 @@
 	}
 	w := cwstandin.NewWorker(fmt.Sprintf("worker-%s-%d", ip, len(f.workers)))
 	crash := f.Crash
-	crash.End = func() { f.end(ip, w) }
+	crash.End = func() { f.end(ip, w, true) }
 	w.SetCrash(&crash)
 	w.SetPartInterval(f.PartInterval)
 	w.SetServiceTime(f.ServiceTime)
@@ -68,7 +70,7 @@
 
 // end ends a worker as a crash does, unless it has ended already. It is back some seconds
 // later.
-func (f *CrashingFleet) end(ip string, w *cwstandin.Worker) {
+func (f *CrashingFleet) end(ip string, w *cwstandin.Worker, isCrash bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.running[ip] != w || f.isOver {
@@ -76,6 +78,9 @@
 	}
 	delete(f.running, ip)
 	f.ends = append(f.ends, time.Now())
+	if isCrash {
+		f.crashes = append(f.crashes, time.Now())
+	}
 	f.scene.Net.KillHost(ip)
 	time.AfterFunc(crashedWorkerReturn, func() {
 		f.start(ip, map[string]any{"cold-remaining-ms": crashedWorkerCold.Milliseconds(), "born": time.Now().UnixMilli()})
@@ -86,7 +91,7 @@
 // EndNow ends the worker that runs at the address, if there is one, without a request.
 func (f *CrashingFleet) EndNow(ip string) {
 	if w := f.Running(ip); w != nil {
-		f.end(ip, w)
+		f.end(ip, w, false)
 	}
 }
 
@@ -98,7 +103,7 @@
 		return
 	}
 	f.scene.RegisterWorker(w.ID, domainOf(ip), ip, map[string]any{"state": "draining"})
-	time.AfterFunc(after, func() { f.end(ip, w) })
+	time.AfterFunc(after, func() { f.end(ip, w, false) })
 }
 
 // domainOf returns the failure domain of a worker's address.
@@ -123,6 +128,13 @@
 	return append([]time.Time(nil), f.ends...)
 }
 
+// Crashes returns the times at which workers ended under requests, in order.
+func (f *CrashingFleet) Crashes() []time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]time.Time(nil), f.crashes...)
+}
+
 // Arrivals returns the times at which requests with matching fields and body reached workers
 // after the time.
 func (f *CrashingFleet) Arrivals(matches func(header http.Header, body string) bool, after time.Time) []time.Time {
