Soak: requests with a part that ends workers, beside sound ones

Two requests a second with a part of their prompts under which each worker ends, at any instance, beside 20 sound ones with the same other parts, while instances are killed, paused and reconfigured and workers end for another reason. At most 3 of them may arrive 6 s after all must know; no sound one may be refused as the cause, and half of them must be served.

--- a/internal/cwsoak/config_variant_test.go
+++ b/internal/cwsoak/config_variant_test.go
@@ -58,7 +58,7 @@
 
 // build returns the configuration of a version. Beside the routes of all requests it has one
 // named after the version, by which waitUntilServing detects it.
-func (v configVariant) build(version int) map[string]any {
+func (v configVariant) build(version int64) map[string]any {
 	kinds := append([]requestKind{{route: fmt.Sprint("v", version)}}, append(shortKinds, longKinds...)...)
 	var routes []map[string]any
 	for _, k := range kinds {
--- a/internal/cwsoak/planned_work_test.go
+++ b/internal/cwsoak/planned_work_test.go
@@ -71,7 +71,7 @@
 			s.changeConfig(rng)
 		case n == 4:
 			// One worker at most drains at a time. It comes back as a new start.
-			s.observers[drainingWorker].born++
+			s.observers[drainingWorker].restarted()
 			s.registerWorker(drainingWorker, "ready")
 			drainingWorker = rng.IntN(len(s.workers))
 			s.registerWorker(drainingWorker, "draining")
@@ -84,7 +84,7 @@
 			isDone = true
 		}
 	}
-	s.observers[drainingWorker].born++
+	s.observers[drainingWorker].restarted()
 	s.registerWorkers()
 	s.resetConfig()
 }
--- a/internal/cwsoak/proxy_test.go
+++ b/internal/cwsoak/proxy_test.go
@@ -32,6 +32,7 @@
 type proxy struct {
 	t             *testing.T
 	listener      *net.TCPListener
+	listenAddress string
 	serverAddress string
 	mode          atomic.Int32
 	mu            sync.Mutex
@@ -42,18 +43,30 @@
 	disturbedIDs map[string]bool
 	// silenceEnd is closed when the silence ends, nil without one. mu guards it.
 	silenceEnd chan struct{}
+	// hasEnded is set while no connection is accepted. mu guards it and listener.
+	hasEnded bool
 }
 
 // requestIDPattern matches the request ID in the header of a request.
 var requestIDPattern = regexp.MustCompile(`(?i)` + headerRequestID + `: (\w+)`)
 
 func newProxy(t *testing.T, listenAddress, serverAddress string) *proxy {
-	l, err := net.Listen("tcp", listenAddress)
+	p := &proxy{t: t, listenAddress: listenAddress, serverAddress: serverAddress, conns: make(map[net.Conn]string), disturbedIDs: make(map[string]bool)}
+	p.listen()
+	t.Cleanup(func() { p.end() })
+	return p
+}
+
+// listen starts to accept connections.
+func (p *proxy) listen() {
+	l, err := net.Listen("tcp", p.listenAddress)
 	if err != nil {
-		t.Fatal(err)
+		p.t.Errorf("proxy does not listen: %v", err)
+		return
 	}
-	t.Cleanup(func() { _ = l.Close() })
-	p := &proxy{t: t, listener: l.(*net.TCPListener), serverAddress: serverAddress, conns: make(map[net.Conn]string), disturbedIDs: make(map[string]bool)}
+	p.mu.Lock()
+	p.listener, p.hasEnded = l.(*net.TCPListener), false
+	p.mu.Unlock()
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -64,7 +77,23 @@
 			go p.serve(c)
 		}
 	}()
-	return p
+}
+
+// end closes the listener and all connections, as the end of the server's process does. It
+// returns false if it has been called since the last listen.
+func (p *proxy) end() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.hasEnded {
+		return false
+	}
+	p.hasEnded = true
+	_ = p.listener.Close()
+	for c, id := range p.conns {
+		p.disturbedIDs[id] = true
+		_ = c.Close()
+	}
+	return true
 }
 
 // setMode sets the mode. With modeReset it also resets the open connections of clients.
@@ -90,7 +119,11 @@
 	}
 	p.mu.Lock()
 	p.conns[client] = ""
+	hasEnded := p.hasEnded
 	p.mu.Unlock()
+	if hasEnded {
+		_ = client.Close()
+	}
 	go p.copyBytes(server, client, client)
 	p.copyBytes(client, server, client)
 	p.mu.Lock()
--- a/internal/cwsoak/published_test.go
+++ b/internal/cwsoak/published_test.go
@@ -19,13 +19,13 @@
 	}
 	s.store.PutJSON("servers/"+s.observers[n].worker.ID, map[string]any{
 		"service": service, "address": loopbackIP(22, n+1) + ":" + workerPort, "zone": s.observers[n].domain,
-		"slots": 32, "state": state, "cold-remaining-ms": 0, "sequence": s.configVersion, "born": s.observers[n].born,
+		"slots": 32, "state": state, "cold-remaining-ms": 0, "sequence": s.configVersion.Load(), "born": s.observers[n].startedAt(),
 	})
 }
 
 // publishConfig publishes the next configuration version.
 func (s *soakRun) publishConfig() {
-	s.configVersion++
+	s.configVersion.Add(1)
 	s.writeConfig()
 }
 
@@ -34,7 +34,7 @@
 	s.mu.Lock()
 	variant := s.variant
 	s.mu.Unlock()
-	s.store.PutJSON("op/config", variant.build(s.configVersion))
+	s.store.PutJSON("op/config", variant.build(s.configVersion.Load()))
 }
 
 // changeConfig publishes a configuration with a random change.
--- a/internal/cwsoak/soak_test.go
+++ b/internal/cwsoak/soak_test.go
@@ -66,8 +66,9 @@
 // the store, workers and instances that break a guarantee to callers: a success
 // carries the whole response to its own request, an unsafe request runs at most
 // once, a refused one not at all, an instance drops no request that it has read because
-// of planned work, workers get no more than the rate limits that they name, and all
-// instances recover in time.
+// of planned work, workers get no more than the rate limits that they name, requests that
+// end workers are kept from them while sound ones are served, and all instances recover in
+// time.
 func TestSoak(t *testing.T) {
 	program := filepath.Join(t.TempDir(), "clementinewell")
 	build := exec.Command("go", "build", "-o", program, "../../cmd/clementinewell")
@@ -97,7 +98,7 @@
 	observers     []*workerObserver
 	workerProxies []*proxy
 	instances     []*gatewayProcess
-	configVersion int
+	configVersion atomic.Int64
 	// auxWorkers and auxProxies are those of the service "aux". No unplanned fault affects
 	// them.
 	auxWorkers []*cwstandin.Worker
@@ -186,6 +187,7 @@
 	s.runSilence(rand.New(rand.NewPCG(s.seed, 11)))
 	s.runEndlessBytes(rand.New(rand.NewPCG(s.seed, 12)))
 	s.runRateLimits(rand.New(rand.NewPCG(s.seed, 9)))
+	s.runCrashingRequests(rand.New(rand.NewPCG(s.seed, 13)))
 	restoreRNG := rand.New(rand.NewPCG(s.seed, 10))
 	for end := time.Now().Add(*faultPeriod); time.Now().Before(end); {
 		if restoreRNG.IntN(12) == 0 {
@@ -258,7 +260,7 @@
 			conn, err := dialInstance(p)
 			resp := response{err: err}
 			if err == nil {
-				resp = conn.exchange(s.newRequest(p, requestKind{route: fmt.Sprint("v", s.configVersion)}), 0)
+				resp = conn.exchange(s.newRequest(p, requestKind{route: fmt.Sprint("v", s.configVersion.Load())}), 0)
 				s.recordFailure(resp)
 				_ = conn.Close()
 			}
--- a/internal/cwsoak/worker_observer_test.go
+++ b/internal/cwsoak/worker_observer_test.go
@@ -25,11 +25,10 @@
 type workerObserver struct {
 	worker *cwstandin.Worker
 	domain string
-	// born is the start that the worker's entry names. Only the goroutine that writes the
-	// entries uses it.
-	born int64
 
-	mu   sync.Mutex
+	mu sync.Mutex
+	// born is the start that the worker's entry names. mu guards it.
+	born int64
 	work map[string]work
 	// isSlow delays a quarter of the requests by up to workDelay. mu guards it too.
 	isSlow bool
@@ -100,6 +99,19 @@
 	o.work[id] = work{endedAt: time.Now(), brokeOff: brokeOff}
 }
 
+// restarted gives the worker a new start.
+func (o *workerObserver) restarted() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.born++
+}
+
+func (o *workerObserver) startedAt() int64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.born
+}
+
 func (o *workerObserver) setProxy(p *proxy) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
