Parts that ended the same endpoints in different requests are not blocked together

Cause: a block takes all parts that occurred in the same ends, which is meant for parts of one request. If the request of another caller was at each of the ends, the block named a part of it too, and refused no request.

Change: ends carry the request; only parts of the same requests are blocked together. Of two parts that are alike in all else one is blocked; if it is the wrong one, the next end tells and frees it.

--- a/internal/cwcrash/block.go
+++ b/internal/cwcrash/block.go
@@ -96,8 +96,8 @@
 	return v
 }
 
-// newBlock returns the block of a trait and of all others that occurred in the same ends and
-// have no more survivals.
+// newBlock returns the block of a trait and of all others that occurred in the same ends, in the
+// same requests, and have no more survivals.
 func newBlock(best *Evidence, candidates []*Evidence, unexplained map[uint32]time.Time) *Block {
 	b := &Block{Survivals: len(best.Survivals)}
 	for _, end := range best.Ends {
@@ -117,14 +117,15 @@
 	return b
 }
 
-// hasSameEnds reports whether the unexplained ends are exactly those given.
+// hasSameEnds reports whether the unexplained ends are exactly those given, under the same
+// requests.
 func (e *Evidence) hasSameEnds(ends []Event, unexplained map[uint32]time.Time) bool {
 	count := 0
 	for _, end := range e.Ends {
 		if _, ok := unexplained[end.ID]; !ok {
 			continue
 		}
-		if !slices.ContainsFunc(ends, func(other Event) bool { return other.ID == end.ID }) {
+		if !slices.ContainsFunc(ends, func(other Event) bool { return other.ID == end.ID && other.Request == end.Request }) {
 			return false
 		}
 		count++
--- a/internal/cwcrash/event.go
+++ b/internal/cwcrash/event.go
@@ -7,13 +7,15 @@
 	// ID identifies the endpoint's incarnation, or the request. Instances that observe the
 	// same event give it the same identifier.
 	ID uint32
+	// Request identifies the request under which an endpoint ended.
+	Request uint32
 	// At is when it happened.
 	At time.Time
 }
 
 // addEvent adds an event to a list ordered by time, and reports whether the list has changed.
-// Of an event that is known the earlier time is kept. Of more than limit events the latest are
-// kept.
+// Of an event that is known the earlier time is kept, and the request with the lower identifier,
+// so that all instances keep the same. Of more than limit events the latest are kept.
 func addEvent(events []Event, e Event, limit int) ([]Event, bool) {
 	for i := range events {
 		if events[i].ID != e.ID {
@@ -22,6 +24,7 @@
 		if e.At.Before(events[i].At) {
 			events[i].At = e.At
 		}
+		events[i].Request = min(events[i].Request, e.Request)
 		return events, false
 	}
 	i := len(events)
--- a/internal/cwcrash/ledger.go
+++ b/internal/cwcrash/ledger.go
@@ -99,16 +99,15 @@
 	}
 }
 
-// RecordEnd records that an endpoint ended under a request with the suspected traits. The
-// identifier is that of the endpoint's incarnation.
-func (l *Ledger) RecordEnd(endpoint uint32, suspects []Suspect, now time.Time) {
+// RecordEnd records that an endpoint ended under a request with the suspected traits.
+func (l *Ledger) RecordEnd(end Event, suspects []Suspect) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	isNew := false
 	for _, s := range suspects[:min(len(suspects), maxSuspects)] {
-		r := l.record(s, now)
-		if r.addEnd(Event{ID: endpoint, At: now}) {
-			r.changedAt, isNew = now, true
+		r := l.record(s, end.At)
+		if r.addEnd(end) {
+			r.changedAt, isNew = end.At, true
 		}
 	}
 	if isNew {
--- a/internal/cwcrash/ledger_test.go
+++ b/internal/cwcrash/ledger_test.go
@@ -1,6 +1,7 @@
 package cwcrash_test
 
 import (
+	"cmp"
 	"fmt"
 	"runtime"
 	"testing"
@@ -22,6 +23,8 @@
 	ended uint32
 	// parts are those of the prompt but the last.
 	parts []uint64
+	// request identifies the request; 0 for one of its own.
+	request uint32
 	// meet, if set, makes all instances exchange their evidence instead.
 	meet bool
 }
@@ -74,7 +77,9 @@
 	case o.meet:
 		in.meet()
 	case o.ended != 0:
-		in.ledgers[o.instance].RecordEnd(o.ended, suspectsOf(o.parts), in.now)
+		in.request++
+		request := cmp.Or(o.request, in.request)
+		in.ledgers[o.instance].RecordEnd(cwcrash.Event{ID: o.ended, Request: request, At: in.now}, suspectsOf(o.parts))
 	default:
 		in.request++
 		in.ledgers[o.instance].RecordSurvival(in.request, traitsOf(o.parts), in.now)
@@ -158,6 +163,14 @@
 			blocked:      [][]uint64{{first, bad}},
 			served:       [][]uint64{{first, document}},
 		},
+		{
+			name: "sound requests beside the cause at each end",
+			observations: join(survivals(1, first), interleave(
+				ends(3, 1, first, bad), []observation{{ended: 1, parts: []uint64{first, other}}, {ended: 2, parts: []uint64{first, other}}, {ended: 3, parts: []uint64{first, other}}}),
+				ends(1, 4, first, bad)),
+			blocked: [][]uint64{{first, bad}},
+			served:  [][]uint64{{first, other}},
+		},
 		{
 			name:         "two causes",
 			observations: join(survivals(1, first, document), ends(3, 1, first, bad), ends(3, 11, first, worse)),
@@ -257,6 +270,18 @@
 	}
 }
 
+// TestTiedCauses guards against a block of two parts together that never came in one request:
+// it would refuse none. One of them is blocked until the next end tells.
+func TestTiedCauses(t *testing.T) {
+	is := is.New(t)
+	in := newInstances(1)
+	beside := []observation{{ended: 1, parts: []uint64{first, other}}, {ended: 2, parts: []uint64{first, other}}, {ended: 3, parts: []uint64{first, other}}}
+	for _, o := range join(survivals(1, first), interleave(ends(3, 1, first, bad), beside)) {
+		in.observe(o)
+	}
+	is.True(in.isBlocked(0, first, bad) != in.isBlocked(0, first, other))
+}
+
 // TestHalvesThatMeet checks that instances which each saw too few ends block when they meet,
 // and that one which knows a part to be sound clears it for all.
 func TestHalvesThatMeet(t *testing.T) {
--- a/internal/cwgate/crash.go
+++ b/internal/cwgate/crash.go
@@ -121,7 +121,7 @@
 		hasEnded := a.recordLost(dialedAt, isRefused)
 		a.logEndpointLost(hasEnded && isSuspect, err)
 		if hasEnded && isSuspect {
-			a.crashes.RecordEnd(a.endID(), a.req.suspects(), time.Now())
+			a.crashes.RecordEnd(cwcrash.Event{ID: a.endID(), Request: hashRequestID(a.req.ID), At: time.Now()}, a.req.suspects())
 		}
 		ended <- hasEnded
 	})
@@ -149,6 +149,10 @@
 	return uint32(xxhash.Sum64String(a.placement.EndpointID) + uint64(a.placement.StartedAtMillis))
 }
 
+func hashRequestID(id string) uint32 {
+	return uint32(xxhash.Sum64String(id))
+}
+
 // awaitEndCheck reports whether an endpoint ended under the attempt that the request may have
 // ended. For a relayed request the exit knows that; here each response that was broken off
 // counts.
@@ -175,7 +179,7 @@
 		return
 	}
 	a.hasSurvived = true
-	a.crashes.RecordSurvival(uint32(xxhash.Sum64String(a.req.ID)), a.req.traits, time.Now())
+	a.crashes.RecordSurvival(hashRequestID(a.req.ID), a.req.traits, time.Now())
 }
 
 // logBlocks logs the blocks that have begun or ended, and counts them.
--- a/internal/cwpeer/crash_message.go
+++ b/internal/cwpeer/crash_message.go
@@ -37,7 +37,7 @@
 func protoCrashEvents(events []cwcrash.Event, now time.Time) []*cwproto.CrashEvent {
 	list := make([]*cwproto.CrashEvent, 0, len(events))
 	for _, e := range events {
-		list = append(list, &cwproto.CrashEvent{Id: e.ID, AgeMillis: uint32(max(now.Sub(e.At), 0).Milliseconds())})
+		list = append(list, &cwproto.CrashEvent{Id: e.ID, Request: e.Request, AgeMillis: uint32(max(now.Sub(e.At), 0).Milliseconds())})
 	}
 	return list
 }
@@ -66,7 +66,7 @@
 func crashEventsOf(list []*cwproto.CrashEvent, now time.Time) []cwcrash.Event {
 	events := make([]cwcrash.Event, 0, len(list))
 	for _, e := range list {
-		events = append(events, cwcrash.Event{ID: e.GetId(), At: now.Add(-time.Duration(e.GetAgeMillis()) * time.Millisecond)})
+		events = append(events, cwcrash.Event{ID: e.GetId(), Request: e.GetRequest(), At: now.Add(-time.Duration(e.GetAgeMillis()) * time.Millisecond)})
 	}
 	return events
 }
--- a/internal/cwpeer/crash_message_test.go
+++ b/internal/cwpeer/crash_message_test.go
@@ -44,7 +44,7 @@
 			suspects = append(suspects, cwcrash.Suspect{Trait: cwcrash.PartTrait(id), Name: "prompt part 2c3f90336aeb"})
 		}
 		now = now.Add(time.Second)
-		l.RecordEnd(endpoint, suspects, now)
+		l.RecordEnd(cwcrash.Event{ID: endpoint, Request: endpoint, At: now}, suspects)
 	}
 	client := cwpeer.NewClient(cwnet.NewTCP(), cwpeer.NewAuth(""), cwlimit.NewBudget(0))
 	is.NoErr(client.ShareCrashes(t.Context(), strings.TrimPrefix(server.URL, "http://"), l.Reports(now, sharedRecords)))
