endpoint lost tells requests that are the same from others

Cause: a request that comes again has a new identifier each time, so the lines about the ends of endpoints could not say whether it was the same.

Change: the identity of a request is a hash of method, host and path, then body, query, fields and the caller's host, from the widest to the narrowest; endpoint lost has that of path, query and body. It is computed only when an endpoint has ended.

--- /dev/null
+++ b/internal/cwcrash/identity.go
@@ -0,0 +1,92 @@
+package cwcrash
+
+import (
+	"net/http"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Request is what identifies a request that comes again under another identifier.
+type Request struct {
+	// Method, Host and Path are those of the request; Path has no query.
+	Method, Host, Path string
+	// Query and Body are those of the request.
+	Query string
+	Body  []byte
+	// Header holds the fields to be forwarded. IsPerAttempt reports whether a field differs
+	// between attempts of the same request.
+	Header       http.Header
+	IsPerAttempt func(name string) bool
+	// CallerIP is the address of the caller's host.
+	CallerIP string
+}
+
+// Identity are the traits of a request by which another one can be the same, from the widest to
+// the narrowest. Which of them tell the requests that end endpoints from others is left to the
+// evidence.
+type Identity [identityLevels]Trait
+
+// Levels of an Identity.
+const (
+	samePath = iota
+	sameBody
+	sameQuery
+	sameFields
+	sameHost
+	identityLevels
+)
+
+// levelNames are the names of the levels for operators.
+var levelNames = [identityLevels]string{"path", "path and body", "path, query and body", "path, query, body and fields", "path, query, body and caller's host"}
+
+// identitySalt separates identities from traits of other kinds.
+const identitySalt = 0xc2b2ae3d27d4eb4f
+
+// PathTrait returns the trait of all requests with the method, host and path.
+func (r *Request) PathTrait() Trait {
+	hash := combine(identitySalt, xxhash.Sum64String(r.Method))
+	hash = combine(hash, xxhash.Sum64String(r.Host))
+	return Trait(combine(hash, xxhash.Sum64String(r.Path)))
+}
+
+// Identity returns the identity. It reads the whole body.
+func (r *Request) Identity() Identity {
+	var id Identity
+	id[samePath] = r.PathTrait()
+	id[sameBody] = Trait(combine(uint64(id[samePath]), xxhash.Sum64(r.Body)))
+	id[sameQuery] = Trait(combine(uint64(id[sameBody]), xxhash.Sum64String(r.Query)))
+	fields := uint64(sameFields)
+	for name, values := range r.Header {
+		if r.IsPerAttempt(name) {
+			continue
+		}
+		hash := xxhash.Sum64String(name)
+		for _, v := range values {
+			hash = combine(hash, xxhash.Sum64String(v))
+		}
+		// A sum does not depend on the order of the map.
+		fields += hash
+	}
+	id[sameFields] = Trait(combine(uint64(id[sameQuery]), fields))
+	id[sameHost] = Trait(combine(uint64(id[sameQuery]), xxhash.Sum64String(r.CallerIP)+sameHost))
+	return id
+}
+
+// Suspects returns the traits of the identity with their names, for a request of the route.
+func (id *Identity) Suspects(route string) []Suspect {
+	suspects := make([]Suspect, 0, identityLevels)
+	for level, t := range id {
+		suspects = append(suspects, Suspect{Trait: t, Name: "same " + levelNames[level] + " on route " + route, Path: id[samePath]})
+	}
+	return suspects
+}
+
+// Same returns the trait of requests with the same path, query and body.
+func (id *Identity) Same() Trait {
+	return id[sameQuery]
+}
+
+// combine returns a hash of two hashes that depends on their order.
+func combine(a, b uint64) uint64 {
+	return mix(a*partSalt + b)
+}
--- a/internal/cwcrash/trait.go
+++ b/internal/cwcrash/trait.go
@@ -12,6 +12,8 @@
 	// IsFirstPart is set for the first part of a prompt, which often all requests of a service
 	// share.
 	IsFirstPart bool
+	// Path is the trait of the path of requests that come again; 0 for other traits.
+	Path Trait
 }
 
 // PartTrait returns the trait of requests whose prompt has the part.
--- a/internal/cwgate/codec.go
+++ b/internal/cwgate/codec.go
@@ -15,6 +15,8 @@
 	// MatchesResponse reports whether a response with this status and these fields
 	// belongs to the request and not to an earlier one on the same connection.
 	MatchesResponse(r *Request, status int, field func(name string) string) bool
+	// IsPerAttempt reports whether a header field differs between attempts of the same request.
+	IsPerAttempt(name string) bool
 }
 
 // AttemptParams are the parameters of one attempt of a request, at an endpoint or at
--- a/internal/cwgate/crash.go
+++ b/internal/cwgate/crash.go
@@ -55,6 +55,19 @@
 	return suspects
 }
 
+// identity returns the traits by which another request can be the same as this one.
+func (g *Gate) identity(r *routedRequest) cwcrash.Identity {
+	same := g.sameRequest(r)
+	return same.Identity()
+}
+
+func (g *Gate) sameRequest(r *routedRequest) cwcrash.Request {
+	return cwcrash.Request{
+		Method: r.Method, Host: r.Host, Path: r.Path, Query: r.Query, Body: r.body,
+		Header: r.Header, IsPerAttempt: g.codec.IsPerAttempt, CallerIP: r.CallerIP,
+	}
+}
+
 // findBlock returns the block that refuses the request, nil if there is none.
 func (g *Gate) findBlock(routed *routedRequest) *cwcrash.Block {
 	if g.crashes.IsEmpty() {
--- a/internal/cwgate/log.go
+++ b/internal/cwgate/log.go
@@ -47,9 +47,10 @@
 		sinceFirstEvent = time.Since(a.firstEventAt)
 	}
 	a.mu.Unlock()
+	identity := a.identity(a.req)
 	a.Log.Warn("endpoint lost", zap.String("endpoint", a.placement.EndpointID), zap.String("end", formatEnd(a.endID())), zap.Bool("suspect", isSuspect),
 		zap.String("request", a.req.ID), zap.String("route", a.req.route.Name),
-		zap.Duration("open", time.Since(a.startedAt)), zap.Duration("sinceFirst", sinceFirstEvent), zap.String("parts", a.req.Prompt.spelledParts()), zap.Error(err))
+		zap.Duration("open", time.Since(a.startedAt)), zap.Duration("sinceFirst", sinceFirstEvent), zap.String("parts", a.req.Prompt.spelledParts()), zap.String("same", formatTrait(identity.Same())), zap.Error(err))
 }
 
 // formatEnd returns the identifier of an end as it is logged.
--- a/internal/cwgate/request.go
+++ b/internal/cwgate/request.go
@@ -21,6 +21,10 @@
 	// Body is the body, and Length its length in bytes, -1 if unknown.
 	Body   io.Reader
 	Length int64
+	// Query is the query of Target, without the question mark.
+	Query string
+	// CallerIP is the address of the caller's host.
+	CallerIP string
 	// ArrivedAt is when this instance received the request.
 	ArrivedAt time.Time
 	// Timeout is how long after ArrivedAt the caller waits; 0 if the request does not
