Failing test: a request that comes again and ends one endpoint after the other

The scene of the crashing part, with a request that is the same each time but for its identifier: without a body, where sound callers send the same; with a body, with and without a length; with another query each time; unsafe; a prompt.

--- a/internal/cwapp/routed_crashing_prompt_test.go
+++ b/internal/cwapp/routed_crashing_prompt_test.go
@@ -76,7 +76,7 @@
 		wg.Go(func() {
 			request := l.sound(n)
 			r := l.scene.Do(t.Context(), l.instance(3*n), request)
-			isServed := r.Err == nil && r.Status == http.StatusOK && (request.Header == nil || strings.HasSuffix(r.Body, "id: 6\ndata: piece 6\n\n"))
+			isServed := r.Err == nil && r.Status == http.StatusOK && (!isStream(request) || strings.HasSuffix(r.Body, "id: 6\ndata: piece 6\n\n"))
 			l.mu.Lock()
 			defer l.mu.Unlock()
 			l.outcomes = append(l.outcomes, soundOutcome{sentAt, isServed, strings.HasPrefix(r.Body, "endsEndpoints")})
@@ -243,3 +243,8 @@
 		}
 	}
 }
+
+// isStream reports whether a request is for a stream.
+func isStream(r cwscene.RoutedRequest) bool {
+	return slices.Contains(r.Header, "Clementinewell-Token-Count")
+}
--- /dev/null
+++ b/internal/cwapp/routed_crashing_request_test.go
@@ -0,0 +1,114 @@
+package cwapp_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/clementinewell/clementinewell/internal/cwscene"
+	"github.com/clementinewell/clementinewell/internal/cwstandin"
+)
+
+// crashingRequestKind is a request that ends each endpoint which runs it, and sound ones beside.
+type crashingRequestKind struct {
+	name, routeKind string
+	// crashing and sound return the n-th request of each kind.
+	crashing, sound func(n int) cwscene.RoutedRequest
+}
+
+// crashingKey marks the requests that end endpoints. The instances don't know it.
+const crashingKey = "crashes"
+
+// isCrashingRequest reports whether a request is the one that ends endpoints.
+func isCrashingRequest(h http.Header, body string) bool {
+	return h.Get("X-Caller") == crashingKey || strings.HasPrefix(body, crashingKey)
+}
+
+var crashingRequestKinds = []crashingRequestKind{
+	{
+		name: "a safe request without a body that sound callers send too", routeKind: "safe",
+		crashing: func(int) cwscene.RoutedRequest {
+			return cwscene.RoutedRequest{Method: http.MethodGet, Path: "/r/list?page=1", Header: []string{"X-Caller", crashingKey}}
+		},
+		sound: func(n int) cwscene.RoutedRequest {
+			return cwscene.RoutedRequest{Method: http.MethodGet, Path: "/r/list?page=1", Header: []string{"X-Caller", fmt.Sprintf("caller-%d", n%100)}}
+		},
+	},
+	{
+		name: "a safe request with a body", routeKind: "safe",
+		crashing: func(int) cwscene.RoutedRequest { return cwscene.RoutedRequest{Path: "/r/x", Body: crashingKey} },
+		sound: func(n int) cwscene.RoutedRequest {
+			return cwscene.RoutedRequest{Path: "/r/x", Body: fmt.Sprintf("body %d", n)}
+		},
+	},
+	{
+		name: "a safe request whose body has no length", routeKind: "safe",
+		crashing: func(int) cwscene.RoutedRequest {
+			return cwscene.RoutedRequest{Path: "/r/x", BodyReader: strings.NewReader(crashingKey)}
+		},
+		sound: func(n int) cwscene.RoutedRequest {
+			return cwscene.RoutedRequest{Path: "/r/x", BodyReader: strings.NewReader(fmt.Sprintf("body %d", n))}
+		},
+	},
+	{
+		name: "a safe request with another query each time", routeKind: "safe",
+		crashing: func(n int) cwscene.RoutedRequest {
+			return cwscene.RoutedRequest{Path: fmt.Sprintf("/r/x?try=%d", n), Body: crashingKey}
+		},
+		sound: func(n int) cwscene.RoutedRequest {
+			return cwscene.RoutedRequest{Path: fmt.Sprintf("/r/x?try=%d", n), Body: fmt.Sprintf("body %d", n)}
+		},
+	},
+	{
+		name: "an unsafe request", routeKind: "unsafe",
+		crashing: func(int) cwscene.RoutedRequest { return cwscene.RoutedRequest{Path: "/r/x", Body: crashingKey} },
+		sound: func(n int) cwscene.RoutedRequest {
+			return cwscene.RoutedRequest{Path: "/r/x", Body: fmt.Sprintf("body %d", n)}
+		},
+	},
+	{
+		name: "a prompt", routeKind: "streaming",
+		crashing: func(int) cwscene.RoutedRequest {
+			return cwscene.RoutedRequest{Path: "/r/x", Body: crashingKey, Header: promptHeader("f1", "d1", "c1")}
+		},
+		sound: soundPrompt,
+	},
+}
+
+// startCrashingRequests starts the scene of a kind of request.
+func startCrashingRequests(s *cwscene.RoutedScene, kind *crashingRequestKind, perSecond float64) (*crashLoad, *cwscene.CrashingFleet) {
+	services := []map[string]any{cwstandin.NewPublishedPlainService("app")}
+	if kind.routeKind == "streaming" {
+		services = newCrashEngineService()
+	}
+	services[0]["cold-s"], services[0]["cold-per-s"] = 2, 4
+	s.Publish(services, cwscene.NewRoute("r", kind.routeKind, cwscene.RoutedRoute{"resumable": kind.routeKind == "streaming"}))
+	fleet, instances := newCrashFleetScene(s, cwstandin.Crash{
+		Matches: func(r *http.Request, body string) bool { return isCrashingRequest(r.Header, body) },
+		After:   120 * time.Millisecond,
+	})
+	return &crashLoad{scene: s, instances: instances, sound: kind.sound, crashing: kind.crashing, crashInterval: time.Duration(float64(time.Second) / perSecond)}, fleet
+}
+
+// TestRequestThatCrashesEndpointsIsBlocked guards against a request that comes again and ends one
+// endpoint after the other, because nothing remembers under which requests endpoints ended.
+func TestRequestThatCrashesEndpointsIsBlocked(t *testing.T) {
+	for _, kind := range crashingRequestKinds {
+		for _, perSecond := range []float64{0.5, 1, 2, 4} {
+			t.Run(fmt.Sprintf("%s, %v a second", kind.name, perSecond), func(t *testing.T) {
+				inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+					l, fleet := startCrashingRequests(s, &kind, perSecond)
+					defer fleet.Close()
+					start := time.Now().Add(10 * time.Second)
+					l.run(t, 10*time.Second+crashPhase, 10*time.Second, 10*time.Second+crashPhase)
+					checkCrashesEnd(t, is, l, fleet, isCrashingRequest, 3, start)
+					is.Equal(l.blocked(), 0)
+				})
+			})
+		}
+	}
+}
