A request that comes again and ends endpoints is blocked at all instances

Callers saw: a request that came again with the same path, caller and body ended each endpoint of its service; sound requests of the service broke with it or found no endpoint.

Cause: the evidence about ends had the parts of prompts only. The request has a new identifier each time, so nothing knew it again. Ruled out: overload and cold endpoints (the scene ends warm ones at half a request a second) and a fault of the service (its other requests are served).

Change: the identity of a request is evidence beside its parts, at five levels: path, body, query, fields, caller's host. Which level tells the request from sound ones follows from the survivals; all levels that fit must match. It is computed only for requests with a path under which an endpoint ended.

--- a/internal/cwcrash/block.go
+++ b/internal/cwcrash/block.go
@@ -35,6 +35,8 @@
 	blocks []*Block
 	// suspects are the traits that the next end blocks.
 	suspects map[Trait]bool
+	// paths are those of all requests under which endpoints ended.
+	paths map[Trait]bool
 }
 
 const (
@@ -49,13 +51,16 @@
 // and explains all its ends, which then don't count for the others. Requests that were at an
 // endpoint beside the one that ended it are cleared in this way.
 func decide(records map[Trait]*Evidence) *verdict {
-	v := &verdict{suspects: make(map[Trait]bool)}
+	v := &verdict{suspects: make(map[Trait]bool), paths: make(map[Trait]bool)}
 	var candidates []*Evidence
 	unexplained := make(map[uint32]time.Time)
 	for _, e := range records {
 		if len(e.Ends) >= minEnds-1 {
 			candidates = append(candidates, e)
 		}
+		if e.Path != 0 && len(e.Ends) > 0 {
+			v.paths[e.Path] = true
+		}
 		for _, end := range e.Ends {
 			if at, known := unexplained[end.ID]; !known || end.At.Before(at) {
 				unexplained[end.ID] = end.At
--- a/internal/cwcrash/ledger.go
+++ b/internal/cwcrash/ledger.go
@@ -60,7 +60,14 @@
 	return l.changed
 }
 
-// IsEmpty reports whether nothing is blocked or suspected, so that no request needs Match.
+// HasPath reports whether an endpoint ended under a request with the path, so that the identity
+// of others with it matters.
+func (l *Ledger) HasPath(path Trait) bool {
+	v := l.verdict.Load()
+	return v != nil && v.paths[path]
+}
+
+// IsEmpty reports whether nothing is known, so that no request needs Match.
 func (l *Ledger) IsEmpty() bool {
 	return l.verdict.Load() == nil
 }
@@ -299,7 +306,7 @@
 	}
 	before := l.verdict.Load()
 	v := decide(evidence)
-	if len(v.blocks) == 0 && len(v.suspects) == 0 {
+	if len(v.blocks) == 0 && len(v.suspects) == 0 && len(v.paths) == 0 {
 		v = nil
 	}
 	l.verdict.Store(v)
--- a/internal/cwgate/crash.go
+++ b/internal/cwgate/crash.go
@@ -44,13 +44,18 @@
 	}
 }
 
-// suspects returns the traits with their names.
-func (r *routedRequest) suspects() []cwcrash.Suspect {
-	suspects := make([]cwcrash.Suspect, 0, len(r.traits))
-	spelled := strings.Split(r.Prompt.spelledParts(), ",")
-	for i, t := range r.traits {
+// suspects returns the traits of a request under which an endpoint ended, with their names: its
+// identity and the parts of its prompt.
+func (g *Gate) suspects(r *routedRequest) []cwcrash.Suspect {
+	identity := g.identity(r)
+	suspects := identity.Suspects(r.route.Name)
+	if r.Prompt == nil {
+		return suspects
+	}
+	spelled := strings.Split(r.Prompt.SpelledParts, ",")
+	for i := range len(r.Prompt.Parts) - 1 {
 		name, _, _ := strings.Cut(strings.TrimSpace(spelled[i]), ":")
-		suspects = append(suspects, cwcrash.Suspect{Trait: t, Name: "prompt part " + name, IsFirstPart: i == 0})
+		suspects = append(suspects, cwcrash.Suspect{Trait: cwcrash.PartTrait(r.Prompt.Parts[i].ID), Name: "prompt part " + name, IsFirstPart: i == 0})
 	}
 	return suspects
 }
@@ -68,12 +73,27 @@
 	}
 }
 
+// relevantTraits returns the traits of the request that evidence may exist about. The identity,
+// for which the whole body is read, is one of them only if an endpoint ended under a request with
+// the same path.
+func (g *Gate) relevantTraits(r *routedRequest) []cwcrash.Trait {
+	if r.hasIdentity || g.crashes.IsEmpty() {
+		return r.traits
+	}
+	same := g.sameRequest(r)
+	if g.crashes.HasPath(same.PathTrait()) {
+		identity := same.Identity()
+		r.traits, r.hasIdentity = append(r.traits, identity[:]...), true
+	}
+	return r.traits
+}
+
 // findBlock returns the block that refuses the request, nil if there is none.
 func (g *Gate) findBlock(routed *routedRequest) *cwcrash.Block {
 	if g.crashes.IsEmpty() {
 		return nil
 	}
-	b := g.crashes.Match(routed.traits)
+	b := g.crashes.Match(g.relevantTraits(routed))
 	if b != nil {
 		g.crashes.RecordRefusal(b, time.Now())
 	}
@@ -98,7 +118,7 @@
 // mayEndAnother reports whether the request may be sent to another endpoint, with regard to
 // those that ended under it.
 func (g *Gate) mayEndAnother(routed *routedRequest) bool {
-	return routed.ends == 0 || routed.ends < maxEndsOfRequest && !g.crashes.IsSuspect(routed.traits)
+	return routed.ends == 0 || routed.ends < maxEndsOfRequest && !g.crashes.IsSuspect(g.relevantTraits(routed))
 }
 
 // mayHaveCausedEnd reports whether the request may be the cause if its endpoint has just ended:
@@ -134,7 +154,7 @@
 		hasEnded := a.recordLost(dialedAt, isRefused)
 		a.logEndpointLost(hasEnded && isSuspect, err)
 		if hasEnded && isSuspect {
-			a.crashes.RecordEnd(cwcrash.Event{ID: a.endID(), Request: hashRequestID(a.req.ID), At: time.Now()}, a.req.suspects())
+			a.crashes.RecordEnd(cwcrash.Event{ID: a.endID(), Request: hashRequestID(a.req.ID), At: time.Now()}, a.suspects(a.req))
 		}
 		ended <- hasEnded
 	})
@@ -188,11 +208,13 @@
 
 // recordSurvival records that the request did not end its endpoint.
 func (a *attempt) recordSurvival() {
-	if a.placement == nil || a.hasSurvived || len(a.req.traits) == 0 {
+	if a.placement == nil || a.hasSurvived {
 		return
 	}
 	a.hasSurvived = true
-	a.crashes.RecordSurvival(hashRequestID(a.req.ID), a.req.traits, time.Now())
+	if traits := a.relevantTraits(a.req); len(traits) > 0 {
+		a.crashes.RecordSurvival(hashRequestID(a.req.ID), traits, time.Now())
+	}
 }
 
 // logBlocks logs the blocks that have begun or ended, and counts them.
--- a/internal/cwgate/routed_request.go
+++ b/internal/cwgate/routed_request.go
@@ -49,6 +49,8 @@
 	// traitBuffer if they are few.
 	traits      []cwcrash.Trait
 	traitBuffer [8]cwcrash.Trait
+	// hasIdentity is set once traits contains the identity of the request.
+	hasIdentity bool
 	// ends is the number of endpoints that ended while the request may have been the cause.
 	ends int
 }
--- a/internal/cwpeer/crash_message.go
+++ b/internal/cwpeer/crash_message.go
@@ -27,7 +27,7 @@
 	records := make([]*cwproto.CrashRecord, 0, len(reports))
 	for _, e := range reports {
 		records = append(records, &cwproto.CrashRecord{
-			Trait: uint64(e.Trait), Name: e.Name, FirstPart: e.IsFirstPart, Ends: protoCrashEvents(e.Ends, now), Survivals: protoCrashEvents(e.Survivals, now),
+			Trait: uint64(e.Trait), Path: uint64(e.Path), Name: e.Name, FirstPart: e.IsFirstPart, Ends: protoCrashEvents(e.Ends, now), Survivals: protoCrashEvents(e.Survivals, now),
 			SeenAgeMillis: optionalAgeMillis(e.SeenAt, now), LiftedAgeMillis: optionalAgeMillis(e.LiftedAt, now),
 		})
 	}
@@ -55,7 +55,7 @@
 	for _, r := range records {
 		name := r.GetName()
 		reports = append(reports, &cwcrash.Evidence{
-			Suspect: cwcrash.Suspect{Trait: cwcrash.Trait(r.GetTrait()), Name: name[:min(len(name), maxCrashNameBytes)], IsFirstPart: r.GetFirstPart()},
+			Suspect: cwcrash.Suspect{Trait: cwcrash.Trait(r.GetTrait()), Name: name[:min(len(name), maxCrashNameBytes)], IsFirstPart: r.GetFirstPart(), Path: cwcrash.Trait(r.GetPath())},
 			Ends:    crashEventsOf(r.GetEnds(), now), Survivals: crashEventsOf(r.GetSurvivals(), now),
 			SeenAt: optionalTimeOf(r.GetSeenAgeMillis(), now), LiftedAt: optionalTimeOf(r.GetLiftedAgeMillis(), now),
 		})
