Survivals of a request that is served again and again are not outdated

Cause: of eight survivals those right after the first end were kept. When the window of the latest 16 ends moved on they counted as old, although requests with the trait were served all the while.

Change: the latest survivals are kept, a second apart, and each counts for two ends if it is later than the first end or up to 20 s before the latest. The scenes of blocks play requests that come again too.

Result: TestBlame has the case, which fails without the change.

--- a/internal/cwapp/routed_crash_blame_test.go
+++ b/internal/cwapp/routed_crash_blame_test.go
@@ -107,6 +107,12 @@
 	request func(n int) cwscene.RoutedRequest
 }{
 	{"few documents", soundPrompt},
+	{"the same request each time", func(int) cwscene.RoutedRequest {
+		return cwscene.RoutedRequest{Path: "/r/poll", Body: "same", Header: promptHeader("f1", "d1", "a1")}
+	}},
+	{"few requests that come again", func(n int) cwscene.RoutedRequest {
+		return cwscene.RoutedRequest{Path: fmt.Sprintf("/r/%d", n%20), Header: promptHeader("f1", fmt.Sprintf("d%d", n%5), fmt.Sprintf("a%d", n%20))}
+	}},
 	{"new documents", func(n int) cwscene.RoutedRequest {
 		return cwscene.RoutedRequest{Path: fmt.Sprintf("/r/%d", n), Header: promptHeader("f1", fmt.Sprintf("d%d", n/6), fmt.Sprintf("a%d", n))}
 	}},
--- a/internal/cwapp/routed_crash_spread_test.go
+++ b/internal/cwapp/routed_crash_spread_test.go
@@ -2,14 +2,12 @@
 
 import (
 	"fmt"
-	"net/http"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/clementinewell/clementinewell/internal/cwscene"
-	"github.com/clementinewell/clementinewell/internal/cwstandin"
 )
 
 // cutRegions drops all traffic between the instances of the two regions, or restores it.
@@ -65,36 +63,44 @@
 				time.Sleep(5 * time.Second)
 			}
 		}, 0, 2},
-		{"configurations that change", func(s *cwscene.RoutedScene, _ *crashLoad, _ *cwscene.CrashingFleet) {
+		{"configurations that change", func(s *cwscene.RoutedScene, l *crashLoad, _ *cwscene.CrashingFleet) {
 			for n := range 40 {
-				s.Publish(newCrashEngineService(), cwscene.NewRoute("r", "streaming", cwscene.RoutedRoute{"resumable": true, "timeout-ms": 5000 + n}))
+				l.publish(s, cwscene.RoutedRoute{"timeout-ms": 5000 + n})
 				time.Sleep(time.Second)
 			}
 		}, 0, 2},
 	} {
-		t.Run(sc.name, func(t *testing.T) {
-			inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
-				s.Publish(newCrashEngineService(), cwscene.NewRoute("r", "streaming", cwscene.RoutedRoute{"resumable": true}))
-				fleet, instances := newCrashFleetScene(s, cwstandin.Crash{
-					Matches: func(r *http.Request, body string) bool { return isCrashingPrompt(r.Header, body) },
-					After:   120 * time.Millisecond, Prelude: cwstandin.PreludeHead,
+		for _, kind := range spreadKinds {
+			t.Run(sc.name+", "+kind.name, func(t *testing.T) {
+				inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+					l, fleet := startCrashingRequests(s, &kind.crashingRequestKind, sc.perSecond)
+					defer fleet.Close()
+					start := time.Now()
+					go sc.disturb(s, l, fleet)
+					l.run(t, crashPhase, 0, crashPhase)
+					ended := fleet.Ends()
+					t.Logf("%d ends, statuses %v, sound requests served %.3f", len(ended), l.statuses, l.servedShare(start, time.Now()))
+					from := start.Add(sc.healedAfter)
+					if crashes := fleet.Crashes(); len(crashes) >= kind.ends && crashes[kind.ends-1].After(from) {
+						from = crashes[kind.ends-1]
+					}
+					late := fleet.Arrivals(isCrashing, from.Add(crashContactTime))
+					t.Logf("%d late arrivals", len(late))
+					is.True(len(late) <= maxArrivalsAfterCrashes)
+					is.Equal(l.blocked(), 0)
 				})
-				defer fleet.Close()
-				l := &crashLoad{scene: s, instances: instances, sound: soundPrompt, crashing: crashingPrompt, crashInterval: time.Duration(float64(time.Second) / sc.perSecond)}
-				start := time.Now()
-				go sc.disturb(s, l, fleet)
-				l.run(t, crashPhase, 0, crashPhase)
-				ended := fleet.Ends()
-				t.Logf("%d ends, statuses %v, sound requests served %.3f", len(ended), l.statuses, l.servedShare(start, time.Now()))
-				from := start.Add(sc.healedAfter)
-				if crashes := fleet.Crashes(); len(crashes) >= 5 && crashes[4].After(from) {
-					from = crashes[4]
-				}
-				late := fleet.Arrivals(isCrashingPrompt, from.Add(crashContactTime))
-				t.Logf("%d late arrivals", len(late))
-				is.True(len(late) <= maxArrivalsAfterCrashes)
-				is.Equal(l.blocked(), 0)
 			})
-		})
+		}
 	}
 }
+
+// spreadKinds are the requests of TestBlockReachesAllInstances, with the number of ends after
+// which all instances must know them.
+var spreadKinds = []struct {
+	crashingRequestKind
+	ends int
+}{
+	{crashingRequestKind{name: "a part of prompts", routeKind: "streaming", crashing: crashingPrompt, sound: soundPrompt}, 5},
+	{crashingRequestKinds[0], 3},
+	{crashingRequestKinds[4], 3},
+}
--- a/internal/cwapp/routed_crashing_prompt_test.go
+++ b/internal/cwapp/routed_crashing_prompt_test.go
@@ -39,6 +39,8 @@
 	sound, crashing func(n int) cwscene.RoutedRequest
 	// crashInterval is the time between two requests that end endpoints.
 	crashInterval time.Duration
+	// routeKind is the kind of the route.
+	routeKind string
 
 	mu sync.Mutex
 	// outcomes are those of the sound requests.
--- a/internal/cwapp/routed_crashing_request_test.go
+++ b/internal/cwapp/routed_crashing_request_test.go
@@ -81,17 +81,32 @@
 
 // startCrashingRequests starts the scene of a kind of request.
 func startCrashingRequests(s *cwscene.RoutedScene, kind *crashingRequestKind, perSecond float64) (*crashLoad, *cwscene.CrashingFleet) {
+	l := &crashLoad{scene: s, routeKind: kind.routeKind, sound: kind.sound, crashing: kind.crashing, crashInterval: time.Duration(float64(time.Second) / perSecond)}
+	l.publish(s, nil)
+	var fleet *cwscene.CrashingFleet
+	fleet, l.instances = newCrashFleetScene(s, cwstandin.Crash{
+		Matches: func(r *http.Request, body string) bool { return isCrashing(r.Header, body) },
+		After:   120 * time.Millisecond,
+	})
+	return l, fleet
+}
+
+// publish writes the next configuration of the scene to the store. overrides replaces or adds
+// fields of its route.
+func (l *crashLoad) publish(s *cwscene.RoutedScene, overrides cwscene.RoutedRoute) {
 	services := []map[string]any{cwstandin.NewPublishedPlainService("app")}
-	if kind.routeKind == "streaming" {
+	if l.routeKind == "streaming" {
 		services = newCrashEngineService()
 	}
 	services[0]["cold-s"], services[0]["cold-per-s"] = 2, 4
-	s.Publish(services, cwscene.NewRoute("r", kind.routeKind, cwscene.RoutedRoute{"resumable": kind.routeKind == "streaming"}))
-	fleet, instances := newCrashFleetScene(s, cwstandin.Crash{
-		Matches: func(r *http.Request, body string) bool { return isCrashingRequest(r.Header, body) },
-		After:   120 * time.Millisecond,
-	})
-	return &crashLoad{scene: s, instances: instances, sound: kind.sound, crashing: kind.crashing, crashInterval: time.Duration(float64(time.Second) / perSecond)}, fleet
+	route := cwscene.NewRoute("r", l.routeKind, overrides)
+	route["resumable"] = l.routeKind == "streaming"
+	s.Publish(services, route)
+}
+
+// isCrashing reports whether a request ends endpoints, as a whole or by a part of its prompt.
+func isCrashing(h http.Header, body string) bool {
+	return isCrashingRequest(h, body) || isCrashingPrompt(h, body)
 }
 
 // TestRequestThatCrashesEndpointsIsBlocked guards against a request that comes again and ends one
--- a/internal/cwcrash/evidence.go
+++ b/internal/cwcrash/evidence.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// maxEnds and maxSurvivals bound the events that are kept for one trait. With maxSurvivals
-	// after the first end no number of kept ends is enough for a block.
+	// maxEnds and maxSurvivals bound the events that are kept for one trait. With maxSurvivals that
+	// count, no number of kept ends is enough for a block.
 	maxEnds      = 16
 	maxSurvivals = 8
 	// minEnds is the number of ends from which a trait without survivals is blocked: the second
@@ -15,11 +15,14 @@
 	minEnds = 3
 	// minFirstPartEnds is the same for the first part of a prompt.
 	minFirstPartEnds = 5
-	// survivalWeight is the number of further ends that each survival after the first end
-	// calls for. With 2 a trait is blocked that ends endpoints in most of its runs.
+	// survivalWeight is the number of further ends that each survival calls for. With 2 a trait is
+	// blocked that ends endpoints in most of its runs.
 	survivalWeight = 2
-	// priorSurvivalPeriod is how long before the latest end a survival still counts.
-	priorSurvivalPeriod = time.Minute
+	// priorSurvivalPeriod is how long before the latest end a survival counts that was before the
+	// first.
+	priorSurvivalPeriod = 20 * time.Second
+	// survivalSpacing is the time from which another survival replaces an older one.
+	survivalSpacing = time.Second
 	// coincidencePeriod is the time within which ends count once: the cause of endpoints that
 	// end together is not a request at one of them.
 	coincidencePeriod = 100 * time.Millisecond
@@ -73,8 +76,8 @@
 
 // addSurvival adds a survival if it makes a difference.
 func (e *Evidence) addSurvival(s Event) bool {
-	isFull := len(e.Survivals) == maxSurvivals && len(e.Ends) > 0 && e.Survivals[0].At.After(e.Ends[0].At)
-	if isFull || !s.At.After(e.LiftedAt) {
+	n := len(e.Survivals)
+	if n == maxSurvivals && s.At.Sub(e.Survivals[n-1].At) < survivalSpacing || !s.At.After(e.LiftedAt) {
 		return false
 	}
 	var changed bool
@@ -96,12 +99,10 @@
 		return minFirstPartEnds
 	}
 	required := minEnds
+	first, latest := e.Ends[0].At, e.Ends[len(e.Ends)-1].At
 	for _, s := range e.Survivals {
-		switch {
-		case s.At.After(e.Ends[0].At):
+		if s.At.After(first) || latest.Sub(s.At) < priorSurvivalPeriod {
 			required += survivalWeight
-		case e.Ends[len(e.Ends)-1].At.Sub(s.At) < priorSurvivalPeriod:
-			required++
 		}
 	}
 	return required
--- a/internal/cwcrash/ledger_test.go
+++ b/internal/cwcrash/ledger_test.go
@@ -110,6 +110,15 @@
 	return list
 }
 
+// quickEnds does the same as ends, with ends 200 ms apart.
+func quickEnds(n int, firstEndpoint uint32, parts ...uint64) []observation {
+	list := ends(n, firstEndpoint, parts...)
+	for i := range list {
+		list[i].after = 200 * time.Millisecond
+	}
+	return list
+}
+
 func survivals(n int, parts ...uint64) []observation {
 	var list []observation
 	for range n {
@@ -243,6 +252,11 @@
 			observations: join(survivals(20, first, document), ends(6, 1, first, document)),
 			served:       [][]uint64{{first, document}},
 		},
+		{
+			name:         "all endpoints end one after the other, twice, and it was served often between",
+			observations: join(ends(1, 1, first, document), survivals(100, first, document), quickEnds(9, 2, first, document), survivals(100, first, document), quickEnds(16, 11, first, document)),
+			served:       [][]uint64{{first, document}},
+		},
 		{
 			name:         "served often, but not for the last minute",
 			observations: join(survivals(20, first, document), []observation{{after: 2 * time.Minute, parts: []uint64{first}}}, ends(3, 1, first, document)),
