An answer without a length whose endpoint has ended is not complete

Cause: an answer with neither a length nor chunks ends with its connection. It ends in the same way when the process of its endpoint does.

Change: after such an answer the endpoint is dialled, with the connection that the next request needs anyway. If it refuses and was not leaving, the attempt has failed. A stream that ends between two events is passed on as complete, as the users' page says, but is no evidence for the request. A killed host of the in-memory network closes its own ends only, as a kernel does, so that the other ends read what was sent before.

--- a/internal/cwapp/routed_crashing_request_test.go
+++ b/internal/cwapp/routed_crashing_request_test.go
@@ -79,6 +79,26 @@
 	},
 }
 
+// TestAnswerOfEndedEndpointIsNotComplete guards against the half of an answer that is passed on as a
+// success: without a length it ends with its connection, and so it does when the endpoint ends.
+func TestAnswerOfEndedEndpointIsNotComplete(t *testing.T) {
+	for _, routeKind := range []string{"safe", "unsafe"} {
+		t.Run(routeKind, func(t *testing.T) {
+			inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+				kind := crashingRequestKind{routeKind: routeKind, crashing: crashingRequestKinds[1].crashing, sound: crashingRequestKinds[1].sound}
+				l, fleet := startCrashingRequests(s, &kind, 2)
+				defer fleet.Close()
+				fleet.SetPrelude(cwstandin.PreludeUndelimited)
+				l.run(t, 20*time.Second, 0, 20*time.Second)
+				t.Logf("%d ends, statuses %v", len(fleet.Ends()), l.statuses)
+				is.Equal(l.statuses[http.StatusOK], 0)
+				is.True(len(fleet.Ends()) <= 5)
+				is.Equal(l.blocked(), 0)
+			})
+		})
+	}
+}
+
 // startCrashingRequests starts the scene of a kind of request.
 func startCrashingRequests(s *cwscene.RoutedScene, kind *crashingRequestKind, perSecond float64) (*crashLoad, *cwscene.CrashingFleet) {
 	l := &crashLoad{scene: s, routeKind: kind.routeKind, sound: kind.sound, crashing: kind.crashing, crashInterval: time.Duration(float64(time.Second) / perSecond)}
--- a/internal/cwconn/response.go
+++ b/internal/cwconn/response.go
@@ -48,12 +48,13 @@
 		return
 	}
 	r.released = true
-	r.conn.finish(!r.Response.Close && r.hasDelimitedBody(), r.Header)
+	r.conn.finish(!r.Response.Close && r.IsDelimited(), r.Header)
 }
 
-// hasDelimitedBody reports whether the end of the body is marked by its length or
-// encoding. Only then can bytes of a following response be told from the body.
-func (r *Response) hasDelimitedBody() bool {
+// IsDelimited reports whether the end of the body is marked by its length or encoding. Only then
+// can bytes of a following response be told from the body, and a complete body from one that
+// ends with the peer's process.
+func (r *Response) IsDelimited() bool {
 	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0
 }
 
--- a/internal/cwgate/attempt.go
+++ b/internal/cwgate/attempt.go
@@ -28,6 +28,7 @@
 	errUnexpectedResponse = errors.New("not a plain response of the endpoint")
 	errPartialEvent       = errors.New("stream ended within an event")
 	errNoEvent            = errors.New("stream ended without an event")
+	errEndedWithResponse  = errors.New("endpoint ended with a response that has no length")
 )
 
 // result is the result of one attempt.
@@ -56,10 +57,11 @@
 	address, exitDomain string
 	stallTimer          *stallTimer
 	startedAt           time.Time
-	// endCheck gets whether the endpoint has ended; nil if it is not checked. hasSurvived is set
-	// once it is recorded that the request did not end the endpoint.
-	endCheck    <-chan bool
-	hasSurvived bool
+	// endCheck gets whether the endpoint has ended; nil if that is not checked. hasEndedPlace is
+	// what it got, and hasSurvived is set once it is recorded that the request did not end the
+	// endpoint.
+	endCheck                   <-chan bool
+	hasEndedPlace, hasSurvived bool
 
 	// firstEventAt is when the first events of a stream arrived in this attempt. hasEnded is
 	// set when the attempt has ended, and next when it is cancelled in favor of another place.
@@ -298,6 +300,9 @@
 		return a.failBroken(ctx, err)
 	}
 	defer body.Release()
+	if !response.IsDelimited() && a.hasEndedWithResponse(ctx) {
+		return a.failUnknown(ctx, errEndedWithResponse)
+	}
 	if a.hasRelayMarkers(response) {
 		if err := body.Replace(a.address, a.stripRelayMarkers); err != nil {
 			return a.failUnknown(ctx, err)
--- a/internal/cwgate/attempt_stream.go
+++ b/internal/cwgate/attempt_stream.go
@@ -48,7 +48,7 @@
 			if hasMarkers && !relayReader.HasEnded() {
 				return a.failUnknown(ctx, fmt.Errorf("read stream from %s: %w", a.address, cwevent.ErrMissingChunk))
 			}
-			return a.finishStream(ctx, splitter)
+			return a.finishStream(ctx, splitter, response.IsDelimited())
 		}
 		if err != nil {
 			if cause := context.Cause(ctx); cause != nil {
@@ -80,8 +80,9 @@
 	return events, nil
 }
 
-// finishStream handles the end of a stream and checks that it is complete.
-func (a *attempt) finishStream(ctx context.Context, splitter *cwevent.Splitter) result {
+// finishStream handles the end of a stream and checks that it is complete. One that ends between
+// two events is, also if it is not delimited.
+func (a *attempt) finishStream(ctx context.Context, splitter *cwevent.Splitter, isDelimited bool) result {
 	switch {
 	case len(splitter.TakePartial()) > 0:
 		return a.failBroken(ctx, errPartialEvent)
@@ -90,7 +91,9 @@
 	}
 	a.req.mergeOutcome(cwanswer.Ran)
 	a.recordEnd(ctx, cwplacement.Served)
-	a.recordSurvival()
+	if isDelimited || !a.hasEndedWithResponse(ctx) {
+		a.recordSurvival()
+	}
 	if err := a.req.responder.endStream(); err != nil {
 		return result{err: err}
 	}
--- a/internal/cwgate/crash.go
+++ b/internal/cwgate/crash.go
@@ -187,6 +187,13 @@
 	return uint32(xxhash.Sum64String(id))
 }
 
+// hasEndedWithResponse reports whether the endpoint has ended, after a response whose end is that
+// of its connection.
+func (a *attempt) hasEndedWithResponse(ctx context.Context) bool {
+	a.probeEndpoint(ctx)
+	return a.awaitEndCheck(result{})
+}
+
 // awaitEndCheck reports whether an endpoint ended under the attempt that the request may have
 // ended. For a relayed request the exit knows that; here each response that was broken off
 // counts.
@@ -195,16 +202,16 @@
 		return r.isBrokenOff
 	}
 	if a.endCheck == nil {
-		return false
+		return a.hasEndedPlace
 	}
 	timer := time.NewTimer(endNoticeTime)
 	defer timer.Stop()
 	select {
-	case hasEnded := <-a.endCheck:
-		return hasEnded
+	case a.hasEndedPlace = <-a.endCheck:
 	case <-timer.C:
-		return false
 	}
+	a.endCheck = nil
+	return a.hasEndedPlace
 }
 
 // recordSurvival records that the request did not end its endpoint.
--- a/internal/cwmemnet/conn.go
+++ b/internal/cwmemnet/conn.go
@@ -38,6 +38,16 @@
 	return c.from == a && c.to == b || c.from == b && c.to == a
 }
 
+// closeEndsOf closes the ends at a host.
+func (c *conn) closeEndsOf(ip string) {
+	if c.from == ip {
+		_ = c.clientEnd.Close()
+	}
+	if c.to == ip {
+		_ = c.serverEnd.Close()
+	}
+}
+
 type packet struct {
 	data      []byte
 	deliverAt time.Time
--- a/internal/cwmemnet/network.go
+++ b/internal/cwmemnet/network.go
@@ -110,8 +110,8 @@
 	}
 }
 
-// KillHost stops a host: its connections and listeners are closed, dials to it are
-// refused, and its own dials fail.
+// KillHost stops a host: its ends of connections and its listeners are closed, dials to it are
+// refused, and its own dials fail. The other ends read what was sent before, and then the end.
 func (n *Network) KillHost(ip string) {
 	n.mu.Lock()
 	n.killedHosts[ip] = true
@@ -132,7 +132,7 @@
 		_ = l.Close()
 	}
 	for _, c := range closing {
-		c.closeEnds()
+		c.closeEndsOf(ip)
 	}
 }
 
--- a/internal/cwscene/crashing_fleet.go
+++ b/internal/cwscene/crashing_fleet.go
@@ -88,6 +88,18 @@
 	time.AfterFunc(crashedEntryExpiry, func() { f.scene.Store.Remove(cwstandin.WorkerKeyPrefix + w.ID) })
 }
 
+// SetPrelude sets what the workers that run send before they end under a request.
+func (f *CrashingFleet) SetPrelude(p cwstandin.CrashPrelude) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Crash.Prelude = p
+	for ip, w := range f.running {
+		crash := f.Crash
+		crash.End = func() { f.end(ip, w, true) }
+		w.SetCrash(&crash)
+	}
+}
+
 // EndNow ends the worker that runs at the address, if there is one, without a request.
 func (f *CrashingFleet) EndNow(ip string) {
 	if w := f.Running(ip); w != nil {
