Queued requests are not sent at the end of an instance

Cause: at the end of the drain timeout the requests at endpoints are cancelled one by one; a slot that one left was given to a queued request, which was sent before its own cancellation: 502 unknown instead of 503 not run.

Change: the queue places nothing once the instance has ended.

--- a/internal/cwdispatch/place.go
+++ b/internal/cwdispatch/place.go
@@ -153,7 +153,9 @@
 // those that can no longer meet their deadline, and all of them if the pool has no
 // usable endpoint. The caller holds mu.
 func (d *Dispatcher) processQueue(p *poolState, now time.Time) {
-	for {
+	// At the end of the instance the requests that end first leave free slots. Queued ones are
+	// refused then, which have not run.
+	for d.ended.Err() == nil {
 		queued, decision, ok := p.PlaceNext(now, d.rng)
 		if !ok {
 			return
