--- a/internal/cwapp/routed_crash_blame_test.go
+++ b/internal/cwapp/routed_crash_blame_test.go
@@ -83,6 +83,7 @@
 	} {
 		for _, sound := range soundKinds {
 			t.Run(sc.name+", "+sound.name, func(t *testing.T) {
+				t.Parallel()
 				inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
 					s.Publish(newCrashEngineService(), cwscene.NewRoute("r", "streaming", cwscene.RoutedRoute{"resumable": true}))
 					fleet, instances := newCrashFleetScene(s, cwstandin.Crash{Matches: func(*http.Request, string) bool { return false }})
--- a/internal/cwapp/routed_crash_spread_test.go
+++ b/internal/cwapp/routed_crash_spread_test.go
@@ -72,6 +72,7 @@
 	} {
 		for _, kind := range spreadKinds {
 			t.Run(sc.name+", "+kind.name, func(t *testing.T) {
+				t.Parallel()
 				inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
 					l, fleet := startCrashingRequests(s, &kind.crashingRequestKind, sc.perSecond)
 					defer fleet.Close()
--- a/internal/cwapp/routed_crashing_prompt_test.go
+++ b/internal/cwapp/routed_crashing_prompt_test.go
@@ -229,6 +229,7 @@
 	} {
 		for _, perSecond := range []float64{0.5, 1, 2, 4} {
 			t.Run(fmt.Sprintf("%s, %v a second", prelude.name, perSecond), func(t *testing.T) {
+				t.Parallel()
 				inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
 					s.Publish(newCrashEngineService(), cwscene.NewRoute("r", "streaming", cwscene.RoutedRoute{"resumable": true}))
 					fleet, instances := newCrashFleetScene(s, cwstandin.Crash{
--- a/internal/cwapp/routed_crashing_request_test.go
+++ b/internal/cwapp/routed_crashing_request_test.go
@@ -84,6 +84,7 @@
 func TestAnswerOfEndedEndpointIsNotComplete(t *testing.T) {
 	for _, routeKind := range []string{"safe", "unsafe"} {
 		t.Run(routeKind, func(t *testing.T) {
+			t.Parallel()
 			inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
 				kind := crashingRequestKind{routeKind: routeKind, crashing: crashingRequestKinds[1].crashing, sound: crashingRequestKinds[1].sound}
 				l, fleet := startCrashingRequests(s, &kind, 2)
@@ -135,6 +136,7 @@
 	for _, kind := range crashingRequestKinds {
 		for _, perSecond := range []float64{0.5, 1, 2, 4} {
 			t.Run(fmt.Sprintf("%s, %v a second", kind.name, perSecond), func(t *testing.T) {
+				t.Parallel()
 				inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
 					l, fleet := startCrashingRequests(s, &kind, perSecond)
 					defer fleet.Close()
