--- a/internal/cwcrash/bench_test.go
+++ b/internal/cwcrash/bench_test.go
@@ -1,9 +1,13 @@
 package cwcrash_test
 
 import (
+	"fmt"
+	"net/http"
 	"runtime"
 	"testing"
 	"time"
+
+	"github.com/clementinewell/clementinewell/internal/cwcrash"
 )
 
 // BenchmarkMatch measures the check of a request while something is blocked.
@@ -43,7 +47,7 @@
 		runtime.ReadMemStats(&before)
 		in := newInstances(1)
 		for n := range uint32(9000) {
-			id := uint64(n%520) + 100
+			id := uint64(n%2100) + 100
 			in.observe(observation{after: 10 * time.Millisecond, ended: n, parts: []uint64{first, id}})
 			in.observe(observation{parts: []uint64{first, id}})
 		}
@@ -53,3 +57,20 @@
 		runtime.KeepAlive(in)
 	}
 }
+
+// BenchmarkIdentity measures the identity of a request with a body of some KB.
+func BenchmarkIdentity(b *testing.B) {
+	for _, kilobytes := range []int{0, 1, 24} {
+		b.Run(fmt.Sprintf("%dKB", kilobytes), func(b *testing.B) {
+			r := &cwcrash.Request{
+				Method: "POST", Host: "ficu95.example", Path: "/lohu930/2f", Query: "page=4&sort=new", Body: make([]byte, kilobytes<<10), CallerIP: "100.64.0.12",
+				Header:       http.Header{"Accept": {"*/*"}, "User-Agent": {"sdk-client/1.9.3"}, "Content-Type": {"application/octet-stream"}, "Clementinewell-Request-Id": {"9c41d07be2a35f68"}},
+				IsPerAttempt: func(name string) bool { return name == "Clementinewell-Request-Id" },
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				_ = r.Identity()
+			}
+		})
+	}
+}
