Lines of attempts name the endpoint's version, and those of requests what they take up

An entry of the store without a version, or with one that is no text, is no valid entry, as for its other fields.

--- a/internal/cwapp/change_schedule_test.go
+++ b/internal/cwapp/change_schedule_test.go
@@ -106,6 +106,7 @@
 		"zone":              {"north-a", "south-a", "west-a", ""},
 		"address":           {"10.1.1.1:8010", "10.2.1.1:8010", "10.9.9.9:8010", "", "nonsense", "a:b:c"},
 		"slots":             {1, 0, -1, 1 << 40, "many", nil},
+		"version":           {"v2", "", 2, nil},
 		"state":             {"draining", "resting", nil},
 		"born":              {2, 3, -1, 1.5},
 		"cold-remaining-ms": {2000, -5, 1e300, "long"},
--- a/internal/cwgate/log.go
+++ b/internal/cwgate/log.go
@@ -27,12 +27,12 @@
 		routed.responder.place = d.Placement.EndpointID
 		return
 	}
-	place := d.Domain
+	place, version := d.Domain, ""
 	if d.Placement != nil {
-		place = d.Placement.EndpointID
+		place, version = d.Placement.EndpointID, d.Placement.Version
 	}
 	routed.responder.place = place
-	g.Log.Info("attempt", zap.String("request", routed.ID), zap.String("route", routed.route.Name), zap.String("place", place),
+	g.Log.Info("attempt", zap.String("request", routed.ID), zap.String("route", routed.route.Name), zap.String("place", place), zap.String("version", version),
 		zap.String("why", d.Reason), zap.Int("attempt", routed.attempts), zap.Duration("predicted", d.LocalFirstByte), zap.Duration("predictedAway", d.RemoteFirstByte),
 		zap.Uint64("revision", g.state.Revision().StoreRevision()), zap.Bool("notRun", r.notRun), zap.Bool("done", r.done), zap.Error(r.err))
 }
@@ -89,6 +89,9 @@
 		fields = append(fields, zap.Int("promptTokens", routed.Prompt.Tokens), zap.Int("outputTokens", routed.Prompt.expectedOutputTokens()),
 			zap.Duration("predictedRest", routed.predictedRest), zap.Int("events", routed.responder.eventCount), zap.Duration("longestPause", routed.responder.longestPause))
 	}
+	if routed.takesUpStream() {
+		fields = append(fields, zap.String("resumes", routed.Resumes), zap.String("afterEvent", routed.LastEventID))
+	}
 	if err != nil {
 		g.Log.Warn("request ended", append(fields, zap.Error(err))...)
 		return
--- a/internal/cwgate/request.go
+++ b/internal/cwgate/request.go
@@ -34,6 +34,9 @@
 	Prompt *Prompt
 	// LastEventID is the last event of a stream that the caller has received.
 	LastEventID string
+	// Resumes is the identifier of the caller's attempt that brought the first event of a
+	// stream which this request takes up; empty if it takes up none.
+	Resumes string
 	// IsRelayed is set if another instance relayed the request. Elapsed is the time that
 	// was spent on it before.
 	IsRelayed bool
--- a/internal/cwgate/routed_request.go
+++ b/internal/cwgate/routed_request.go
@@ -114,6 +114,12 @@
 	return r.deadline
 }
 
+// takesUpStream reports whether the caller goes on with a stream that another of its attempts
+// began.
+func (r *routedRequest) takesUpStream() bool {
+	return r.LastEventID != "" || r.Resumes != ""
+}
+
 // hasTried reports whether the endpoint or domain was tried before.
 func (r *routedRequest) hasTried(name string) bool {
 	return slices.Contains(r.triedPlaces, name)
--- a/internal/cwplacement/placement.go
+++ b/internal/cwplacement/placement.go
@@ -7,8 +7,8 @@
 	// Endpoint is the endpoint that the request is sent to. Its entry may be replaced while the
 	// request is in progress.
 	Endpoint *Endpoint
-	// EndpointID and Address are those of the endpoint when the request was placed.
-	EndpointID, Address string
+	// EndpointID, Address and Version are those of the endpoint when the request was placed.
+	EndpointID, Address, Version string
 	// StartedAtMillis is when the endpoint started, in Unix milliseconds.
 	StartedAtMillis int64
 	// PredictedFirstByte is the predicted time to the first byte.
@@ -31,7 +31,7 @@
 // place records the load of a request that is about to be sent to the endpoint, and
 // returns its placement.
 func (e *Endpoint) place(rs *Requirements, band Band, expected prediction, now time.Time) *Placement {
-	p := &Placement{Endpoint: e, EndpointID: e.ID, Address: e.Address, StartedAtMillis: e.StartedAtMillis, PredictedFirstByte: durationOfSeconds(expected.firstByteSeconds), Band: band, startedAt: now, aheadTokens: e.totalWork(now).tokensAhead(band)}
+	p := &Placement{Endpoint: e, EndpointID: e.ID, Address: e.Address, Version: e.Version, StartedAtMillis: e.StartedAtMillis, PredictedFirstByte: durationOfSeconds(expected.firstByteSeconds), Band: band, startedAt: now, aheadTokens: e.totalWork(now).tokensAhead(band)}
 	p.work = Work{InFlight: 1}
 	if e.engine != nil {
 		p.work.QueuedTokens[band] = float64(expected.uncachedTokens)
--- a/internal/cwroute/endpoint.go
+++ b/internal/cwroute/endpoint.go
@@ -13,6 +13,9 @@
 	Service, Address string
 	// Domain is its failure domain.
 	Domain string
+	// Version is that of its software. What endpoints of different versions write does not
+	// fit together. Versions have no order.
+	Version string
 	// Slots is the number of requests that it runs concurrently.
 	Slots int
 	// IsDraining is set once the endpoint takes no new requests.
--- a/internal/cwstandin/published.go
+++ b/internal/cwstandin/published.go
@@ -42,7 +42,7 @@
 // NewPublishedWorker returns the entry of a worker of a service in a failure domain.
 func NewPublishedWorker(service, domain, address string) map[string]any {
 	return map[string]any{
-		"service": service, "address": address, "zone": domain, "slots": 8, "state": "ready",
+		"service": service, "address": address, "zone": domain, "slots": 8, "state": "ready", "version": "v1",
 		"cold-remaining-ms": 0, "sequence": 1, "born": 1,
 	}
 }
