A stream goes on only at the service and software version that began it

Cause: the version of an endpoint was not decoded, so an attempt that went on with a stream, and a caller's take-up at any instance, went to any endpoint of the service.

Change: an origin (service, version) is bound at the first event, kept until the caller's deadline, told to two instances of the region and one outside, asked for otherwise, and never guessed (decision 0009). Places without it count as tried. An exit names it in its answer.

--- a/internal/cwapp/routed_app.go
+++ b/internal/cwapp/routed_app.go
@@ -55,7 +55,9 @@
 	r.exchanger = cwpeer.NewExchanger(r.Common, r.Control, r.peerClient, r.gate, puller)
 	r.exchanger.Crashes = r.gate.Crashes()
 	spreader := cwpeer.NewCrashSpreader(r.Common, r.Control, r.peerClient, r.gate.Crashes())
-	peerServer := cwpeer.NewServer(r.Common, r.Control, r.gate, cwpeer.Sources{Published: r.State, Crashes: r.gate.Crashes()}, puller, r.auth)
+	streamSpreader := cwpeer.NewStreamSpreader(r.Common, r.Control, r.peerClient, r.gate.Streams())
+	r.gate.StreamFinder = streamSpreader
+	peerServer := cwpeer.NewServer(r.Common, r.Control, r.gate, cwpeer.Sources{Published: r.State, Crashes: r.gate.Crashes(), Streams: r.gate.Streams()}, puller, r.auth)
 	adminHandler := cwadmin.NewRoutedHandler(r.Common, r.Control, r.State, r.gate, r.gate.Burn, r.metricsHandler)
 	r.forwardingServers = []*cwserver.Server{
 		cwserver.NewServer(r.Common, "caller", site.CallerAddress, cwwire.NewFrontHandler(r.gate), cwserver.Limits{Conns: settings.MaxConnections, Times: r.callerTimeLimits}),
@@ -79,6 +81,7 @@
 		r.gate.Conns().Run,
 		r.exchanger.Run,
 		spreader.Run,
+		streamSpreader.Run,
 		newFreezeDetector(r.handleFreeze).Run,
 	}
 	return r
--- a/internal/cwgate/attempt.go
+++ b/internal/cwgate/attempt.go
@@ -154,8 +154,11 @@
 		return a.handleErrorResponse(ctx, response)
 	}
 	a.req.possibleRuns++
+	if a.isOtherOrigin(head) {
+		return a.failUnknown(ctx, fmt.Errorf("response from %s: %w", a.address, errOtherOrigin))
+	}
 	if a.req.route.Kind == cwroute.Stream && isEventStream(response.Header) {
-		return a.forwardStream(ctx, response)
+		return a.forwardStream(ctx, response, head)
 	}
 	return a.forwardBuffered(ctx, response)
 }
@@ -199,6 +202,7 @@
 	}
 	if a.exitDomain != "" {
 		params.IsRelayed, params.Elapsed = true, routed.Elapsed+time.Since(routed.ArrivedAt)
+		params.Origin = routed.origin
 		params.Timeout -= a.relayMargin(params.Timeout)
 	} else {
 		params.Endpoint = a.placement.EndpointID
--- a/internal/cwgate/attempt_failure.go
+++ b/internal/cwgate/attempt_failure.go
@@ -65,6 +65,7 @@
 // failBroken handles an attempt whose response was broken off.
 func (a *attempt) failBroken(ctx context.Context, err error) result {
 	a.probeEndpoint(ctx)
+	a.confirmOrigin()
 	r := a.failUnknown(ctx, err)
 	r.isBrokenOff = !errors.Is(err, errStalled)
 	return r
--- a/internal/cwgate/attempt_stream.go
+++ b/internal/cwgate/attempt_stream.go
@@ -15,7 +15,7 @@
 
 // forwardStream forwards whole events as they arrive. Nothing is sent to the caller before
 // the first event, so that after an earlier failure any response is still possible.
-func (a *attempt) forwardStream(ctx context.Context, response *cwconn.Response) result {
+func (a *attempt) forwardStream(ctx context.Context, response *cwconn.Response, head ResponseHead) result {
 	routed := a.req
 	memory := a.Budget.NewReservation()
 	defer memory.Release()
@@ -37,6 +37,9 @@
 		}
 		if len(events) > 0 {
 			a.recordEvent()
+			if !routed.responder.hasBegun {
+				a.beginStream(head)
+			}
 			routed.responder.beginStream(response.StatusCode, response.Header)
 			if err := routed.responder.writeEvents(events); err != nil {
 				a.recordEnd(ctx, cwplacement.Abandoned)
@@ -97,6 +100,7 @@
 	if err := a.req.responder.endStream(); err != nil {
 		return result{err: err}
 	}
+	a.streams.Complete(a.req.streamID())
 	return result{done: true}
 }
 
--- a/internal/cwgate/await_return.go
+++ b/internal/cwgate/await_return.go
@@ -36,7 +36,8 @@
 	defer g.mu.Unlock()
 	g.sync(now)
 	p := g.pools[routed.service]
-	return p != nil && p.AwaitsReturn(routed.hasTried, now)
+	wasTried, _ := g.limitToOrigin(routed, routed.hasTried)
+	return p != nil && p.AwaitsReturn(wasTried, now)
 }
 
 // postponePlace makes the place of the attempt the last choice of the request: it has not
--- a/internal/cwgate/burn.go
+++ b/internal/cwgate/burn.go
@@ -37,6 +37,7 @@
 	"noRoom":         cwburn.ReasonOverload,
 	"overload":       cwburn.ReasonOverload,
 	"noPlace":        cwburn.ReasonNoRoute,
+	"noVersion":      cwburn.ReasonNoRoute,
 	"rateLimit":      cwburn.ReasonOverload,
 }
 
--- a/internal/cwgate/codec.go
+++ b/internal/cwgate/codec.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/clementinewell/clementinewell/internal/cwstream"
 )
 
 // Codec encodes requests to endpoints and other instances, and decodes their responses.
@@ -15,6 +17,9 @@
 	// MatchesResponse reports whether a response with this status and these fields
 	// belongs to the request and not to an earlier one on the same connection.
 	MatchesResponse(r *Request, status int, field func(name string) string) bool
+	// EncodeOrigin sets the fields in the head of a relayed response that name what serves the
+	// stream.
+	EncodeOrigin(h http.Header, o cwstream.Origin)
 	// IsPerAttempt reports whether a header field differs between attempts of the same request.
 	IsPerAttempt(name string) bool
 }
@@ -37,6 +42,9 @@
 	// request before it is relayed.
 	IsRelayed bool
 	Elapsed   time.Duration
+	// Origin is what began the stream that a relayed request goes on with; unknown if it begins
+	// one.
+	Origin cwstream.Origin
 }
 
 // ResponseHead is the decoded head of a response.
@@ -52,6 +60,8 @@
 	IsOtherEndpoint bool
 	// RateLimit is the rate limit that the endpoint names.
 	RateLimit RateLimitField
+	// Origin is what serves the stream, in the response of another instance.
+	Origin cwstream.Origin
 }
 
 // RateLimitField is the field of a response in which an endpoint names a rate limit.
--- a/internal/cwgate/gate.go
+++ b/internal/cwgate/gate.go
@@ -17,6 +17,7 @@
 	"github.com/clementinewell/clementinewell/internal/cwplacement"
 	"github.com/clementinewell/clementinewell/internal/cwpublished"
 	"github.com/clementinewell/clementinewell/internal/cwsite"
+	"github.com/clementinewell/clementinewell/internal/cwstream"
 )
 
 // Gate forwards requests to endpoints and to other instances, by the routes of the
@@ -25,6 +26,8 @@
 	*cwcommon.Common
 	// Burn records the use of the error budget, by route.
 	Burn *cwburn.Recorder
+	// StreamFinder asks other instances about streams; nil if there are none.
+	StreamFinder StreamFinder
 
 	site    *cwsite.Site
 	control *cwcontrol.Control
@@ -33,6 +36,7 @@
 	codec   Codec
 	metrics *metrics
 	crashes *cwcrash.Ledger
+	streams *cwstream.Ledger
 
 	// mu guards the fields below, except startedAt and the atomic ones.
 	mu  sync.Mutex
@@ -55,10 +59,12 @@
 	rateSharesSetAt time.Time
 	bounds          cwsite.Bounds
 	// view and snapshot are those that sync applied last.
-	view      *cwpublished.View
-	snapshot  *cwcontrol.Snapshot
-	startedAt time.Time
-	inFlight  atomic.Int64
+	view     *cwpublished.View
+	snapshot *cwcontrol.Snapshot
+	// originRegions are the regions with endpoints by what they serve, as of a view.
+	originRegions originRegions
+	startedAt     time.Time
+	inFlight      atomic.Int64
 	// endsAt is when the instance ends; nil unless it stops.
 	endsAt atomic.Pointer[time.Time]
 	// ended is done when the instance ends, by a call of end.
@@ -92,6 +98,7 @@
 		redialing:        make(map[*cwplacement.Endpoint]bool),
 		startedAt:        time.Now(),
 	}
+	g.streams = cwstream.NewLedger()
 	g.crashes = cwcrash.NewLedger(common.Incarnation, g.logBlocks)
 	return g
 }
@@ -101,6 +108,11 @@
 	return g.crashes
 }
 
+// Streams returns the origins of the streams that this instance knows.
+func (g *Gate) Streams() *cwstream.Ledger {
+	return g.streams
+}
+
 // Conns returns the pool of connections to endpoints and other instances.
 func (g *Gate) Conns() *cwconn.Pool {
 	return g.conns
--- a/internal/cwgate/metrics.go
+++ b/internal/cwgate/metrics.go
@@ -13,6 +13,7 @@
 	root      tally.Scope
 	refusals  sync.Map
 	requests  sync.Map
+	takenUp   sync.Map
 	firstByte tally.Histogram
 	total     tally.Histogram
 	retries   tally.Counter
@@ -40,6 +41,11 @@
 	m.taggedCounter(&m.refusals, "routed_refusals", "reason", reason).Inc(1)
 }
 
+// countTakenUp counts a stream that a caller takes up, by who knows its origin.
+func (m *metrics) countTakenUp(source string) {
+	m.taggedCounter(&m.takenUp, "streams_taken_up", "origin", source).Inc(1)
+}
+
 // countRequest counts a request by its outcome and records its durations. A firstByte of
 // 0 means that no endpoint's response was begun.
 func (m *metrics) countRequest(outcome string, firstByte, total time.Duration) {
--- a/internal/cwgate/placement.go
+++ b/internal/cwgate/placement.go
@@ -37,14 +37,15 @@
 		p = cwplacement.NewPool(service, g.site.Domain, g.rng)
 		g.pools[routed.service] = p
 	}
+	wasEndpointTried, wasDomainTried := g.limitToOrigin(routed, wasTried)
 	request := &cwplacement.Request{
 		Requirements:   routed.requirements(now),
 		Priority:       routed.route.Priority,
-		WasTried:       wasTried,
+		WasTried:       wasEndpointTried,
 		IsLocalAllowed: routed.route.AllowsRegion(g.site.Region),
 		IsRelayed:      routed.IsRelayed,
 		IsStarting:     now.Sub(g.startedAt) < startupPeriod,
-		WasDomainTried: wasTried,
+		WasDomainTried: wasDomainTried,
 	}
 	if !routed.IsRelayed {
 		request.RemoteCapacities = g.remoteCapacities(routed)
--- a/internal/cwgate/request.go
+++ b/internal/cwgate/request.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/clementinewell/clementinewell/internal/cwplacement"
+	"github.com/clementinewell/clementinewell/internal/cwstream"
 )
 
 // Request is the decoded request of a caller.
@@ -41,6 +42,8 @@
 	// was spent on it before.
 	IsRelayed bool
 	Elapsed   time.Duration
+	// Origin is what began the stream that a relayed request goes on with; unknown otherwise.
+	Origin cwstream.Origin
 }
 
 // Prompt describes the prompt and the output of a request to a model engine.
--- a/internal/cwgate/routed_request.go
+++ b/internal/cwgate/routed_request.go
@@ -9,6 +9,7 @@
 	"github.com/clementinewell/clementinewell/internal/cwlimit"
 	"github.com/clementinewell/clementinewell/internal/cwplacement"
 	"github.com/clementinewell/clementinewell/internal/cwroute"
+	"github.com/clementinewell/clementinewell/internal/cwstream"
 	"github.com/clementinewell/clementinewell/pkg/cwanswer"
 )
 
@@ -51,6 +52,10 @@
 	traitBuffer [8]cwcrash.Trait
 	// hasIdentity is set once traits contains the identity of the request.
 	hasIdentity bool
+	// hasOrigin is set once the stream goes on only at its origin: its first event was sent, or
+	// the caller takes it up. origin is unknown if the stream can't go on.
+	hasOrigin bool
+	origin    cwstream.Origin
 	// ends is the number of endpoints that ended while the request may have been the cause.
 	ends int
 }
--- a/internal/cwgate/serve.go
+++ b/internal/cwgate/serve.go
@@ -106,6 +106,10 @@
 // runAttempts makes attempts until one succeeds or no other is possible, and then ends the
 // request.
 func (g *Gate) runAttempts(ctx context.Context, routed *routedRequest) {
+	if refusal := g.bindTakenUpStream(ctx, routed); refusal != nil {
+		g.refuseUnrouted(routed.Request, routed.responder, *refusal)
+		return
+	}
 	g.assignService(routed)
 	if b := g.findBlock(routed); b != nil {
 		g.refuseBlocked(ctx, routed, b)
@@ -195,12 +199,14 @@
 	}
 }
 
-// assignService selects the service of the request at random by the shares of the route,
-// and counts the request for the service's retry budget.
+// assignService selects the service of the request, and counts the request for the service's retry budget.
 func (g *Gate) assignService(routed *routedRequest) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	routed.service = routed.route.PickService(g.rng.Float64())
+	routed.service = routed.origin.Service
+	if !routed.hasOrigin {
+		routed.service = routed.route.PickService(g.rng.Float64())
+	}
 	if !routed.IsRelayed {
 		g.retryBudget(routed.service).CountRequest(time.Now())
 	}
@@ -263,6 +269,9 @@
 		g.finishFailed(ctx, routed, result{err: fmt.Errorf("no other place for the request: %s", d.Reason)})
 		return
 	}
+	if g.isVersionGone(routed) {
+		d.Reason, d.RetryAfter = "noVersion", 0
+	}
 	g.metrics.countRefusal(d.Reason)
 	routed.responder.writeRefusal(newNotRunRefusal(d.Reason, d.RetryAfter))
 	g.logRefused(routed, d)
--- /dev/null
+++ b/internal/cwgate/stream_origin.go
@@ -0,0 +1,147 @@
+package cwgate
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/clementinewell/clementinewell/internal/cwroute"
+	"github.com/clementinewell/clementinewell/internal/cwstream"
+)
+
+// StreamFinder asks other instances about streams.
+type StreamFinder interface {
+	// FindStream returns the record of a stream, false if no other instance knows it.
+	FindStream(ctx context.Context, id cwstream.ID) (cwstream.Record, bool)
+}
+
+var errOtherOrigin = errors.New("the stream was begun by another software version or service")
+
+// streamID identifies the stream of the request, which another attempt of the caller may have
+// begun.
+func (r *routedRequest) streamID() cwstream.ID {
+	if r.Resumes != "" {
+		return cwstream.NewID(r.Resumes)
+	}
+	return cwstream.NewID(r.ID)
+}
+
+// bindTakenUpStream determines the origin of a stream that the caller takes up. It returns a
+// refusal if the origin is not known, or if the route no longer leads to its service: nothing else
+// may go on with the stream.
+func (g *Gate) bindTakenUpStream(ctx context.Context, routed *routedRequest) *Refusal {
+	if routed.route.Kind != cwroute.Stream || !routed.takesUpStream() && !routed.Origin.IsKnown() {
+		return nil
+	}
+	routed.hasOrigin, routed.origin = true, routed.Origin
+	if !routed.IsRelayed {
+		routed.origin = g.findOrigin(ctx, routed)
+	}
+	switch {
+	case !routed.origin.IsKnown():
+		refusal := newNotRunRefusal("streamUnknown", 0)
+		return &refusal
+	case !routed.route.LeadsTo(routed.origin.Service):
+		refusal := newNotRunRefusal("noVersion", 0)
+		return &refusal
+	}
+	return nil
+}
+
+// findOrigin returns the origin of a stream that the caller takes up, as this instance or others
+// know it.
+func (g *Gate) findOrigin(ctx context.Context, routed *routedRequest) cwstream.Origin {
+	id, source := routed.streamID(), "own"
+	record, isKnown := g.streams.Find(id, time.Now())
+	if !isKnown && g.StreamFinder != nil {
+		source = "peer"
+		if record, isKnown = g.StreamFinder.FindStream(ctx, id); isKnown {
+			g.streams.Merge([]cwstream.Record{record}, time.Now())
+		}
+	}
+	if !isKnown {
+		source = "unknown"
+	}
+	g.metrics.countTakenUp(source)
+	return record.Origin
+}
+
+// beginStream is called before the first event of a stream is sent: from here on the stream goes on
+// only at its origin.
+func (a *attempt) beginStream(head ResponseHead) {
+	routed, now := a.req, time.Now()
+	if !routed.hasOrigin {
+		routed.hasOrigin, routed.origin = true, a.originOf(head, now)
+	}
+	a.streams.Begin(cwstream.Record{ID: routed.streamID(), Origin: routed.origin, ExpiresAt: routed.callerDeadline()}, now)
+	if routed.IsRelayed {
+		a.codec.EncodeOrigin(routed.responder.Header(), routed.origin)
+	}
+}
+
+// isOtherOrigin reports whether the response is not by what began the stream, or that is unknown.
+func (a *attempt) isOtherOrigin(head ResponseHead) bool {
+	return a.req.hasOrigin && (!a.req.origin.IsKnown() || a.originOf(head, time.Now()) != a.req.origin)
+}
+
+// originOf returns what serves the stream of the attempt. It is unknown if the endpoint has been
+// replaced by one of another version under the same identifier: either may have answered.
+func (a *attempt) originOf(head ResponseHead, now time.Time) cwstream.Origin {
+	if a.placement == nil {
+		return head.Origin
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.sync(now)
+	if e := a.pools[a.req.service].Endpoint(a.placement.EndpointID); e != nil && e.Version != a.placement.Version {
+		return cwstream.Origin{}
+	}
+	return cwstream.Origin{Service: a.req.service, Version: a.placement.Version}
+}
+
+// confirmOrigin forgets the origin of a stream that has broken off if it has become uncertain since
+// the first event.
+func (a *attempt) confirmOrigin() {
+	routed := a.req
+	if a.placement == nil || !routed.hasOrigin || !routed.origin.IsKnown() {
+		return
+	}
+	if !a.originOf(ResponseHead{}, time.Now()).IsKnown() {
+		routed.origin = cwstream.Origin{}
+		a.streams.Forget(routed.streamID())
+	}
+}
+
+// callerDeadline returns when the caller gives up all its attempts.
+func (r *routedRequest) callerDeadline() time.Time {
+	timeout := r.Timeout
+	if timeout <= 0 {
+		timeout = defaultCallerTimeout
+	}
+	return r.ArrivedAt.Add(timeout)
+}
+
+// limitToOrigin extends wasTried, of endpoints and domains, by the places that can't go on with the
+// stream of the request. The caller holds mu.
+func (g *Gate) limitToOrigin(routed *routedRequest, wasTried func(name string) bool) (wasEndpointTried, wasDomainTried func(name string) bool) {
+	if !routed.hasOrigin {
+		return wasTried, wasTried
+	}
+	pool, regions := g.pools[routed.service], g.originRegions.of(routed.origin)
+	wasEndpointTried = func(id string) bool {
+		e := pool.Endpoint(id)
+		return wasTried(id) || e == nil || e.Version != routed.origin.Version
+	}
+	wasDomainTried = func(domain string) bool {
+		return wasTried(domain) || !slices.Contains(regions, g.site.RegionByDomain[domain])
+	}
+	return wasEndpointTried, wasDomainTried
+}
+
+// isVersionGone reports whether no region has an endpoint that may go on with the stream.
+func (g *Gate) isVersionGone(routed *routedRequest) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return routed.hasOrigin && len(g.originRegions.of(routed.origin)) == 0
+}
--- a/internal/cwgate/sync.go
+++ b/internal/cwgate/sync.go
@@ -45,6 +45,9 @@
 		return
 	}
 	g.view, g.snapshot = view, snapshot
+	if viewChanged {
+		g.originRegions.setView(view, g.site.RegionByDomain)
+	}
 	if viewChanged || g.hasColdEndpoint(now) {
 		g.syncEndpoints(now)
 	}
--- a/internal/cwpeer/client.go
+++ b/internal/cwpeer/client.go
@@ -12,6 +12,7 @@
 	"github.com/clementinewell/clementinewell/internal/cwpolicy"
 	"github.com/clementinewell/clementinewell/internal/cwproto"
 	"github.com/clementinewell/clementinewell/internal/cwpublished"
+	"github.com/clementinewell/clementinewell/internal/cwstream"
 )
 
 const (
@@ -102,6 +103,34 @@
 	return nil
 }
 
+// ShareStreams tells the peer of streams that this instance began.
+func (c *Client) ShareStreams(ctx context.Context, address string, records []cwstream.Record) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := c.peerAt(address).ShareStreams(ctx, &cwproto.ShareStreamsRequest{Groups: protoStreamGroups(records, time.Now())})
+	if err != nil {
+		return fmt.Errorf("share streams with %s: %w", address, cwlimit.ShortenError(err))
+	}
+	return nil
+}
+
+// FindStream returns what the peer knows of a stream, nil if that is nothing.
+func (c *Client) FindStream(ctx context.Context, address string, id cwstream.ID) (*cwstream.Record, error) {
+	resp, err := c.peerAt(address).FindStream(ctx, &cwproto.FindStreamRequest{Stream: uint64(id)})
+	if err != nil {
+		return nil, fmt.Errorf("ask %s about a stream: %w", address, cwlimit.ShortenError(err))
+	}
+	if resp.GetGroup() == nil {
+		return nil, nil
+	}
+	for _, r := range streamRecordsOf([]*cwproto.StreamGroup{resp.GetGroup()}, time.Now()) {
+		if r.ID == id {
+			return &r, nil
+		}
+	}
+	return nil, nil
+}
+
 // TakeOver hands tickets over to the peer and returns the peer's incarnation. It returns
 // an error if the peer does not accept them.
 func (c *Client) TakeOver(ctx context.Context, address string, handovers []cwpolicy.TicketHandover) (uint64, error) {
--- a/internal/cwpeer/server.go
+++ b/internal/cwpeer/server.go
@@ -10,6 +10,7 @@
 	"github.com/clementinewell/clementinewell/internal/cwpolicy"
 	"github.com/clementinewell/clementinewell/internal/cwproto"
 	"github.com/clementinewell/clementinewell/internal/cwpublished"
+	"github.com/clementinewell/clementinewell/internal/cwstream"
 	"github.com/clementinewell/clementinewell/pkg/cwanswer"
 	"github.com/clementinewell/clementinewell/pkg/cwconfig"
 )
@@ -33,6 +34,8 @@
 	Published PublishedSource
 	// Crashes holds the evidence about requests that end endpoints; nil if there is none.
 	Crashes CrashLedger
+	// Streams holds the origins of streams; nil if there are none.
+	Streams StreamLedger
 }
 
 // PublishedSource provides published items.
@@ -92,6 +95,27 @@
 	return &cwproto.ShareCrashesResponse{}, nil
 }
 
+// ShareStreams adds the streams that a peer began.
+func (s *Server) ShareStreams(_ context.Context, req *cwproto.ShareStreamsRequest) (*cwproto.ShareStreamsResponse, error) {
+	if s.sources.Streams != nil {
+		s.sources.Streams.Merge(streamRecordsOf(req.GetGroups(), time.Now()), time.Now())
+	}
+	return &cwproto.ShareStreamsResponse{}, nil
+}
+
+// FindStream returns what this instance knows of a stream.
+func (s *Server) FindStream(_ context.Context, req *cwproto.FindStreamRequest) (*cwproto.FindStreamResponse, error) {
+	if s.sources.Streams == nil {
+		return &cwproto.FindStreamResponse{}, nil
+	}
+	now := time.Now()
+	r, isKnown := s.sources.Streams.Find(cwstream.ID(req.GetStream()), now)
+	if !isKnown {
+		return &cwproto.FindStreamResponse{}, nil
+	}
+	return &cwproto.FindStreamResponse{Group: protoStreamGroups([]cwstream.Record{r}, now)[0]}, nil
+}
+
 // pullFrom fetches the offered configuration from the calling peer if it is newer than
 // the one in force. It runs in the background and does not delay the response.
 func (s *Server) pullFrom(ctx context.Context, address string, offered cwconfig.Version) {
--- a/internal/cwroute/route.go
+++ b/internal/cwroute/route.go
@@ -52,6 +52,11 @@
 	return len(r.Homes) == 0 || slices.Contains(r.Homes, region)
 }
 
+// LeadsTo reports whether the route sends requests to the service.
+func (r *Route) LeadsTo(service string) bool {
+	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service && s.Weight > 0 })
+}
+
 // PickService returns the service for a random number in [0,1), by weight; empty if the
 // route has no services.
 func (r *Route) PickService(random float64) string {
--- a/internal/cwsoak/caller_test.go
+++ b/internal/cwsoak/caller_test.go
@@ -39,7 +39,9 @@
 	for ctx.Err() == nil {
 		p := c.s.instances[(n+c.rng.IntN(2))%len(c.s.instances)]
 		k := c.kinds[c.rng.IntN(len(c.kinds))]
-		c.s.checkResponse(c.sendRequest(p, k), k)
+		resp := c.sendRequest(p, k)
+		c.s.checkResponse(resp, k)
+		c.takeUp(resp, k)
 		<-time.After(callerInterval)
 	}
 	for _, conns := range c.conns {
--- a/internal/cwsoak/published_test.go
+++ b/internal/cwsoak/published_test.go
@@ -19,7 +19,7 @@
 	}
 	s.store.PutJSON("servers/"+s.observers[n].worker.ID, map[string]any{
 		"service": service, "address": loopbackIP(22, n+1) + ":" + workerPort, "zone": s.observers[n].domain,
-		"version": "v1", "slots": 32, "state": state, "cold-remaining-ms": 0, "sequence": s.configVersion.Load(), "born": s.observers[n].startedAt(),
+		"version": workerVersion(n), "slots": 32, "state": state, "cold-remaining-ms": 0, "sequence": s.configVersion.Load(), "born": s.observers[n].startedAt(),
 	})
 }
 
--- a/internal/cwsoak/soak_test.go
+++ b/internal/cwsoak/soak_test.go
@@ -115,7 +115,10 @@
 	cuts []response
 	// unserved are the requests that got no success, and silences those of all workers.
 	unserved []response
-	silences []silence
+	// takenUp is the number of streams that callers took up, and goneOn that of those that were
+	// then complete.
+	takenUp, goneOn int
+	silences        []silence
 }
 
 func newSoakRun(t *testing.T, program string, seed uint64) *soakRun {
@@ -164,6 +167,7 @@
 // startWorker starts the nth worker and its proxy.
 func (s *soakRun) startWorker(n int, domain string) (*cwstandin.Worker, *proxy) {
 	w := cwstandin.NewWorker(fmt.Sprint("worker-", n))
+	w.SetVersion(workerVersion(n))
 	o := &workerObserver{worker: w, domain: domain, born: 1, work: make(map[string]work)}
 	s.observers = append(s.observers, o)
 	p := newProxy(s.t, loopbackIP(22, n+1)+":"+workerPort, startServer(s.t, o))
@@ -209,7 +213,7 @@
 			s.t.Logf("log of %s (%v):\n%s", p.ip, err, log)
 		}
 	}
-	s.t.Logf("%d requests, %d succeeded", s.requests.Load(), s.succeeded.Load())
+	s.t.Logf("%d requests, %d succeeded; %d streams taken up, %d gone on", s.requests.Load(), s.succeeded.Load(), s.takenUp, s.goneOn)
 }
 
 // injectFault injects a random fault or clears proxy faults. Faults can overlap.
@@ -310,7 +314,10 @@
 	for n := 1; n <= 6; n++ {
 		want += "id: " + strconv.Itoa(n) + "\ndata: piece " + strconv.Itoa(n) + "\n\n"
 	}
-	if resp.body != want {
+	if versions := versionsOf(resp.body); len(versions) > 1 {
+		s.t.Errorf("%s: stream has events of versions %v", resp.requestID, versions)
+	}
+	if versionLine.ReplaceAllString(resp.body, "") != want {
 		s.t.Errorf("%s: stream ended without an error but is not complete: %q", resp.requestID, resp.body)
 	}
 }
--- a/internal/cwstandin/peers.go
+++ b/internal/cwstandin/peers.go
@@ -48,6 +48,16 @@
 	return &cwproto.ShareCrashesResponse{}, nil
 }
 
+// ShareStreams ignores the streams.
+func (p *peer) ShareStreams(context.Context, *cwproto.ShareStreamsRequest) (*cwproto.ShareStreamsResponse, error) {
+	return &cwproto.ShareStreamsResponse{}, nil
+}
+
+// FindStream knows no stream.
+func (p *peer) FindStream(context.Context, *cwproto.FindStreamRequest) (*cwproto.FindStreamResponse, error) {
+	return &cwproto.FindStreamResponse{}, nil
+}
+
 // TakeOver takes over no tickets.
 func (p *peer) TakeOver(context.Context, *cwproto.TakeOverRequest) (*cwproto.TakeOverResponse, error) {
 	return &cwproto.TakeOverResponse{}, nil
--- a/internal/cwstandin/worker.go
+++ b/internal/cwstandin/worker.go
@@ -31,6 +31,8 @@
 	// partInterval is the time between the events of a stream, or the halves of another body.
 	partInterval time.Duration
 	crash        *Crash
+	// version is named in each event of a stream; empty to name none.
+	version string
 }
 
 // WorkerRun is a request that the worker ran.
@@ -176,6 +178,13 @@
 	w.partInterval = d
 }
 
+// SetVersion makes the worker name its software version in each event of a stream.
+func (w *Worker) SetVersion(version string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version = version
+}
+
 // waitForNextPart waits for the interval, after what was written so far has been sent.
 func (w *Worker) waitForNextPart(rw http.ResponseWriter) {
 	w.mu.Lock()
@@ -252,9 +261,9 @@
 		_, _ = io.WriteString(rw, text[:len(text)/2])
 		panic(http.ErrAbortHandler)
 	case FaultExtraResponse:
-		w.writeRaw(rw, formatRawResponse(id, w.ID, buildResponseBody(r, text))+formatRawResponse("another", w.ID, "not yours"))
+		w.writeRaw(rw, formatRawResponse(id, w.ID, w.buildResponseBody(r, text))+formatRawResponse("another", w.ID, "not yours"))
 	case FaultUnexpectedResponse:
-		w.writeRaw(rw, formatRawResponse("another", w.ID, "not yours")+formatRawResponse(id, w.ID, buildResponseBody(r, text)))
+		w.writeRaw(rw, formatRawResponse("another", w.ID, "not yours")+formatRawResponse(id, w.ID, w.buildResponseBody(r, text)))
 	case FaultHang:
 		<-r.Context().Done()
 		w.mu.Lock()
@@ -291,25 +300,30 @@
 		if n > lastID+1 {
 			w.waitForNextPart(rw)
 		}
-		_, _ = io.WriteString(rw, formatEvent(n))
+		_, _ = io.WriteString(rw, w.formatEvent(n))
 		_ = http.NewResponseController(rw).Flush()
 	}
 }
 
-func formatEvent(n int) string {
+func (w *Worker) formatEvent(n int) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.version != "" {
+		return fmt.Sprintf("id: %d\nversion: %s\ndata: piece %d\n\n", n, w.version, n)
+	}
 	return fmt.Sprintf("id: %d\ndata: piece %d\n\n", n, n)
 }
 
 // buildResponseBody returns the body of a response that is sent in one piece: all events
 // if the request expects a stream, or else the text.
-func buildResponseBody(r *http.Request, text string) string {
+func (w *Worker) buildResponseBody(r *http.Request, text string) string {
 	if r.Header.Get("Clementinewell-Token-Count") == "" {
 		return text
 	}
 	lastID, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	events := ""
 	for n := lastID + 1; n <= eventsPerStream; n++ {
-		events += formatEvent(n)
+		events += w.formatEvent(n)
 	}
 	return events
 }
--- a/internal/cwstandin/worker_crash.go
+++ b/internal/cwstandin/worker_crash.go
@@ -59,7 +59,7 @@
 		rw.WriteHeader(http.StatusOK)
 	}
 	if c.Prelude >= PreludeEvent {
-		_, _ = io.WriteString(rw, formatEvent(1))
+		_, _ = io.WriteString(rw, w.formatEvent(1))
 	}
 	if c.Prelude == PreludeUndelimited {
 		_, _ = fmt.Fprint(rw, "id: 2\nda")
--- /dev/null
+++ b/internal/cwstream/ledger_test.go
@@ -0,0 +1,75 @@
+package cwstream_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/clementinewell/clementinewell/internal/cwstream"
+)
+
+var (
+	v1 = cwstream.Origin{Service: "app", Version: "v1"}
+	v2 = cwstream.Origin{Service: "app", Version: "v2"}
+)
+
+// TestLedgerKeepsOriginUntilDeadline guards against a stream that is forgotten while its caller may
+// take it up, one that is kept for ever, and one whose origin a later attempt replaces.
+func TestLedgerKeepsOriginUntilDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := cwstream.NewLedger()
+		now, id := time.Now(), cwstream.NewID("a")
+		l.Begin(cwstream.Record{ID: id, Origin: v1, ExpiresAt: now.Add(12 * time.Second)}, now)
+		l.Merge([]cwstream.Record{{ID: id, Origin: v2, ExpiresAt: now.Add(3 * time.Second)}}, now)
+		r, isKnown := l.Find(id, now.Add(12*time.Second))
+		is.True(isKnown)
+		is.Equal(r.Origin, v1)
+		_, isKnown = l.Find(id, now.Add(14*time.Second))
+		is.True(!isKnown)
+		l.Merge([]cwstream.Record{{ID: cwstream.NewID("b"), Origin: v2, ExpiresAt: now.Add(20 * time.Second)}}, now.Add(15*time.Second))
+		is.Equal(l.Len(), 1) // the expired one is gone
+	})
+}
+
+// TestLedgerTellsEachStreamOnce guards against streams that others never hear of, and against
+// messages that repeat or contain streams that need not be told.
+func TestLedgerTellsEachStreamOnce(t *testing.T) {
+	is := is.New(t)
+	l := cwstream.NewLedger()
+	now := time.Now()
+	begin := func(name string) {
+		l.Begin(cwstream.Record{ID: cwstream.NewID(name), Origin: v1, ExpiresAt: now.Add(time.Second)}, now)
+	}
+	begin("a")
+	begin("complete")
+	l.Complete(cwstream.NewID("complete"))
+	l.Merge([]cwstream.Record{{ID: cwstream.NewID("peer's"), Origin: v2, ExpiresAt: now.Add(time.Second)}}, now)
+	told := l.TakeUntold(now)
+	is.Equal(len(told), 1)
+	is.Equal(told[0].ID, cwstream.NewID("a"))
+	is.Equal(len(l.TakeUntold(now)), 0)
+	_, isKnown := l.Find(cwstream.NewID("complete"), now)
+	is.True(isKnown) // its end may not have arrived
+}
+
+// TestLedgerIsBounded guards against memory that grows with the streams, and against an unknown
+// origin that counts as known.
+func TestLedgerIsBounded(t *testing.T) {
+	is := is.New(t)
+	l := cwstream.NewLedger()
+	now := time.Now()
+	const most = 1 << 16
+	for n := range most + 10 {
+		l.Begin(cwstream.Record{ID: cwstream.ID(n), Origin: v1, ExpiresAt: now.Add(time.Hour)}, now)
+	}
+	is.Equal(l.Len(), most)
+	is.True(len(l.TakeUntold(now)) <= 4096)
+	_, isKnown := l.Find(1, now.Add(11*time.Minute))
+	is.True(!isKnown) // an hour is longer than a stream is remembered
+	l = cwstream.NewLedger()
+	l.Begin(cwstream.Record{ID: 1, ExpiresAt: now.Add(time.Hour)}, now)
+	is.Equal(l.Len(), 0)
+}
