--- a/internal/cwsoak/soak_test.go
+++ b/internal/cwsoak/soak_test.go
@@ -192,6 +192,7 @@
 	s.runEndlessBytes(rand.New(rand.NewPCG(s.seed, 12)))
 	s.runRateLimits(rand.New(rand.NewPCG(s.seed, 9)))
 	s.runCrashingRequests(rand.New(rand.NewPCG(s.seed, 13)))
+	s.runTakeUps(rand.New(rand.NewPCG(s.seed, 14)))
 	restoreRNG := rand.New(rand.NewPCG(s.seed, 10))
 	for end := time.Now().Add(*faultPeriod); time.Now().Before(end); {
 		if restoreRNG.IntN(12) == 0 {
--- a/internal/cwsoak/stream_version_test.go
+++ b/internal/cwsoak/stream_version_test.go
@@ -1,11 +1,17 @@
 package cwsoak_test
 
 import (
+	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"regexp"
 	"strings"
+	"sync"
+	"syscall"
 	"time"
+
+	"github.com/clementinewell/clementinewell/internal/cwstandin"
 )
 
 // versionLine is the line of an event in which a worker names its version.
@@ -51,6 +57,42 @@
 	c.s.checkTakenUp(received, resp)
 }
 
+const (
+	// takeUpRounds is the number of kills beside long streams, and takeUpCallers that of callers.
+	takeUpRounds, takeUpCallers = 6, 24
+	// takeUpPause is the time between two kills: streams begin, break and are taken up.
+	takeUpPause = 900 * time.Millisecond
+	// minGoneOn is the share of the streams taken up that must go on: half of that of new ones, by
+	// the platform's rules.
+	minGoneOn = 0.5
+)
+
+// runTakeUps kills instances and breaks streams off while callers take their streams up.
+func (s *soakRun) runTakeUps(rng *rand.Rand) {
+	ctx, stop := context.WithCancel(context.Background())
+	var callers sync.WaitGroup
+	for n := range takeUpCallers {
+		c := &caller{s: s, kinds: []requestKind{{route: "reel", isLong: true, tokens: "90,30"}}, rng: rand.New(rand.NewPCG(rng.Uint64(), 1))}
+		callers.Go(func() { c.run(ctx, n) })
+	}
+	for range takeUpRounds {
+		fault := cwstandin.FaultTruncateStream
+		s.workers[rng.IntN(len(s.workers))].QueueFaults(fault, fault, fault)
+		<-time.After(takeUpPause)
+		p := s.instances[rng.IntN(len(s.instances))]
+		p.stop(syscall.SIGKILL)
+		p.start()
+	}
+	stop()
+	callers.Wait()
+	s.waitUntilServing()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if float64(s.goneOn) < minGoneOn*float64(s.takenUp) {
+		s.t.Errorf("%d of %d streams taken up went on", s.goneOn, s.takenUp)
+	}
+}
+
 // instanceOf returns the instance to which a request is addressed.
 func (s *soakRun) instanceOf(req *http.Request) *gatewayProcess {
 	for _, p := range s.instances {
