--- a/internal/cwgate/log.go
+++ b/internal/cwgate/log.go
@@ -64,9 +64,15 @@
 	if reason, isCounted := burnReasonOf(d.Reason); isCounted {
 		g.recordBurn(routed, reason)
 	}
-	g.Log.Info("request refused", zap.String("request", routed.ID), zap.String("route", routed.route.Name), zap.String("service", routed.service), zap.String("reason", d.Reason),
+	fields := []zap.Field{
+		zap.String("request", routed.ID), zap.String("route", routed.route.Name), zap.String("service", routed.service), zap.String("reason", d.Reason),
 		zap.Duration("predicted", d.LocalFirstByte), zap.Duration("predictedAway", d.RemoteFirstByte), zap.Duration("retryAfter", d.RetryAfter),
-		zap.Int("attempts", routed.attempts), zap.Bool("relayed", routed.IsRelayed), zap.Uint64("revision", g.state.Revision().StoreRevision()))
+		zap.Int("attempts", routed.attempts), zap.Bool("relayed", routed.IsRelayed), zap.Uint64("revision", g.state.Revision().StoreRevision()),
+	}
+	if d.Exclusions != nil {
+		fields = append(fields, zap.Object("excluded", d.Exclusions))
+	}
+	g.Log.Info("request refused", fields...)
 }
 
 // logEnd logs the end of a request, counts it and records it for the error budget.
--- a/internal/cwplacement/decide.go
+++ b/internal/cwplacement/decide.go
@@ -114,6 +114,7 @@
 	if d.IsReturnExpected = req.IsLocalAllowed && p.AwaitsReturn(req.WasTried, now); d.IsReturnExpected {
 		return p.refuse(d, MaxSoundSilence, "noPlace")
 	}
+	d.Exclusions = p.exclusions(req, now)
 	if req.IsStarting {
 		return p.refuse(d, startingRetryAfter, "noPlace")
 	}
--- a/internal/cwplacement/decision.go
+++ b/internal/cwplacement/decision.go
@@ -32,6 +32,8 @@
 	IsReturnExpected bool
 	// Reason is the reason for the action, for logs and metrics.
 	Reason string
+	// Exclusions is set for ActionRefuse if there is no place: what excludes each.
+	Exclusions *Exclusions
 	// LocalFirstByte and RemoteFirstByte are the predicted times to the first byte in
 	// this region and in another one; negative if the request can't be placed there or
 	// other regions were not considered.
