What an instance fails to reach says nothing of endpoints if it is cut off from all

Cause: a failure to reach an endpoint was told to the region as a sign that the endpoint had restarted, and such endpoints count as cold; the capacities and the failure rates of an instance that is cut off replaced those of the others; exits were chosen without regard to whether they reach endpoints.

Change: Reachability finds that no endpoint is reached (three in a row, or all if fewer, without one reached in between). The instance tells so in exchanges and in refusals of relayed requests. Its failures count only at instances that have reached nothing for 2 s either, its capacities not at all, and it is no exit. When it reaches an endpoint again, it forgets its failures: restarts are excluded by another instance of the region that was never cut off, or by entries that would have lapsed.

--- a/internal/cwcontrol/peer_events.go
+++ b/internal/cwcontrol/peer_events.go
@@ -49,10 +49,12 @@
 
 func (e PeerReported) apply(s *state, now time.Time) {
 	before := s.membership.Liveness(e.Member.PeerAddress)
+	wasCutOff := s.membership.IsCutOff(e.Member.PeerAddress)
 	isAccepted := s.membership.OnSelfReport(e.Member, now)
 	after := s.membership.Liveness(e.Member.PeerAddress)
 	s.membersStale = true
-	if before.Incarnation != after.Incarnation || before.IsLeaving != after.IsLeaving || !before.ContactFailedAt.IsZero() || len(e.TicketMoves) > 0 {
+	// What a cut-off member reports of endpoints is read together with its mark.
+	if wasCutOff != s.membership.IsCutOff(e.Member.PeerAddress) || before.Incarnation != after.Incarnation || before.IsLeaving != after.IsLeaving || !before.ContactFailedAt.IsZero() || len(e.TicketMoves) > 0 {
 		s.membersDirty = true
 	}
 	if !isAccepted {
--- a/internal/cwcontrol/self_events.go
+++ b/internal/cwcontrol/self_events.go
@@ -56,3 +56,14 @@
 func (e SelfStoreUnreachable) apply(s *state, _ time.Time) {
 	s.self.IsStoreUnreachable = e.IsUnreachable
 }
+
+// SelfCutOff is posted when this instance reaches no endpoint of its region any more, or
+// reaches one again.
+type SelfCutOff struct {
+	// IsCutOff is set if it reaches none.
+	IsCutOff bool
+}
+
+func (e SelfCutOff) apply(s *state, _ time.Time) {
+	s.self.IsCutOff = e.IsCutOff
+}
--- a/internal/cwcontrol/state.go
+++ b/internal/cwcontrol/state.go
@@ -87,8 +87,13 @@
 }
 
 // setCapacities replaces the capacities of the peer's domain. Each instance of a
-// domain reports the capacities of the whole domain, so the latest report is used.
+// domain reports the capacities of the whole domain, so the latest report is used. One that is cut
+// off from the endpoints does not know them.
 func (s *state) setCapacities(e PeerReported, now time.Time) {
+	if e.Member.IsCutOff {
+		s.recordRoundTrip(e.Member.Domain, e.RoundTrip)
+		return
+	}
 	for pool, capacities := range s.capacities {
 		s.capacities[pool] = slices.DeleteFunc(slices.Clone(capacities), func(c cwpolicy.DomainCapacity) bool {
 			return c.Domain == e.Member.Domain
--- a/internal/cwgate/attempt.go
+++ b/internal/cwgate/attempt.go
@@ -138,11 +138,12 @@
 		return a.handleCallError(ctx, err)
 	}
 	defer response.Close()
+	a.recordResponse()
 	head := a.codec.DecodeHead(response.Response)
 	a.recordRateLimit(head, sentAt)
 	switch {
 	case head.IsNotRun || a.exitDomain != "" && !head.IsSigned && isPeerRefusal(response.StatusCode):
-		return a.handleRejection(ctx, response)
+		return a.handleRejection(ctx, response, head)
 	case !head.IsSigned || head.IsEncoded:
 		a.req.possibleRuns++
 		r := a.failUnknown(ctx, fmt.Errorf("status %d from %s: %w", response.StatusCode, a.address, errUnexpectedResponse))
@@ -163,6 +164,16 @@
 	return a.forwardBuffered(ctx, response)
 }
 
+// recordResponse records that the endpoint of the attempt has responded.
+func (a *attempt) recordResponse() {
+	if a.placement == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.recordReached(time.Now())
+}
+
 // isPeerRefusal reports whether another instance's own response has a status which means
 // that the request was not run. Statuses 400 to 499 are possible if that instance has an
 // older configuration.
@@ -285,6 +296,7 @@
 	defer a.mu.Unlock()
 	a.placement.OnEnd(outcome, time.Now())
 	if outcome == cwplacement.Unreachable || outcome == cwplacement.Unanswered {
+		a.recordUnreached(a.placement.EndpointID, a.startedAt)
 		a.startRedialing(a.placement.Endpoint, a.req.service)
 	}
 }
--- a/internal/cwgate/attempt_failure.go
+++ b/internal/cwgate/attempt_failure.go
@@ -54,9 +54,11 @@
 }
 
 // handleRejection handles a response which states that the request was not run.
-func (a *attempt) handleRejection(ctx context.Context, response *cwconn.Response) result {
+func (a *attempt) handleRejection(ctx context.Context, response *cwconn.Response, head ResponseHead) result {
 	response.Discard()
-	a.excludePlace()
+	if a.exitDomain == "" || !head.IsExitCutOff || !a.recordExitCutOff() {
+		a.excludePlace()
+	}
 	a.req.mergeOutcome(cwanswer.NotRun)
 	a.recordEnd(ctx, cwplacement.Rejected)
 	return result{notRun: true, err: fmt.Errorf("%s rejected the request with status %d", a.address, response.StatusCode)}
--- a/internal/cwgate/codec.go
+++ b/internal/cwgate/codec.go
@@ -20,6 +20,9 @@
 	// EncodeOrigin sets the fields in the head of a relayed response that name what serves the
 	// stream.
 	EncodeOrigin(h http.Header, o cwstream.Origin)
+	// EncodeCutOff marks the refusal of a relayed request: this instance is cut off from the
+	// endpoints.
+	EncodeCutOff(h http.Header)
 	// IsPerAttempt reports whether a header field differs between attempts of the same request.
 	IsPerAttempt(name string) bool
 }
@@ -60,6 +63,8 @@
 	IsOtherEndpoint bool
 	// RateLimit is the rate limit that the endpoint names.
 	RateLimit RateLimitField
+	// IsExitCutOff is set in a refusal of another instance that is cut off from the endpoints.
+	IsExitCutOff bool
 	// Origin is what serves the stream, in the response of another instance.
 	Origin cwstream.Origin
 }
--- a/internal/cwgate/gate.go
+++ b/internal/cwgate/gate.go
@@ -53,6 +53,11 @@
 	// exitsSilentSince are the times at which dials to exits without an answer began, by the
 	// peer address, from the first one after the latest contact.
 	exitsSilentSince map[string]time.Time
+	// exitsCutOffUntil are the times until which exits are avoided that are cut off from their
+	// endpoints, by the peer address.
+	exitsCutOffUntil map[string]time.Time
+	// reach tells whether this instance is cut off from the endpoints.
+	reach cwplacement.Reachability
 	// redialing are the endpoints that are being redialed.
 	redialing map[*cwplacement.Endpoint]bool
 	// rateSharesSetAt is when the shares of the endpoints' rate limits were last computed.
@@ -95,6 +100,7 @@
 		peerWorkAt:       make(map[string]time.Time),
 		exitAddresses:    make(map[string]string),
 		exitsSilentSince: make(map[string]time.Time),
+		exitsCutOffUntil: make(map[string]time.Time),
 		redialing:        make(map[*cwplacement.Endpoint]bool),
 		startedAt:        time.Now(),
 	}
--- a/internal/cwgate/metrics.go
+++ b/internal/cwgate/metrics.go
@@ -22,6 +22,8 @@
 	limitedSends tally.Counter
 	// blocks counts the blocks of requests that end endpoints.
 	blocks tally.Counter
+	// cutOffs counts how often this instance was cut off from all endpoints.
+	cutOffs tally.Counter
 }
 
 func newMetrics(root tally.Scope) *metrics {
@@ -34,6 +36,7 @@
 		relays:       root.Counter("routed_relays"),
 		limitedSends: root.Counter("routed_limited_sends"),
 		blocks:       root.Counter("crash_blocks"),
+		cutOffs:      root.Counter("endpoint_cut_offs"),
 	}
 }
 
--- a/internal/cwgate/redial.go
+++ b/internal/cwgate/redial.go
@@ -34,7 +34,7 @@
 func (g *Gate) redial(e *cwplacement.Endpoint, address, service string) {
 	defer g.stopRedialing(e)
 	start := time.Now()
-	for time.Since(start) < redialPeriod {
+	for time.Since(start) < redialPeriod || g.isCutOff() {
 		dialedAt := time.Now()
 		err := g.conns.Preconnect(context.Background(), address, g.maxConns(service), redialTimeout)
 		if !g.recordRedial(e, service, dialedAt, err) {
@@ -44,6 +44,12 @@
 	}
 }
 
+func (g *Gate) isCutOff() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.reach.IsCutOff()
+}
+
 func (g *Gate) stopRedialing(e *cwplacement.Endpoint) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -62,12 +68,15 @@
 	switch {
 	case err == nil:
 		e.MarkReachable(now)
+		g.recordReached(now)
 		return false
 	case errors.Is(err, cwconn.ErrConnLimit):
+		return true
 	case errors.Is(err, cwconn.ErrNoAnswer):
 		e.MarkSilent(dialedAt, now)
 	default:
 		e.MarkRefused(now)
 	}
+	g.recordUnreached(e.ID, dialedAt)
 	return true
 }
--- a/internal/cwgate/serve.go
+++ b/internal/cwgate/serve.go
@@ -272,6 +272,9 @@
 	if g.isVersionGone(routed) {
 		d.Reason, d.RetryAfter = "noVersion", 0
 	}
+	if routed.IsRelayed && g.isCutOff() {
+		g.codec.EncodeCutOff(routed.responder.Header())
+	}
 	g.metrics.countRefusal(d.Reason)
 	routed.responder.writeRefusal(newNotRunRefusal(d.Reason, d.RetryAfter))
 	g.logRefused(routed, d)
--- a/internal/cwgate/sync.go
+++ b/internal/cwgate/sync.go
@@ -181,6 +181,12 @@
 // endpoints. Prompt parts are taken only from reports that were not used before.
 func (g *Gate) syncPeerWork(now time.Time) {
 	totals := make(map[string]*peerWork)
+	cutOff := make(map[string]bool)
+	for i := range g.snapshot.Members {
+		if m := &g.snapshot.Members[i]; m.IsCutOff {
+			cutOff[m.PeerAddress] = true
+		}
+	}
 	for address, peer := range g.snapshot.PeerWork {
 		g.mergeRateLimits(&peer, now)
 		if now.Sub(peer.ReportedAt) > maxPeerWorkAge {
@@ -189,11 +195,15 @@
 		isNew := peer.ReportedAt.After(g.peerWorkAt[address])
 		g.peerWorkAt[address] = peer.ReportedAt
 		for i := range peer.EndpointWork {
-			w := &peer.EndpointWork[i]
+			w := peer.EndpointWork[i] // a copy: snapshots are shared
+			if cutOff[address] && (w.UnreachableAt.IsZero() || g.reach.HasReachedSince(w.UnreachableAt.Add(-cwplacement.MaxSoundSilence))) {
+				// The failures are those of the peer's links.
+				w.UnreachableAt, w.FailureRate = time.Time{}, 0
+			}
 			if totals[w.Endpoint] == nil {
 				totals[w.Endpoint] = &peerWork{}
 			}
-			totals[w.Endpoint].add(w, peer.ReportedAt)
+			totals[w.Endpoint].add(&w, peer.ReportedAt)
 			if isNew {
 				totals[w.Endpoint].promptParts = append(totals[w.Endpoint].promptParts, w.PromptParts...)
 			}
--- a/internal/cwpeer/exchange_message.go
+++ b/internal/cwpeer/exchange_message.go
@@ -64,6 +64,7 @@
 		Demand:        float32(m.RequestsPerSecond),
 		Leaving:       m.IsLeaving,
 		StoreAway:     m.IsStoreUnreachable,
+		CutOff:        m.IsCutOff,
 	}
 }
 
@@ -77,6 +78,7 @@
 		Load:               float64(p.GetLoad()),
 		RequestsPerSecond:  float64(p.GetDemand()),
 		IsStoreUnreachable: p.GetStoreAway(),
+		IsCutOff:           p.GetCutOff(),
 	}
 	m.Incarnation, m.IsLeaving = p.GetIncarnation(), p.GetLeaving()
 	return m
--- a/internal/cwplacement/restart_suspicion.go
+++ b/internal/cwplacement/restart_suspicion.go
@@ -12,6 +12,8 @@
 type restartSuspicion struct {
 	answeredAt    time.Time
 	unreachableAt time.Time
+	// unreachableSince is when the endpoint could first not be reached since its latest answer.
+	unreachableSince time.Time
 }
 
 // answered records that the endpoint answered this instance.
@@ -25,6 +27,17 @@
 func (s *restartSuspicion) suspect(at time.Time) {
 	if at.After(s.answeredAt) && at.After(s.unreachableAt) {
 		s.unreachableAt = at
+		if !s.unreachableSince.After(s.answeredAt) {
+			s.unreachableSince = at
+		}
+	}
+}
+
+// clearIfListed ends the suspicion against an endpoint that has been unreachable for so long that
+// its entry, which is still in the store, would have lapsed if it had ended.
+func (s *restartSuspicion) clearIfListed(now time.Time) {
+	if s.unreachableSince.After(s.answeredAt) && now.Sub(s.unreachableSince) >= suspicionDuration {
+		s.unreachableAt = time.Time{}
 	}
 }
 
--- a/internal/cwpolicy/member.go
+++ b/internal/cwpolicy/member.go
@@ -16,6 +16,8 @@
 	// IsStoreUnreachable is set while the member cannot reach the store of published
 	// state.
 	IsStoreUnreachable bool
+	// IsCutOff is set while the member reaches no endpoint of its region.
+	IsCutOff bool
 	// RequestsPerSecond is the rate of requests that the member receives.
 	RequestsPerSecond float64
 }
--- a/internal/cwpolicy/membership.go
+++ b/internal/cwpolicy/membership.go
@@ -97,7 +97,7 @@
 	}
 	member.CallerAddress, member.Region, member.Domain = report.CallerAddress, report.Region, report.Domain
 	member.Size, member.Load, member.RequestsPerSecond = report.Size, report.Load, report.RequestsPerSecond
-	member.IsStoreUnreachable = report.IsStoreUnreachable
+	member.IsStoreUnreachable, member.IsCutOff = report.IsStoreUnreachable, report.IsCutOff
 	return true
 }
 
@@ -132,6 +132,12 @@
 	return Liveness{}
 }
 
+// IsCutOff reports whether a member has reported that it reaches no endpoint.
+func (m *Membership) IsCutOff(address string) bool {
+	member := m.members[address]
+	return member != nil && member.IsCutOff
+}
+
 // OnContactFailure records that contact with a member failed.
 func (m *Membership) OnContactFailure(address string, now time.Time) {
 	if member := m.members[address]; member != nil {
