A request that its instance can't send to any endpoint is relayed to another one of its region

Cause: exits were instances of other domains, and their domains' capacities. The instances beside it, which reach the same endpoints, were never asked.

Change: exits are chosen in all domains. If no endpoint of the region is usable for a request, and one of them because it was not reached, the domains of the region are places too, through their exits. An exit never relays again, so there are no loops; one that is cut off refuses and says so, and the next is asked.

--- a/internal/cwgate/cut_off.go
+++ b/internal/cwgate/cut_off.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"github.com/clementinewell/clementinewell/internal/cwcontrol"
+	"github.com/clementinewell/clementinewell/internal/cwplacement"
 	"github.com/clementinewell/clementinewell/internal/cwpolicy"
 )
 
@@ -13,6 +14,8 @@
 	// exitCutOffPeriod is how long an exit is avoided that has answered that it is cut off from the
 	// endpoints. By then it is asked again, or its own report has arrived.
 	exitCutOffPeriod = 2 * time.Second
+	// regionRoundTrip is the assumed time of an exchange with an instance of the region.
+	regionRoundTrip = 2 * time.Millisecond
 )
 
 // recordReached records that an endpoint was reached. The caller holds mu.
@@ -80,3 +83,19 @@
 	next := a.exitAddresses[a.exitDomain]
 	return next != "" && next != a.address
 }
+
+// regionCapacities returns the capacities of the domains of this region through their other
+// instances, for a request that this instance can't send to any endpoint. The caller holds mu.
+func (g *Gate) regionCapacities(p *cwplacement.Pool, wasTried func(id string) bool, now time.Time) []cwpolicy.DomainCapacity {
+	capacity, isNeeded := p.UnreachedCapacity(wasTried, now)
+	if !isNeeded {
+		return nil
+	}
+	var capacities []cwpolicy.DomainCapacity
+	for domain := range g.exitAddresses {
+		if region := g.site.RegionByDomain[domain]; region == g.site.Region {
+			capacities = append(capacities, cwpolicy.DomainCapacity{PoolCapacity: capacity, Domain: domain, Region: region, ReportedAt: now, RoundTrip: regionRoundTrip})
+		}
+	}
+	return capacities
+}
--- a/internal/cwgate/exit_addresses.go
+++ b/internal/cwgate/exit_addresses.go
@@ -12,7 +12,7 @@
 // than the idle timeout after which instances close such connections.
 const exitKeepAlive = "timeout=20"
 
-// syncExitAddresses selects the instance of each other domain to which requests are relayed, by rendezvous hashing. The selection rarely changes while the selected instance
+// syncExitAddresses selects the instance of each domain to which requests are relayed, by rendezvous hashing. The selection rarely changes while the selected instance
 // is usable, so that open connections are reused, which saves a round trip. The selections
 // of different instances spread over the domain. The caller holds mu.
 func (g *Gate) syncExitAddresses(now time.Time) {
@@ -20,7 +20,7 @@
 	best := make(map[string]*cwpolicy.Member)
 	for i := range g.snapshot.Members {
 		m := &g.snapshot.Members[i]
-		if m.Domain == g.site.Domain || !g.isPossibleExit(m, now) {
+		if !g.isPossibleExit(m, now) {
 			continue
 		}
 		if other := best[m.Domain]; other == nil || g.isPreferredExit(m, other) {
--- a/internal/cwgate/placement.go
+++ b/internal/cwgate/placement.go
@@ -49,6 +49,9 @@
 	}
 	if !routed.IsRelayed {
 		request.RemoteCapacities = g.remoteCapacities(routed)
+		if request.IsLocalAllowed {
+			request.RemoteCapacities = append(request.RemoteCapacities, g.regionCapacities(p, wasEndpointTried, now)...)
+		}
 	}
 	return p.Decide(request, now)
 }
--- a/internal/cwplacement/unreached.go
+++ b/internal/cwplacement/unreached.go
@@ -1,6 +1,10 @@
 package cwplacement
 
-import "time"
+import (
+	"time"
+
+	"github.com/clementinewell/clementinewell/internal/cwpolicy"
+)
 
 // AvailableEndpoints returns the number of endpoints that take new requests.
 func (p *Pool) AvailableEndpoints() int {
@@ -13,6 +17,28 @@
 	return n
 }
 
+// UnreachedCapacity returns the capacity of the endpoints that another instance of the region may
+// reach. It returns false unless this instance has no endpoint for a request, and one of them because
+// this or another instance could not reach it.
+func (p *Pool) UnreachedCapacity(wasTried func(id string) bool, now time.Time) (cwpolicy.PoolCapacity, bool) {
+	var c cwpolicy.PoolCapacity
+	isUnreached := false
+	for _, e := range p.sorted {
+		if e.HasStartedDraining || e.IsEvacuated {
+			continue
+		}
+		if e.IsUsable(now) && !wasTried(e.ID) {
+			return c, false
+		}
+		isUnreached = isUnreached || e.isEjected(now) || e.isSuspected(e.readAt, now)
+		c.Endpoints++
+		c.Slots += e.slots()
+		c.FreeSlots += e.slots()
+	}
+	c.SecondsPerToken = 1 / p.meanPromptSpeed()
+	return c, isUnreached
+}
+
 // ForgetUnreachability drops what followed from the failures of this instance to reach endpoints.
 // With hasWitness it is known that they have not restarted meanwhile. With isStoreRead the entries in
 // the store are current.
