An instance tells only its own failures to reach endpoints, and notices its cut beside them

Cause: an instance that had failed to reach two endpoints and believed another instance's failures at the other two never tried these, so it never found itself cut off. It told on what it had heard as its own, without the mark.

Change: own failures, those of others and those of cut-off instances are kept apart. Only the own are told. An instance counts as cut off if it reaches none of the endpoints that it would try. Redials end with the instance.

--- a/internal/cwapp/routed_app.go
+++ b/internal/cwapp/routed_app.go
@@ -198,5 +198,6 @@
 		r.Log.Warn("control connections closed with requests in progress", zap.Error(err))
 	}
 	closeServers(r.servers)
+	r.gate.End()
 	r.Log.Info("shutdown done")
 }
--- a/internal/cwgate/attempt.go
+++ b/internal/cwgate/attempt.go
@@ -296,7 +296,7 @@
 	defer a.mu.Unlock()
 	a.placement.OnEnd(outcome, time.Now())
 	if outcome == cwplacement.Unreachable || outcome == cwplacement.Unanswered {
-		a.recordUnreached(a.placement.EndpointID, a.startedAt)
+		a.recordUnreached(a.placement.EndpointID, a.startedAt, time.Now())
 		a.startRedialing(a.placement.Endpoint, a.req.service)
 	}
 }
--- a/internal/cwgate/cut_off.go
+++ b/internal/cwgate/cut_off.go
@@ -35,10 +35,10 @@
 
 // recordUnreached records that an attempt to reach an endpoint, begun at startedAt, failed. The
 // caller holds mu.
-func (g *Gate) recordUnreached(id string, startedAt time.Time) {
+func (g *Gate) recordUnreached(id string, startedAt, now time.Time) {
 	total := 0
 	for _, p := range g.pools {
-		total += p.AvailableEndpoints()
+		total += p.TriedEndpoints(now)
 	}
 	if !g.reach.OnUnreached(id, startedAt, total) {
 		return
--- a/internal/cwgate/redial.go
+++ b/internal/cwgate/redial.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/clementinewell/clementinewell/internal/cwcommon"
 	"github.com/clementinewell/clementinewell/internal/cwconn"
 	"github.com/clementinewell/clementinewell/internal/cwplacement"
 )
@@ -34,13 +35,13 @@
 func (g *Gate) redial(e *cwplacement.Endpoint, address, service string) {
 	defer g.stopRedialing(e)
 	start := time.Now()
-	for time.Since(start) < redialPeriod || g.isCutOff() {
+	for g.ended.Err() == nil && (time.Since(start) < redialPeriod || g.isCutOff()) {
 		dialedAt := time.Now()
 		err := g.conns.Preconnect(context.Background(), address, g.maxConns(service), redialTimeout)
 		if !g.recordRedial(e, service, dialedAt, err) {
 			break
 		}
-		time.Sleep(time.Until(dialedAt.Add(redialInterval)))
+		cwcommon.Sleep(g.ended, time.Until(dialedAt.Add(redialInterval)))
 	}
 }
 
@@ -77,6 +78,6 @@
 	default:
 		e.MarkRefused(now)
 	}
-	g.recordUnreached(e.ID, dialedAt)
+	g.recordUnreached(e.ID, dialedAt, now)
 	return true
 }
--- a/internal/cwgate/sync.go
+++ b/internal/cwgate/sync.go
@@ -196,14 +196,18 @@
 		g.peerWorkAt[address] = peer.ReportedAt
 		for i := range peer.EndpointWork {
 			w := peer.EndpointWork[i] // a copy: snapshots are shared
-			if cutOff[address] && (w.UnreachableAt.IsZero() || g.reach.HasReachedSince(w.UnreachableAt.Add(-cwplacement.MaxSoundSilence))) {
-				// The failures are those of the peer's links.
-				w.UnreachableAt, w.FailureRate = time.Time{}, 0
+			cutOffAt := time.Time{}
+			if cutOff[address] {
+				cutOffAt, w.UnreachableAt, w.FailureRate = w.UnreachableAt, time.Time{}, 0
+				if g.reach.HasReachedSince(cutOffAt.Add(-cwplacement.MaxSoundSilence)) {
+					// The failures are those of the peer's links.
+					cutOffAt = time.Time{}
+				}
 			}
 			if totals[w.Endpoint] == nil {
 				totals[w.Endpoint] = &peerWork{}
 			}
-			totals[w.Endpoint].add(&w, peer.ReportedAt)
+			totals[w.Endpoint].add(&w, cutOffAt, peer.ReportedAt)
 			if isNew {
 				totals[w.Endpoint].promptParts = append(totals[w.Endpoint].promptParts, w.PromptParts...)
 			}
@@ -218,7 +222,7 @@
 			}
 			e.SetPeerReport(total.PeerReport, now)
 			e.AddPeerParts(toPlacementParts(total.promptParts))
-			e.Suspect(total.unreachableAt)
+			e.Suspect(total.unreachableAt, total.cutOffUnreachableAt)
 		}
 	}
 }
@@ -227,17 +231,21 @@
 type peerWork struct {
 	cwplacement.PeerReport
 	promptParts []cwcontrol.PromptPart
-	// unreachableAt is when one of them last failed to reach it.
-	unreachableAt time.Time
+	// unreachableAt is when one of them last failed to reach it, cutOffUnreachableAt when one did
+	// that is cut off from all endpoints.
+	unreachableAt, cutOffUnreachableAt time.Time
 }
 
-func (p *peerWork) add(w *cwcontrol.EndpointWork, at time.Time) {
+func (p *peerWork) add(w *cwcontrol.EndpointWork, cutOffAt, at time.Time) {
 	p.Work = p.Work.Add(toPlacementWork(w))
 	p.FailureRate = max(p.FailureRate, w.FailureRate)
 	p.PromptSpeed, p.EventRate = p.PromptSpeed.Add(cwplacement.Measurement(w.PromptSpeed)), p.EventRate.Add(cwplacement.Measurement(w.EventRate))
 	if w.UnreachableAt.After(p.unreachableAt) {
 		p.unreachableAt = w.UnreachableAt
 	}
+	if cutOffAt.After(p.cutOffUnreachableAt) {
+		p.cutOffUnreachableAt = cutOffAt
+	}
 	if at.After(p.At) {
 		p.At = at
 	}
--- a/internal/cwplacement/endpoint.go
+++ b/internal/cwplacement/endpoint.go
@@ -141,23 +141,24 @@
 	return e.promptSpeed.decayedOwn(now), e.eventRate.decayedOwn(now)
 }
 
-// UnreachableAt returns when this or another instance last could not reach the endpoint;
-// zero if that never happened.
+// UnreachableAt returns when this instance last could not reach the endpoint; zero if that never
+// happened. What others report is not told on, since they tell it themselves.
 func (e *Endpoint) UnreachableAt() time.Time {
 	return e.unreachableAt
 }
 
-// Suspect records that another instance could not reach the endpoint at a time, so that
-// it may have restarted.
-func (e *Endpoint) Suspect(at time.Time) {
-	e.suspect(at)
+// Suspect records that other instances could not reach the endpoint at a time, so that it may have
+// restarted: instances that reach others, and those that are cut off from all.
+func (e *Endpoint) Suspect(at, cutOffAt time.Time) {
+	e.suspect(&e.peerUnreachableAt, at)
+	e.suspect(&e.cutOffUnreachableAt, cutOffAt)
 }
 
 // MarkUnreachable records that this instance could not reach the endpoint. The endpoint
 // is ejected for a while and may have restarted.
 func (e *Endpoint) MarkUnreachable(now time.Time) {
 	e.recordUnreachable(now)
-	e.suspect(now)
+	e.suspect(&e.unreachableAt, now)
 }
 
 // MarkSilent records that a dial of this instance which began at dialedAt got no answer. The
@@ -165,7 +166,7 @@
 // than a sound endpoint's: one that ends refuses connections first.
 func (e *Endpoint) MarkSilent(dialedAt, now time.Time) {
 	if e.recordSilence(dialedAt, now) {
-		e.suspect(now)
+		e.suspect(&e.unreachableAt, now)
 	}
 }
 
@@ -176,7 +177,7 @@
 	}
 	e.silentSince = time.Time{}
 	e.extendEjection(now)
-	e.suspect(now)
+	e.suspect(&e.unreachableAt, now)
 }
 
 // MarkReachable records that an ejected endpoint has accepted a connection.
--- a/internal/cwplacement/exclusions.go
+++ b/internal/cwplacement/exclusions.go
@@ -60,7 +60,7 @@
 			x.Cold++
 			if !now.Before(e.ColdUntil) {
 				x.Suspected++
-				if e.health.updatedAt.Before(e.unreachableAt) {
+				if now.Sub(e.unreachableAt) >= suspicionDuration {
 					x.SuspectedByPeers++
 				}
 			}
--- a/internal/cwplacement/unreached.go
+++ b/internal/cwplacement/unreached.go
@@ -6,11 +6,16 @@
 	"github.com/clementinewell/clementinewell/internal/cwpolicy"
 )
 
-// AvailableEndpoints returns the number of endpoints that take new requests.
-func (p *Pool) AvailableEndpoints() int {
+// TriedEndpoints returns the number of endpoints that this instance would try to reach, or has
+// failed to reach: those that take new requests, except for the ones that only other instances
+// suspect.
+func (p *Pool) TriedEndpoints(now time.Time) int {
 	n := 0
 	for _, e := range p.sorted {
-		if !e.HasStartedDraining && !e.IsEvacuated {
+		if e.HasStartedDraining || e.IsEvacuated {
+			continue
+		}
+		if e.isEjected(now) || !e.isSuspected(e.readAt, now) || now.Sub(e.unreachableAt) < suspicionDuration {
 			n++
 		}
 	}
@@ -47,7 +52,7 @@
 		e.health = health{silenceEndedAt: e.silenceEndedAt}
 		switch {
 		case hasWitness:
-			e.unreachableAt = time.Time{}
+			e.clearCutOff()
 		case isStoreRead:
 			e.clearIfListed(now)
 		}
