Instances share the slots of brittle endpoints, so that these turn no request away

Cause: Server-Brittle was not read; each instance found the room of an endpoint out by being turned away.

Change: while a service is brittle each slot, and one waiting place until a refusal, belongs to one instance of the region by hashing. What finds no owned place is refused at once with the time in which a request ends.

--- a/internal/cwgate/attempt.go
+++ b/internal/cwgate/attempt.go
@@ -141,6 +141,7 @@
 	a.recordResponse()
 	head := a.codec.DecodeHead(response.Response)
 	a.recordRateLimit(head, sentAt)
+	a.recordBrittle(head, sentAt)
 	switch {
 	case head.IsNotRun || a.exitDomain != "" && !head.IsSigned && isPeerRefusal(response.StatusCode):
 		return a.handleRejection(ctx, response, head)
--- a/internal/cwgate/burn.go
+++ b/internal/cwgate/burn.go
@@ -39,6 +39,7 @@
 	"noPlace":        cwburn.ReasonNoRoute,
 	"noVersion":      cwburn.ReasonNoRoute,
 	"rateLimit":      cwburn.ReasonOverload,
+	"brittle":        cwburn.ReasonOverload,
 }
 
 // burnReasonOf returns the reason for which a request uses error budget, ReasonTruncated
--- a/internal/cwgate/codec.go
+++ b/internal/cwgate/codec.go
@@ -63,6 +63,8 @@
 	IsOtherEndpoint bool
 	// RateLimit is the rate limit that the endpoint names.
 	RateLimit RateLimitField
+	// IsBrittle is set if the endpoint may end if it has to turn requests away.
+	IsBrittle bool
 	// IsExitCutOff is set in a refusal of another instance that is cut off from the endpoints.
 	IsExitCutOff bool
 	// Origin is what serves the stream, in the response of another instance.
--- a/internal/cwgate/gate.go
+++ b/internal/cwgate/gate.go
@@ -56,6 +56,8 @@
 	// exitsCutOffUntil are the times until which exits are avoided that are cut off from their
 	// endpoints, by the peer address.
 	exitsCutOffUntil map[string]time.Time
+	// slotMembers are the other instances among which the slots of brittle endpoints were divided.
+	slotMembers []string
 	// reach tells whether this instance is cut off from the endpoints.
 	reach cwplacement.Reachability
 	// redialing are the endpoints that are being redialed.
--- a/internal/cwplacement/endpoint.go
+++ b/internal/cwplacement/endpoint.go
@@ -58,6 +58,10 @@
 	idHash uint64
 	// readAt is when the entry was read.
 	readAt time.Time
+	// ownSlots is the number of its slots that this instance may use while it is brittle.
+	ownSlots int
+	// ownsQueue is set if it may let one more request wait there.
+	ownsQueue bool
 	// engine is nil for an endpoint that is no model engine.
 	engine      *cwroute.Engine
 	coldLimiter coldLimiter
--- a/internal/cwplacement/pool.go
+++ b/internal/cwplacement/pool.go
@@ -55,6 +55,11 @@
 	// limitedReturnAt is the time for which the latest caller was told to return that was
 	// refused because of rate limits.
 	limitedReturnAt time.Time
+	// brittleUntil is the time until which the service counts as brittle, and brittleAt when an
+	// answer last said so.
+	brittleUntil, brittleAt time.Time
+	// queueRejectedAt is when a brittle endpoint last turned a request away.
+	queueRejectedAt time.Time
 	// weightBuffer is reused by each decision to avoid allocations.
 	weightBuffer []regionWeight
 }
@@ -145,7 +150,7 @@
 	lowest := 0.0
 	affinity := p.affinityEndpoint(rs, now)
 	for _, e := range p.sorted {
-		if !e.IsUsable(now) || wasTried(e.ID) {
+		if !e.IsUsable(now) || wasTried(e.ID) || !p.hasRoom(e, now) {
 			continue
 		}
 		expected := e.predict(rs, band, now)
