Operators see what endpoints have stated of leaving and pauses

To tell the hypotheses of the incident apart, an instance has to show what it holds: the log line says only when a statement was first received. Change: /status shows leaving and pauseSeconds of each endpoint, endpoint_announcements counts by kind, a paragraph in OPERATIONS.

--- a/internal/cwapp/routed_announcement_test.go
+++ b/internal/cwapp/routed_announcement_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -112,6 +113,7 @@
 					}
 					time.Sleep(3 * time.Second)
 					responses := sendEvery(t, s, 20*time.Millisecond, 2*time.Second, header, entry)
+					is.Equal(strings.Count(s.FetchAdmin(t, entry, "/status"), `"leaving": true`) == 1, way != relayed)
 					s.Store.Remove(cwstandin.WorkerKeyPrefix + leaving.ID)
 					time.Sleep(time.Second)
 					s.RegisterWorker(leaving.ID, "north-a", "10.1.1.1", nil)
@@ -153,6 +155,7 @@
 				sendEvery(t, s, 20*time.Millisecond, 300*time.Millisecond, nil, i)
 				is.True(len(paused.Arrivals()) > 0)
 				saidAt := paused.Arrivals()[0].Add(announcedServiceTime)
+				is.Equal(strings.Count(s.FetchAdmin(t, i, "/status"), `"pauseSeconds": 0`) == 1, sc.pause > 0) // the other endpoint
 				for _, resp := range sendEvery(t, s, 20*time.Millisecond, min(max(sc.pause-500*time.Millisecond, time.Second), 10*time.Second), nil, i) {
 					// An endpoint that rejects without a pause is tried again, as far as the budget goes.
 					is.True(resp.Status == http.StatusOK || sc.pause == 0)
--- a/internal/cwgate/attempt_announcement.go
+++ b/internal/cwgate/attempt_announcement.go
@@ -19,9 +19,11 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if head.IsLeaving && e.AnnounceLeaving(now) {
+		a.metrics.countAnnouncement("leaving")
 		a.Log.Info("endpoint is leaving", zap.String("endpoint", a.placement.EndpointID), zap.String("source", "response"))
 	}
 	if isPause && e.AnnouncePause(head.Pause, now) {
+		a.metrics.countAnnouncement("pause")
 		a.Log.Info("endpoint wants a pause", zap.String("endpoint", a.placement.EndpointID), zap.Duration("pause", head.Pause))
 	}
 }
--- a/internal/cwgate/endpoint_status.go
+++ b/internal/cwgate/endpoint_status.go
@@ -20,6 +20,10 @@
 	Draining  bool `json:"drains"`
 	Evacuated bool `json:"evacuated"`
 	Cold      bool `json:"cold"`
+	// Leaving is set if the endpoint has stated in a response that it is leaving, and PauseSeconds
+	// is the rest of the pause that it asked this instance for.
+	Leaving      bool    `json:"leaving"`
+	PauseSeconds float64 `json:"pauseSeconds"`
 	// RateLimit is the limit that the endpoint names, in requests per second for all
 	// instances together; null if it names none.
 	RateLimit *float64 `json:"rateLimit"`
@@ -48,7 +52,7 @@
 			}
 			statuses = append(statuses, EndpointStatus{
 				ID: id, Address: e.Address, Service: service, Domain: e.Domain,
-				Usable: e.IsUsable(now), Draining: e.HasStartedDraining, Evacuated: e.IsEvacuated, Cold: e.IsCold(now), RateLimit: rateLimit, RateShare: e.RateShare(),
+				Usable: e.IsUsable(now), Draining: e.HasStartedDraining, Evacuated: e.IsEvacuated, Cold: e.IsCold(now), Leaving: e.IsLeaving(), PauseSeconds: e.PauseLeft(now).Seconds(), RateLimit: rateLimit, RateShare: e.RateShare(),
 				InFlight: e.OwnWork().InFlight, TokensPerSecond: e.PromptSpeed(), FailureRate: e.FailureRate(now),
 			})
 		}
--- a/internal/cwgate/metrics.go
+++ b/internal/cwgate/metrics.go
@@ -13,6 +13,8 @@
 	root      tally.Scope
 	refusals  sync.Map
 	requests  sync.Map
+	// announcements counts by kind what endpoints newly state about themselves.
+	announcements sync.Map
 	takenUp   sync.Map
 	firstByte tally.Histogram
 	total     tally.Histogram
@@ -49,6 +51,11 @@
 	m.taggedCounter(&m.takenUp, "streams_taken_up", "origin", source).Inc(1)
 }
 
+// countAnnouncement counts that an endpoint newly states that it is leaving or wants a pause.
+func (m *metrics) countAnnouncement(kind string) {
+	m.taggedCounter(&m.announcements, "endpoint_announcements", "kind", kind).Inc(1)
+}
+
 // countRequest counts a request by its outcome and records its durations. A firstByte of
 // 0 means that no endpoint's response was begun.
 func (m *metrics) countRequest(outcome string, firstByte, total time.Duration) {
--- a/internal/cwplacement/announcement.go
+++ b/internal/cwplacement/announcement.go
@@ -36,6 +36,19 @@
 	return !wasPaused && e.isPaused(now)
 }
 
+// IsLeaving reports whether the endpoint has stated in a response that it is leaving.
+func (a *announcement) IsLeaving() bool {
+	return a.isLeaving
+}
+
+// PauseLeft returns the rest of the pause that the endpoint asked for, 0 if there is none.
+func (a *announcement) PauseLeft(now time.Time) time.Duration {
+	if !a.isPaused(now) {
+		return 0
+	}
+	return a.pausedUntil.Sub(now)
+}
+
 func (a *announcement) isPaused(now time.Time) bool {
 	return now.Before(a.pausedUntil)
 }
