What an endpoint states belongs to its life, not to its entry

What callers saw: requests to an endpoint that had said that it is leaving, asked for a pause or named a limit, after its entry had lapsed or moved while that response was on its way, or had lapsed more than ten minutes after it. Cause: the statement was kept in the object of the entry. A response that arrives after the entry lapsed was recorded in an object that nobody uses any more; one that came before was copied at the lapse, and forgotten by the age of the statement. Change: statements (rate limit, leaving, pause) are kept by life (identifier and start) and shared by all objects of the endpoint; those without an entry are kept for ten minutes after it was found missing.

--- a/internal/cwgate/attempt_announcement.go
+++ b/internal/cwgate/attempt_announcement.go
@@ -18,7 +18,7 @@
 	now, e := time.Now(), a.placement.Endpoint
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if head.IsLeaving && e.AnnounceLeaving(now) {
+	if head.IsLeaving && e.AnnounceLeaving() {
 		a.metrics.countAnnouncement("leaving")
 		a.Log.Info("endpoint is leaving", zap.String("endpoint", a.placement.EndpointID), zap.String("source", "response"))
 	}
--- a/internal/cwgate/crash.go
+++ b/internal/cwgate/crash.go
@@ -168,7 +168,7 @@
 	defer a.mu.Unlock()
 	endpoint := a.placement.Endpoint
 	isCurrent := endpoint.ID == a.placement.EndpointID && endpoint.StartedAtMillis == a.placement.StartedAtMillis
-	hasEnded := isRefused && isCurrent && !endpoint.HasStartedDraining && a.findEndpoint(endpoint.ID) == endpoint
+	hasEnded := isRefused && isCurrent && !endpoint.HasStartedDraining() && a.findEndpoint(endpoint.ID) == endpoint
 	if isRefused {
 		endpoint.MarkUnreachable(time.Now())
 	} else {
--- a/internal/cwgate/endpoint_status.go
+++ b/internal/cwgate/endpoint_status.go
@@ -52,7 +52,7 @@
 			}
 			statuses = append(statuses, EndpointStatus{
 				ID: id, Address: e.Address, Service: service, Domain: e.Domain,
-				Usable: e.IsUsable(now), Draining: e.HasStartedDraining, Evacuated: e.IsEvacuated, Cold: e.IsCold(now), Leaving: e.IsLeaving(), PauseSeconds: e.PauseLeft(now).Seconds(), RateLimit: rateLimit, RateShare: e.RateShare(),
+				Usable: e.IsUsable(now), Draining: e.HasStartedDraining(), Evacuated: e.IsEvacuated, Cold: e.IsCold(now), Leaving: e.IsLeaving(), PauseSeconds: e.PauseLeft(now).Seconds(), RateLimit: rateLimit, RateShare: e.RateShare(),
 				InFlight: e.OwnWork().InFlight, TokensPerSecond: e.PromptSpeed(), FailureRate: e.FailureRate(now),
 			})
 		}
--- a/internal/cwgate/metrics.go
+++ b/internal/cwgate/metrics.go
@@ -10,16 +10,16 @@
 // metrics are the metrics of routed requests. Tagged counters are cached, since creating
 // a scope costs more than counting.
 type metrics struct {
-	root      tally.Scope
-	refusals  sync.Map
-	requests  sync.Map
+	root     tally.Scope
+	refusals sync.Map
+	requests sync.Map
 	// announcements counts by kind what endpoints newly state about themselves.
 	announcements sync.Map
-	takenUp   sync.Map
-	firstByte tally.Histogram
-	total     tally.Histogram
-	retries   tally.Counter
-	relays    tally.Counter
+	takenUp       sync.Map
+	firstByte     tally.Histogram
+	total         tally.Histogram
+	retries       tally.Counter
+	relays        tally.Counter
 	// limitedSends counts the requests sent to endpoints that name a rate limit.
 	limitedSends tally.Counter
 	// blocks counts the blocks of requests that end endpoints.
--- a/internal/cwgate/redial.go
+++ b/internal/cwgate/redial.go
@@ -63,7 +63,7 @@
 	defer g.mu.Unlock()
 	now := time.Now()
 	g.sync(now)
-	if g.pools[service].Endpoint(e.ID) != e || e.HasStartedDraining || !e.IsEjected(now) {
+	if g.pools[service].Endpoint(e.ID) != e || e.HasStartedDraining() || !e.IsEjected(now) {
 		return false
 	}
 	switch {
--- a/internal/cwplacement/announcement.go
+++ b/internal/cwplacement/announcement.go
@@ -6,34 +6,32 @@
 // it one request finds out whether the endpoint still wants it.
 const maxPause = 10 * time.Minute
 
-// announcement is what an endpoint has said of itself in its responses to this instance.
+// announcement is what an endpoint has stated about its wish for requests.
 type announcement struct {
 	// isLeaving is set for the rest of the endpoint's life.
 	isLeaving bool
 	// pausedUntil is when the latest pause ends that the endpoint asked for; zero if it asked for none.
 	pausedUntil time.Time
-	// announcedAt is when it last said one of them.
-	announcedAt time.Time
 }
 
 // AnnounceLeaving records that the endpoint has said that it is leaving, and returns whether that is
 // new. Its entry may not say so yet.
-func (e *Endpoint) AnnounceLeaving(now time.Time) bool {
-	if e.isLeaving {
+func (a *announcement) AnnounceLeaving() bool {
+	if a.isLeaving {
 		return false
 	}
-	e.isLeaving, e.HasStartedDraining, e.announcedAt = true, true, now
+	a.isLeaving = true
 	return true
 }
 
 // AnnouncePause records that the endpoint wants no requests of this instance for a time, and returns
 // whether it was in use until now. Of several pauses the one that ends last counts.
-func (e *Endpoint) AnnouncePause(duration time.Duration, now time.Time) bool {
-	wasPaused := e.isPaused(now)
-	if until := now.Add(min(duration, maxPause)); until.After(e.pausedUntil) {
-		e.pausedUntil, e.announcedAt = until, now
+func (a *announcement) AnnouncePause(duration time.Duration, now time.Time) bool {
+	wasPaused := a.isPaused(now)
+	if until := now.Add(min(duration, maxPause)); until.After(a.pausedUntil) {
+		a.pausedUntil = until
 	}
-	return !wasPaused && e.isPaused(now)
+	return !wasPaused && a.isPaused(now)
 }
 
 // IsLeaving reports whether the endpoint has stated in a response that it is leaving.
@@ -61,7 +59,7 @@
 		return 0, false
 	}
 	for _, e := range p.sorted {
-		if !e.isPaused(now) || e.HasStartedDraining || e.IsEvacuated || e.isEjected(now) {
+		if !e.isPaused(now) || e.HasStartedDraining() || e.IsEvacuated || e.isEjected(now) {
 			continue
 		}
 		if first.IsZero() || e.pausedUntil.Before(first) {
--- a/internal/cwplacement/announcement_test.go
+++ b/internal/cwplacement/announcement_test.go
@@ -54,7 +54,7 @@
 			name     string
 			announce func(e *cwplacement.Endpoint, now time.Time)
 		}{
-			{"leaving", func(e *cwplacement.Endpoint, now time.Time) { e.AnnounceLeaving(now) }},
+			{"leaving", func(e *cwplacement.Endpoint, _ time.Time) { e.AnnounceLeaving() }},
 			{"pause", func(e *cwplacement.Endpoint, now time.Time) { e.AnnouncePause(time.Minute, now) }},
 			{"rate limit", func(e *cwplacement.Endpoint, now time.Time) { e.ObserveRateLimit(true, 0, now, now) }},
 		} {
--- a/internal/cwplacement/endpoint.go
+++ b/internal/cwplacement/endpoint.go
@@ -47,14 +47,14 @@
 	Region string
 	// ColdUntil is when the endpoint stops being cold according to its entry.
 	ColdUntil time.Time
-	// HasStartedDraining is set once the endpoint takes no new requests, and IsEvacuated
-	// while its domain is evacuated.
-	HasStartedDraining, IsEvacuated bool
+	// IsEvacuated is set while its domain is evacuated.
+	IsEvacuated bool
 
 	health
 	restartSuspicion
-	rateLimiter
-	announcement
+	*statements
+	// isEntryDraining is set once the entry has said that the endpoint takes no new requests.
+	isEntryDraining bool
 	// idHash is the hash of the identifier.
 	idHash uint64
 	// readAt is when the entry was read.
@@ -110,6 +110,12 @@
 	e.cache.setCapacity(capacity)
 }
 
+// HasStartedDraining reports whether the endpoint takes no new requests in this life: its entry or
+// a response has said so.
+func (e *Endpoint) HasStartedDraining() bool {
+	return e.isEntryDraining || e.isLeaving
+}
+
 // OwnWork returns the work of this instance at the endpoint.
 func (e *Endpoint) OwnWork() Work {
 	return e.ownWork
@@ -207,7 +213,7 @@
 // isReturnExpected reports whether the endpoint is only silent, so that requests without
 // another place may wait for it.
 func (e *Endpoint) isReturnExpected(now time.Time) bool {
-	return !e.HasStartedDraining && !e.IsEvacuated && e.isEjected(now) && e.isWithinSoundSilence(now)
+	return !e.HasStartedDraining() && !e.IsEvacuated && e.isEjected(now) && e.isWithinSoundSilence(now)
 }
 
 // AddPeerParts adds the parts of prompts that another instance sent to the endpoint to
@@ -267,7 +273,7 @@
 // isUsableWithinRate reports whether this instance may send a new request to the endpoint
 // as soon as the rate limit that the endpoint names allows one.
 func (e *Endpoint) isUsableWithinRate(now time.Time) bool {
-	if e.HasStartedDraining || e.IsEvacuated || e.isEjected(now) || e.isPaused(now) {
+	if e.HasStartedDraining() || e.IsEvacuated || e.isEjected(now) || e.isPaused(now) {
 		return false
 	}
 	return !e.IsCold(now) || e.isColdOwner && e.coldLimiter.canTake(e.coldRate, now)
--- a/internal/cwplacement/exclusions.go
+++ b/internal/cwplacement/exclusions.go
@@ -53,7 +53,7 @@
 		switch {
 		case req.WasTried(e.ID):
 			x.Tried++
-		case e.HasStartedDraining || e.IsEvacuated:
+		case e.HasStartedDraining() || e.IsEvacuated:
 			x.Leaving++
 		case e.isEjected(now):
 			x.Ejected++
--- a/internal/cwplacement/pool.go
+++ b/internal/cwplacement/pool.go
@@ -47,9 +47,9 @@
 	// sorted holds the same endpoints ordered by identifier.
 	sorted []*Endpoint
 	// relayed is the work relayed to other domains, by domain.
-	relayed       map[string]relayedWork
-	rng           *rand.Rand
-	droppedLimits droppedLimits
+	relayed    map[string]relayedWork
+	rng        *rand.Rand
+	statements statementStore
 	// arrivals is the rate of requests to be placed at this instance.
 	arrivals cwpolicy.ArrivalRate
 	// limitedReturnAt is the time for which the latest caller was told to return that was
@@ -73,7 +73,7 @@
 
 // NewPool returns a pool without endpoints.
 func NewPool(service cwroute.Service, domain string, rng *rand.Rand) *Pool {
-	return &Pool{Service: service, Domain: domain, endpoints: make(map[string]*Endpoint), relayed: make(map[string]relayedWork), droppedLimits: make(droppedLimits), rng: rng}
+	return &Pool{Service: service, Domain: domain, endpoints: make(map[string]*Endpoint), relayed: make(map[string]relayedWork), statements: make(statementStore), rng: rng}
 }
 
 // Endpoints returns the endpoints by identifier. The caller must not change the map.
@@ -91,19 +91,27 @@
 }
 
 // Register adds or updates an endpoint from its entry, which was read at readAt. A new
-// incarnation or address under the same identifier starts without measurements.
+// incarnation or address under the same identifier starts without measurements, and a new
+// incarnation without statements.
 func (p *Pool) Register(entry cwroute.Endpoint, region string, isColdOwner bool, readAt, coldUntil time.Time) *Endpoint {
 	e := p.endpoints[entry.ID]
 	if e == nil || e.StartedAtMillis != entry.StartedAtMillis || e.Address != entry.Address {
+		if e != nil {
+			p.statements.unlist(&e.Endpoint)
+			if entry.StartedAtMillis == 0 {
+				// Only the address tells this life from the one before.
+				delete(p.statements, lifeOf(&e.Endpoint))
+			}
+		}
 		e = newEndpoint(entry, p.Service, p.meanPromptSpeed())
-		p.droppedLimits.restore(e, readAt)
+		e.statements = p.statements.list(&entry, readAt)
 		p.endpoints[entry.ID] = e
 		p.rebuildSorted()
 	}
 	e.Endpoint, e.Region, e.isColdOwner = entry, region, isColdOwner
 	e.setService(p.Service)
 	e.readAt, e.ColdUntil = readAt, coldUntil
-	e.HasStartedDraining = e.HasStartedDraining || entry.IsDraining
+	e.isEntryDraining = e.isEntryDraining || entry.IsDraining
 	return e
 }
 
@@ -111,7 +119,7 @@
 func (p *Pool) Retain(keep func(id string) bool) {
 	for id, e := range p.endpoints {
 		if !keep(id) {
-			p.droppedLimits.add(e)
+			p.statements.unlist(&e.Endpoint)
 			delete(p.endpoints, id)
 		}
 	}
@@ -192,7 +200,7 @@
 	var best *Endpoint
 	highest := uint64(0)
 	for _, e := range p.sorted {
-		if e.HasStartedDraining || e.IsEvacuated || e.isEjected(now) || e.limit.IsNamed {
+		if e.HasStartedDraining() || e.IsEvacuated || e.isEjected(now) || e.limit.IsNamed {
 			continue
 		}
 		if score := rendezvousScore(key, e.idHash); best == nil || score > highest {
--- a/internal/cwplacement/region_affinity.go
+++ b/internal/cwplacement/region_affinity.go
@@ -46,7 +46,7 @@
 	}
 	if req.IsLocalAllowed {
 		for _, e := range p.sorted {
-			if !e.HasStartedDraining && !e.IsEvacuated && !e.isEjected(now) && !e.IsCold(now) {
+			if !e.HasStartedDraining() && !e.IsEvacuated && !e.isEjected(now) && !e.IsCold(now) {
 				add(e.Region, 1)
 			}
 		}
--- a/internal/cwplacement/unreached.go
+++ b/internal/cwplacement/unreached.go
@@ -12,7 +12,7 @@
 func (p *Pool) TriedEndpoints(now time.Time) int {
 	n := 0
 	for _, e := range p.sorted {
-		if e.HasStartedDraining || e.IsEvacuated {
+		if e.HasStartedDraining() || e.IsEvacuated {
 			continue
 		}
 		if e.isEjected(now) || !e.isSuspected(e.readAt, now) || now.Sub(e.unreachableAt) < suspicionDuration {
@@ -29,7 +29,7 @@
 	var c cwpolicy.PoolCapacity
 	isUnreached := false
 	for _, e := range p.sorted {
-		if e.HasStartedDraining || e.IsEvacuated {
+		if e.HasStartedDraining() || e.IsEvacuated {
 			continue
 		}
 		if e.IsUsable(now) && !wasTried(e.ID) {
