An instance heeds that an endpoint leaves if the response came by a neighbor

It was cut off from the endpoints, its neighbor got the response, and when the cut ended it sent the leaving endpoint 3 to 5 requests. Cause: responses of other instances were passed on unread, because only instances of the endpoint's region send it requests. The neighbor is in that region. Log source relayedResponse. Ruled out: only telling the instances of the region in exchanges; an instance may lose its neighbors right after the response.

--- a/internal/cwgate/attempt_announcement.go
+++ b/internal/cwgate/attempt_announcement.go
@@ -7,23 +7,64 @@
 	"go.uber.org/zap"
 )
 
-// recordAnnouncement records whether the endpoint of the attempt is leaving or wants a pause.
-// Responses of other instances are passed on unrecorded: only instances of the endpoint's region
-// send it requests.
-func (a *attempt) recordAnnouncement(head ResponseHead, status int) {
-	isPause := status == http.StatusServiceUnavailable && head.Pause > 0
-	if a.placement == nil || head.IsOtherEndpoint || !head.IsLeaving && !isPause {
+// recordAnnouncement records whether the endpoint that created the response is leaving or wants a
+// pause. In the response to a relayed request it names an endpoint that is leaving, for the instance
+// that relayed it.
+func (a *attempt) recordAnnouncement(head ResponseHead, response *http.Response) {
+	if head.IsOtherEndpoint {
 		return
 	}
-	now, e := time.Now(), a.placement.Endpoint
+	if a.placement == nil {
+		a.recordRelayedLeaving(head.LeavingEndpoint)
+		return
+	}
+	if head.IsLeaving {
+		a.recordLeaving()
+		if a.req.IsRelayed {
+			a.codec.EncodeLeavingEndpoint(response.Header, EndpointLife{ID: a.placement.EndpointID, StartedAtMillis: a.placement.StartedAtMillis})
+		}
+	}
+	if response.StatusCode == http.StatusServiceUnavailable && head.Pause > 0 {
+		a.recordPause(head.Pause)
+	}
+}
+
+// recordLeaving records that the endpoint of the attempt is leaving.
+func (a *attempt) recordLeaving() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if head.IsLeaving && e.AnnounceLeaving() {
-		a.metrics.countAnnouncement("leaving")
-		a.Log.Info("endpoint is leaving", zap.String("endpoint", a.placement.EndpointID), zap.String("source", "response"))
+	if a.placement.Endpoint.AnnounceLeaving() {
+		a.logLeaving(a.placement.EndpointID, "response")
+	}
+}
+
+// recordRelayedLeaving records which endpoint is leaving according to the response of another
+// instance of its region. This instance passes the response on, and may send the endpoint requests
+// itself.
+func (a *attempt) recordRelayedLeaving(l EndpointLife) {
+	if l.ID == "" || a.site.RegionByDomain[a.exitDomain] != a.site.Region {
+		return
 	}
-	if isPause && e.AnnouncePause(head.Pause, now) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if p := a.pools[a.req.service]; p != nil && p.AnnounceLeaving(l.ID, l.StartedAtMillis) {
+		a.logLeaving(l.ID, "relayedResponse")
+	}
+}
+
+// recordPause records that the endpoint of the attempt wants a pause.
+func (a *attempt) recordPause(pause time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.placement.Endpoint.AnnouncePause(pause, time.Now()) {
 		a.metrics.countAnnouncement("pause")
-		a.Log.Info("endpoint wants a pause", zap.String("endpoint", a.placement.EndpointID), zap.Duration("pause", head.Pause))
+		a.Log.Info("endpoint wants a pause", zap.String("endpoint", a.placement.EndpointID), zap.Duration("pause", pause))
 	}
 }
+
+// logLeaving logs that an endpoint is leaving. The source is "response", "relayedResponse" if the
+// response came by another instance, or "peer" if another instance reported it.
+func (g *Gate) logLeaving(id, source string) {
+	g.metrics.countAnnouncement("leaving")
+	g.Log.Info("endpoint is leaving", zap.String("endpoint", id), zap.String("source", source))
+}
--- a/internal/cwgate/codec.go
+++ b/internal/cwgate/codec.go
@@ -20,6 +20,8 @@
 	// EncodeOrigin sets the fields in the head of a relayed response that name what serves the
 	// stream.
 	EncodeOrigin(h http.Header, o cwstream.Origin)
+	// EncodeLeavingEndpoint names the endpoint that is leaving in its response to a relayed request.
+	EncodeLeavingEndpoint(h http.Header, l EndpointLife)
 	// EncodeCutOff marks the refusal of a relayed request: this instance is cut off from the
 	// endpoints.
 	EncodeCutOff(h http.Header)
@@ -74,6 +76,16 @@
 	IsExitCutOff bool
 	// Origin is what serves the stream, in the response of another instance.
 	Origin cwstream.Origin
+	// LeavingEndpoint is the endpoint that states in the response of another instance that it is
+	// leaving; empty if there is none.
+	LeavingEndpoint EndpointLife
+}
+
+// EndpointLife identifies one run of an endpoint's process.
+type EndpointLife struct {
+	// ID is the endpoint's identifier, and StartedAtMillis its start in Unix milliseconds.
+	ID              string
+	StartedAtMillis int64
 }
 
 // RateLimitField is the field of a response in which an endpoint names a rate limit.
--- a/internal/cwgate/opening.go
+++ b/internal/cwgate/opening.go
@@ -34,7 +34,7 @@
 	head := a.codec.DecodeHead(response.Response)
 	a.recordRateLimit(head, sentAt)
 	a.recordBrittle(head, sentAt)
-	a.recordAnnouncement(head, response.StatusCode)
+	a.recordAnnouncement(head, response.Response)
 	switch {
 	case head.IsNotRun || a.exitDomain != "" && !head.IsSigned && isPeerRefusal(response.StatusCode):
 		r := a.handleRejection(ctx, response, head)
--- a/internal/cwplacement/announcement.go
+++ b/internal/cwplacement/announcement.go
@@ -24,6 +24,12 @@
 	return true
 }
 
+// AnnounceLeaving records that a life of an endpoint is leaving, which may have no entry now, and
+// returns whether that is new.
+func (p *Pool) AnnounceLeaving(id string, startedAtMillis int64) bool {
+	return p.statements.of(life{id, startedAtMillis}).AnnounceLeaving()
+}
+
 // AnnouncePause records that the endpoint wants no requests of this instance for a time, and returns
 // whether it was in use until now. Of several pauses the one that ends last counts.
 func (a *announcement) AnnouncePause(duration time.Duration, now time.Time) bool {
