Instances of a region tell each other which endpoints are leaving

What callers saw: an instance that had not been told sent a leaving endpoint 3 requests before it heard of it itself, also as the exit of an instance that had passed the statement on. Cause: each instance learnt it only from its own responses. Change: the work that instances of a region exchange says that an endpoint is leaving, and in which life. Each tells on what it was told: the statement holds for the rest of that life, so it can't go stale. Log source peer.

--- a/internal/cwapp/routed_announcement_test.go
+++ b/internal/cwapp/routed_announcement_test.go
@@ -62,6 +62,8 @@
 	direct   wayToEndpoint = "direct"
 	relayed  wayToEndpoint = "relayed to another region"
 	neighbor wayToEndpoint = "by a neighbor of an instance that is cut off"
+	// An instance of the region gets the responses, and another one the requests after them.
+	untold wayToEndpoint = "by another instance later"
 )
 
 // TestLeavingEndpointGetsNoRequests guards against requests to an endpoint that has said in its
@@ -70,7 +72,7 @@
 // it is no longer cut off.
 func TestLeavingEndpointGetsNoRequests(t *testing.T) {
 	for _, kind := range []string{"safe", "unsafe", "streaming"} {
-		for _, way := range []wayToEndpoint{direct, relayed, neighbor} {
+		for _, way := range []wayToEndpoint{direct, relayed, neighbor, untold} {
 			t.Run(fmt.Sprintf("%s, %s", kind, way), func(t *testing.T) {
 				inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
 					services, header := []map[string]any(nil), []string(nil)
@@ -88,6 +90,10 @@
 					case neighbor:
 						entry = s.AddInstance("10.1.0.2", "north-a")
 					}
+					later := entry
+					if way == untold {
+						later = s.AddInstance("10.1.0.3", "north-a")
+					}
 					s.AwaitReady()
 					time.Sleep(4 * time.Second)
 					is.True(exit.IsReady())
@@ -112,13 +118,13 @@
 						s.Kill(exit)
 					}
 					time.Sleep(3 * time.Second)
-					responses := sendEvery(t, s, 20*time.Millisecond, 2*time.Second, header, entry)
-					is.Equal(strings.Count(s.FetchAdmin(t, entry, "/status"), `"leaving": true`) == 1, way != relayed)
+					responses := sendEvery(t, s, 20*time.Millisecond, 2*time.Second, header, later)
+					is.Equal(strings.Count(s.FetchAdmin(t, later, "/status"), `"leaving": true`) == 1, way != relayed)
 					s.Store.Remove(cwstandin.WorkerKeyPrefix + leaving.ID)
 					time.Sleep(time.Second)
 					s.RegisterWorker(leaving.ID, "north-a", "10.1.1.1", nil)
 					time.Sleep(time.Second)
-					responses = append(responses, sendEvery(t, s, 20*time.Millisecond, 2*time.Second, header, entry)...)
+					responses = append(responses, sendEvery(t, s, 20*time.Millisecond, 2*time.Second, header, later)...)
 					is.Equal(arrivalsAfter(leaving, saidAt.Add(announcementNotice)), 0)
 					for _, resp := range responses {
 						is.Equal(resp.Status, http.StatusOK)
--- a/internal/cwcontrol/endpoint_work.go
+++ b/internal/cwcontrol/endpoint_work.go
@@ -25,6 +25,10 @@
 	PromptSpeed, EventRate Measurement
 	// RateLimit is the latest known rate limit of the endpoint.
 	RateLimit EndpointRateLimit
+	// IsLeaving is set if the endpoint has stated that it is leaving, in the life that started at
+	// StartedAtMillis, in Unix milliseconds.
+	IsLeaving       bool
+	StartedAtMillis int64
 }
 
 // EndpointRateLimit is what an endpoint stated about its rate limit.
--- a/internal/cwgate/attempt_announcement.go
+++ b/internal/cwgate/attempt_announcement.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/clementinewell/clementinewell/internal/cwcontrol"
 )
 
 // recordAnnouncement records whether the endpoint that created the response is leaving or wants a
@@ -52,6 +54,20 @@
 	}
 }
 
+// mergeLeaving records which endpoints are leaving according to another instance of the region. The
+// caller holds mu.
+func (g *Gate) mergeLeaving(peer *cwcontrol.PeerWork) {
+	for i := range peer.EndpointWork {
+		w := &peer.EndpointWork[i]
+		if !w.IsLeaving {
+			continue
+		}
+		if p := g.pools[g.view.Endpoints[w.Endpoint].Service]; p != nil && p.AnnounceLeaving(w.Endpoint, w.StartedAtMillis) {
+			g.logLeaving(w.Endpoint, "peer")
+		}
+	}
+}
+
 // recordPause records that the endpoint of the attempt wants a pause.
 func (a *attempt) recordPause(pause time.Duration) {
 	a.mu.Lock()
--- a/internal/cwgate/sync.go
+++ b/internal/cwgate/sync.go
@@ -191,6 +191,7 @@
 	reporting := 0
 	for address, peer := range g.snapshot.PeerWork {
 		g.mergeRateLimits(&peer, now)
+		g.mergeLeaving(&peer)
 		if now.Sub(peer.ReportedAt) > maxPeerWorkAge {
 			continue
 		}
@@ -344,7 +345,7 @@
 
 // EndpointWork returns the work of this instance at each endpoint of its region, with its
 // measurements there, for the other instances. It omits idle endpoints without recent prompt
-// parts, failures and rate limits.
+// parts, failures and statements.
 func (g *Gate) EndpointWork() []cwcontrol.EndpointWork {
 	now := time.Now()
 	g.mu.Lock()
@@ -359,14 +360,18 @@
 			}
 			promptSpeed, eventRate := e.Measurements(now)
 			rateLimit := reportedRateLimit(e, now)
-			if w.InFlight == 0 && len(parts) == 0 && failureRate < minReportedFailureRate && unreachableAt.IsZero() && rateLimit.ObservedAt.IsZero() {
+			if w.InFlight == 0 && len(parts) == 0 && failureRate < minReportedFailureRate && unreachableAt.IsZero() && rateLimit.ObservedAt.IsZero() && !e.IsLeaving() {
 				continue
 			}
-			endpointWork = append(endpointWork, cwcontrol.EndpointWork{
+			work := cwcontrol.EndpointWork{
 				Endpoint: id, QueuedTokens: toQueuedTokens(w), HeldTokens: w.HeldTokens, InFlight: w.InFlight,
 				PromptParts: toControlParts(parts), FailureRate: failureRate, UnreachableAt: unreachableAt,
 				PromptSpeed: cwcontrol.Measurement(promptSpeed), EventRate: cwcontrol.Measurement(eventRate), RateLimit: rateLimit,
-			})
+			}
+			if e.IsLeaving() {
+				work.IsLeaving, work.StartedAtMillis = true, e.StartedAtMillis
+			}
+			endpointWork = append(endpointWork, work)
 		}
 	}
 	return endpointWork
--- a/internal/cwpeer/exchange_message.go
+++ b/internal/cwpeer/exchange_message.go
@@ -190,6 +190,7 @@
 			Speed:        protoMeasurement(w.PromptSpeed),
 			Pace:         protoMeasurement(w.EventRate),
 			RateLimit:    protoRateLimit(w.RateLimit, now),
+			Leaving:      w.IsLeaving, StartedAtMillis: w.StartedAtMillis,
 		})
 		if !w.UnreachableAt.IsZero() {
 			list[i].UnreachableAgeMillis = uint32(max(now.Sub(w.UnreachableAt), 0).Milliseconds()) + 1
@@ -211,6 +212,7 @@
 			PromptSpeed:  measurementOf(w.GetSpeed()),
 			EventRate:    measurementOf(w.GetPace()),
 			RateLimit:    rateLimitOf(w.GetRateLimit(), now),
+			IsLeaving:    w.GetLeaving(), StartedAtMillis: w.GetStartedAtMillis(),
 		})
 		if age := w.GetUnreachableAgeMillis(); age > 0 {
 			work[i].UnreachableAt = now.Add(-time.Duration(age-1) * time.Millisecond)
