Requests that waited for a connection heed what was stated meanwhile

What callers saw: nothing; the endpoint that had asked for a pause, or had said that it is leaving, got more than two requests later than half a second after that. Cause: an endpoint is checked when it is chosen. A request that then waits for a connection, up to 0.8 s, is sent whatever was learnt in that time. Change: a call on a new connection is checked again right before it is sent. If the endpoint takes no requests any more, the connection is kept, the attempt counts as not sent and costs no retry budget. Ruled out: kept connections; a request is sent on them at once.

--- a/internal/cwconn/call.go
+++ b/internal/cwconn/call.go
@@ -10,6 +10,10 @@
 	// empty line. It is called once the connection is open, since the head may state the
 	// time that is left.
 	EncodeHead func() []byte
+	// Admit is called once a new connection is open, if it is not nil. With an error the call is not
+	// sent, and the connection is kept for the next one: the reason for the call may have gone
+	// while the connection was opened.
+	Admit func() error
 	// Body is the whole body.
 	Body []byte
 	// MatchesResponse reports whether a response with this status and these fields
--- a/internal/cwconn/conn.go
+++ b/internal/cwconn/conn.go
@@ -158,6 +158,12 @@
 	c.pool.releaseConn()
 }
 
+// keepUnused makes a connection that was opened available to the next call.
+func (c *conn) keepUnused() {
+	c.idleUntil = time.Now().Add(defaultIdleTimeout)
+	c.pool.putIdle(c)
+}
+
 // parseIdleTimeout returns how long an idle connection is kept: the timeout in the peer's
 // Keep-Alive field minus idleMargin, or defaultIdleTimeout without one.
 func parseIdleTimeout(h http.Header) time.Duration {
--- a/internal/cwconn/pool.go
+++ b/internal/cwconn/pool.go
@@ -106,6 +106,12 @@
 		if c, err = p.open(ctx, pool, call, DialTimeout); err != nil {
 			return nil, &CallError{Step: "connect to", Peer: call.Address, Err: err}
 		}
+		if call.Admit != nil {
+			if err := call.Admit(); err != nil {
+				c.keepUnused()
+				return nil, &CallError{Step: "send to", Peer: call.Address, Err: err}
+			}
+		}
 	}
 	return c.do(ctx, call)
 }
@@ -119,8 +125,7 @@
 	if err != nil {
 		return &CallError{Step: "connect to", Peer: address, Err: err}
 	}
-	c.idleUntil = time.Now().Add(defaultIdleTimeout)
-	pool.putIdle(c)
+	c.keepUnused()
 	return nil
 }
 
--- a/internal/cwgate/attempt.go
+++ b/internal/cwgate/attempt.go
@@ -29,6 +29,7 @@
 	errUnexpectedResponse = errors.New("not a plain response of the endpoint")
 	errPartialEvent       = errors.New("stream ended within an event")
 	errNoEvent            = errors.New("stream ended without an event")
+	errUnwanted           = errors.New("endpoint takes no new requests since it was chosen")
 	errEndedWithResponse  = errors.New("endpoint ended with a response that has no length")
 )
 
@@ -210,6 +211,7 @@
 	call := &cwconn.Call{Address: a.address, Method: routed.Method, Body: routed.body}
 	if a.exitDomain == "" {
 		call.MaxConns = a.maxConns(routed.service)
+		call.Admit = a.checkWanted
 	}
 	call.EncodeHead = func() []byte {
 		if a.onSent != nil {
--- a/internal/cwgate/attempt_announcement.go
+++ b/internal/cwgate/attempt_announcement.go
@@ -78,6 +78,16 @@
 	}
 }
 
+// checkWanted returns an error if the endpoint takes no new requests since the attempt was placed.
+func (a *attempt) checkWanted() error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if e := a.placement.Endpoint; e.HasStartedDraining() || e.IsEvacuated || e.PauseLeft(time.Now()) > 0 {
+		return errUnwanted
+	}
+	return nil
+}
+
 // logLeaving logs that an endpoint is leaving. The source is "response", "relayedResponse" if the
 // response came by another instance, or "peer" if another instance reported it.
 func (g *Gate) logLeaving(id, source string) {
--- a/internal/cwgate/attempt_failure.go
+++ b/internal/cwgate/attempt_failure.go
@@ -18,7 +18,7 @@
 	if !callErr.Sent {
 		outcome := cwplacement.Unreachable
 		switch {
-		case errors.Is(err, cwconn.ErrConnLimit):
+		case errors.Is(err, cwconn.ErrConnLimit), errors.Is(err, errUnwanted):
 			outcome = cwplacement.Rejected
 			a.excludePlace()
 		case errors.Is(err, cwconn.ErrNoAnswer), errors.Is(err, errStalled):
