Requests that are abandoned without an answer count against the endpoint

Cause: an attempt that ends because its caller leaves says nothing of its endpoint. If all end so, the endpoint keeps its first estimates, seems idle, and is the best choice. Change: a request whose answer was due when it was abandoned is counted. From the fourth in a row, without any answer between, each is a failure: the endpoint is avoided, and tried again as the failure rate decays. Ruled out: longer service times from such attempts. They would keep an endpoint out of use for good, since only a complete answer lowers them. Counting each abandoned request: some callers leave early at sound endpoints too.

--- a/internal/cwplacement/health.go
+++ b/internal/cwplacement/health.go
@@ -20,6 +20,9 @@
 	// redialedEjection is how long an endpoint stays ejected after a failed redial. It covers
 	// several intervals between redials, so that no request is used as a probe meanwhile.
 	redialedEjection = time.Second
+	// maxUnanswered is the number of requests in a row that may be abandoned without an answer
+	// before further ones count as failures: some callers leave early at a sound endpoint too.
+	maxUnanswered = 3
 	// failureHalfLife is the time after which a failure rate without new outcomes has
 	// halved, so that an endpoint which recovered is tried again.
 	failureHalfLife = 8 * time.Second
@@ -32,6 +35,9 @@
 	lastFailureRate        float64
 	updatedAt              time.Time
 	consecutiveUnreachable int
+	// consecutiveUnanswered is the number of requests in a row that were abandoned although the
+	// answer was due.
+	consecutiveUnanswered int
 	ejectedUntil           time.Time
 	// silentSince is when the first dial without an answer began, zero after a connection or
 	// an answer. rateBeforeSilence is the failure rate at that time.
@@ -53,6 +59,15 @@
 	h.updatedAt = now
 }
 
+// recordUnanswered records that a request was abandoned although its answer was due. An endpoint that
+// never answers before its callers leave has no other outcomes.
+func (h *health) recordUnanswered(now time.Time) {
+	h.consecutiveUnanswered++
+	if h.consecutiveUnanswered > maxUnanswered {
+		h.recordFailure(now)
+	}
+}
+
 // recordUnreachable records that the endpoint could not be reached, and ejects it.
 func (h *health) recordUnreachable(now time.Time) {
 	h.recordFailure(now)
--- a/internal/cwplacement/placement.go
+++ b/internal/cwplacement/placement.go
@@ -54,6 +54,7 @@
 	}
 	p.firstByteAt, p.lastEventAt = now, now
 	e := p.Endpoint
+	e.consecutiveUnanswered = 0
 	e.answered(now)
 	if !e.silentSince.IsZero() {
 		e.recordReachable(now)
@@ -111,7 +112,8 @@
 	// Unanswered means that the endpoint neither accepted nor refused a connection.
 	Unanswered
 	// Abandoned means that this instance ended the request, for example because its
-	// caller disconnected.
+	// caller disconnected. An answer that was due by then counts against the endpoint if it
+	// gives none to others either.
 	Abandoned
 )
 
@@ -137,6 +139,12 @@
 		if !p.hasOverdueFailure {
 			e.recordFailure(now)
 		}
+	case Rejected:
+		e.consecutiveUnanswered = 0
+	case Abandoned:
+		if p.firstByteAt.IsZero() && !p.hasOverdueFailure && now.Sub(p.startedAt) >= p.PredictedFirstByte {
+			e.recordUnanswered(now)
+		}
 	case Unreachable:
 		e.MarkUnreachable(now)
 	case Unanswered:
