An endpoint returns from its pause with one request

What callers saw: nothing. At the end of a pause every instance sent the endpoint its whole share at once, since an endpoint without work seems the fastest; if it wanted another pause, all of that was turned away, each time (of 10 ms apart, over 2 a pause). Cause: a pause ended with time alone. Change: after it the endpoint gets one request of an instance every 200 ms, until it has answered one that was placed after the pause without asking for another. Then a log line, and full use. As before, nothing is told to other instances: each was asked for its own pause, so their returns are apart as the answers were.

--- a/internal/cwgate/attempt_announcement.go
+++ b/internal/cwgate/attempt_announcement.go
@@ -28,6 +28,17 @@
 	}
 	if response.StatusCode == http.StatusServiceUnavailable && head.Pause > 0 {
 		a.recordPause(head.Pause)
+		return
+	}
+	a.recordReturn()
+}
+
+// recordReturn records that the endpoint of the attempt has answered without asking for a pause.
+func (a *attempt) recordReturn() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.placement.Endpoint.EndReturn(a.startedAt) {
+		a.Log.Info("endpoint has returned from its pause", zap.String("endpoint", a.placement.EndpointID))
 	}
 }
 
--- a/internal/cwplacement/announcement.go
+++ b/internal/cwplacement/announcement.go
@@ -2,9 +2,14 @@
 
 import "time"
 
-// maxPause is the longest time for which an endpoint is not used because it asked for a pause. After
-// it one request finds out whether the endpoint still wants it.
-const maxPause = 10 * time.Minute
+const (
+	// maxPause is the longest time for which an endpoint is not used because it asked for a pause.
+	// After it a request finds out whether the endpoint still wants it.
+	maxPause = 10 * time.Minute
+	// returnInterval is the time between two requests to an endpoint whose pause is over, until it
+	// has answered one. It covers most response times.
+	returnInterval = 200 * time.Millisecond
+)
 
 // announcement is what an endpoint has stated about its wish for requests.
 type announcement struct {
@@ -12,6 +17,10 @@
 	isLeaving bool
 	// pausedUntil is when the latest pause ends that the endpoint asked for; zero if it asked for none.
 	pausedUntil time.Time
+	// isReturning is set from a pause to the first answer after it, and nextReturnAt is the time from
+	// which the endpoint may get another request until then.
+	isReturning  bool
+	nextReturnAt time.Time
 }
 
 // AnnounceLeaving records that the endpoint has said that it is leaving, and returns whether that is
@@ -35,11 +44,21 @@
 func (a *announcement) AnnouncePause(duration time.Duration, now time.Time) bool {
 	wasPaused := a.isPaused(now)
 	if until := now.Add(min(duration, maxPause)); until.After(a.pausedUntil) {
-		a.pausedUntil = until
+		a.pausedUntil, a.nextReturnAt, a.isReturning = until, until, true
 	}
 	return !wasPaused && a.isPaused(now)
 }
 
+// EndReturn records an answer to a request that was placed at a time, and returns whether it is the
+// first one after a pause: from now on the endpoint is in full use again.
+func (a *announcement) EndReturn(placedAt time.Time) bool {
+	if !a.isReturning || placedAt.Before(a.pausedUntil) {
+		return false
+	}
+	a.isReturning = false
+	return true
+}
+
 // IsLeaving reports whether the endpoint has stated in a response that it is leaving.
 func (a *announcement) IsLeaving() bool {
 	return a.isLeaving
@@ -47,14 +66,20 @@
 
 // PauseLeft returns the rest of the pause that the endpoint asked for, 0 if there is none.
 func (a *announcement) PauseLeft(now time.Time) time.Duration {
-	if !a.isPaused(now) {
-		return 0
-	}
-	return a.pausedUntil.Sub(now)
+	return max(a.pausedUntil.Sub(now), 0)
 }
 
+// isPaused reports whether the endpoint may get no request now because it asked for a pause, or
+// because it has not answered since.
 func (a *announcement) isPaused(now time.Time) bool {
-	return now.Before(a.pausedUntil)
+	return a.isReturning && now.Before(a.nextReturnAt)
+}
+
+// countReturn records that a request is sent.
+func (a *announcement) countReturn(now time.Time) {
+	if a.isReturning {
+		a.nextReturnAt = now.Add(returnInterval)
+	}
 }
 
 // pausedReturn returns when the first endpoint's pause ends, for a request that only pauses keep from
@@ -68,8 +93,8 @@
 		if !e.isPaused(now) || e.HasStartedDraining() || e.IsEvacuated || e.isEjected(now) {
 			continue
 		}
-		if first.IsZero() || e.pausedUntil.Before(first) {
-			first = e.pausedUntil
+		if first.IsZero() || e.nextReturnAt.Before(first) {
+			first = e.nextReturnAt
 		}
 	}
 	return first.Sub(now), !first.IsZero()
--- a/internal/cwplacement/placement.go
+++ b/internal/cwplacement/placement.go
@@ -44,6 +44,7 @@
 		e.coldLimiter.take(e.coldRate, now)
 	}
 	e.countRequest(now)
+	e.countReturn(now)
 	return p
 }
 
