Callers are told when a pause ends, however long it is

What callers saw: all endpoints had asked for a pause of 25 s; refused callers were told to return after 6 to 9 s, and were refused again. Cause: the time to return is bounded by 6 s, since predictions of queues are uncertain. The end of a pause is not. Change: what a pause lasts beyond the bound is added; the spread stays.

--- a/internal/cwplacement/decide.go
+++ b/internal/cwplacement/decide.go
@@ -26,7 +26,8 @@
 	// for nothing.
 	responseTimeoutShare = 0.85
 	// minRetryAfter and maxRetryAfter bound the time after which a refused caller should
-	// retry, before retryAfterJitter is added.
+	// retry, before retryAfterJitter is added. Predictions of longer times are too uncertain;
+	// the end of a pause is not, so it has no upper bound.
 	minRetryAfter = 400 * time.Millisecond
 	maxRetryAfter = 6 * time.Second
 	// retryAfterJitter is the largest share of that time which is added at random, so
@@ -112,7 +113,9 @@
 		return p.refuse(d, wait, "rateLimit")
 	}
 	if wait, isPaused := p.pausedReturn(req, now); isPaused {
-		return p.refuse(d, wait, "paused")
+		d = p.refuse(d, wait, "paused")
+		d.RetryAfter += max(wait-maxRetryAfter, 0)
+		return d
 	}
 	if wait, isBrittle := p.brittleReturn(req, now); isBrittle {
 		return p.refuse(d, wait, "brittle")
