--- a/internal/cwconn/conn.go
+++ b/internal/cwconn/conn.go
@@ -69,17 +69,25 @@
 	reused := c.used
 	c.used = true
 	c.cancelCloseHook = context.AfterFunc(ctx, c.interrupt)
+	isKept := false
+	defer func() {
+		if !isKept {
+			c.finish(false, nil)
+		}
+	}()
 	if n, err := c.send(call); err != nil {
-		c.finish(false, nil)
 		return nil, &CallError{Step: "send to", Peer: call.Address, Sent: n > 0, Reused: reused, Err: withContextCause(ctx, err)}
 	}
 	if call.KeepsPending {
 		if err := c.awaitHead(); errors.Is(err, os.ErrDeadlineExceeded) {
+			isKept = true
 			pending := &Pending{conn: c, call: call, reused: reused}
 			return nil, &CallError{Step: "read response from", Peer: call.Address, Sent: true, Reused: reused, Pending: pending, Err: withContextCause(ctx, err)}
 		}
 	}
-	return c.readResponse(ctx, call, reused)
+	response, err := c.readResponse(ctx, call, reused)
+	isKept = err == nil
+	return response, err
 }
 
 // interrupt ends the waiting for a response that has not begun, or else closes the connection.
@@ -100,19 +108,12 @@
 	return err
 }
 
-// readResponse reads the head of the call's response. Without one the connection is closed.
+// readResponse reads the head of the call's response. The caller ends the call without one.
 func (c *conn) readResponse(ctx context.Context, call *Call, reused bool) (*Response, error) {
-	hasResponse := false
-	defer func() {
-		if !hasResponse {
-			c.finish(false, nil)
-		}
-	}()
 	resp, err := c.readMatchingHead(call)
 	if err != nil {
 		return nil, &CallError{Step: "read response from", Peer: call.Address, Sent: true, Reused: reused, Err: withContextCause(ctx, cwlimit.ShortenError(err))}
 	}
-	hasResponse = true
 	return &Response{Response: resp, Reused: reused, conn: c}, nil
 }
 
--- a/internal/cwconn/pending.go
+++ b/internal/cwconn/pending.go
@@ -18,7 +18,15 @@
 func (p *Pending) Await(ctx context.Context) (*Response, error) {
 	_ = p.conn.SetReadDeadline(time.Time{})
 	p.conn.cancelCloseHook = context.AfterFunc(ctx, func() { _ = p.conn.Conn.Close() })
-	return p.conn.readResponse(ctx, p.call, p.reused)
+	isKept := false
+	defer func() {
+		if !isKept {
+			p.Close()
+		}
+	}()
+	response, err := p.conn.readResponse(ctx, p.call, p.reused)
+	isKept = err == nil
+	return response, err
 }
 
 // Close closes the connection, which cancels the request at the peer.
