Soak: workers that are leaving or in a pause get no requests

Checked from what the workers get; the requests of a region whose instances are disturbed are excused, those of the other never.

--- a/internal/cwsoak/soak_test.go
+++ b/internal/cwsoak/soak_test.go
@@ -66,7 +66,7 @@
 // the store, workers and instances that break a guarantee to callers: a success
 // carries the whole response to its own request, an unsafe request runs at most
 // once, a refused one not at all, an instance drops no request that it has read because
-// of planned work, workers get no more than the rate limits that they name, requests that
+// of planned work, workers get no more than the rate limits that they name and none once they are leaving or in a pause, requests that
 // end workers are kept from them while sound ones are served, and all instances recover in
 // time.
 func TestSoak(t *testing.T) {
@@ -191,6 +191,7 @@
 	s.runSilence(rand.New(rand.NewPCG(s.seed, 11)))
 	s.runEndlessBytes(rand.New(rand.NewPCG(s.seed, 12)))
 	s.runRateLimits(rand.New(rand.NewPCG(s.seed, 9)))
+	s.runAnnouncements(rand.New(rand.NewPCG(s.seed, 15)))
 	s.runCrashingRequests(rand.New(rand.NewPCG(s.seed, 13)))
 	s.runTakeUps(rand.New(rand.NewPCG(s.seed, 14)))
 	restoreRNG := rand.New(rand.NewPCG(s.seed, 10))
