A refusal that names no request can't answer a later one

What callers saw: an endpoint wrote an earlier refusal once more on a kept connection. The next request there was running, and its caller was told "not run, try again" (REFUSED), or it ran at a second endpoint too (TWICE). Cause: responses are told apart by the request's identifier, but refusals of the platform's endpoints name none, so one that comes after the next request was sent passes for its response. Ruled out: counting such refusals as unknown, which would turn every second refusal of a loaded endpoint into a 502.

--- a/internal/cwapp/routed_path_test.go
+++ b/internal/cwapp/routed_path_test.go
@@ -82,6 +82,48 @@
 	}
 }
 
+// TestRefusalOfAnEarlierRequestIsIgnored guards against an endpoint that writes an earlier refusal once
+// more on a kept connection: the caller was told that its request had not run while it ran, or it ran
+// at a second endpoint too.
+func TestRefusalOfAnEarlierRequestIsIgnored(t *testing.T) {
+	for _, kind := range []string{"unsafe", "streaming"} {
+		for _, others := range []int{0, 1} {
+			t.Run(fmt.Sprintf("%s, %d other endpoints", kind, others), func(t *testing.T) {
+				inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+					services, header := []map[string]any(nil), []string(nil)
+					if kind == "streaming" {
+						services, header = cwscene.NewEngineService(0), newPromptHeader()
+					}
+					s.Publish(services, cwscene.NewRoute("r", kind, nil))
+					workers := []*cwstandin.Worker{s.AddWorker("north-a", "10.1.1.1")}
+					for range others {
+						workers = append(workers, s.AddWorker("north-a", "10.1.1.2"))
+					}
+					for _, w := range workers {
+						w.SetServiceTime(announcedServiceTime)
+					}
+					i := s.AddInstance("10.1.0.1", "north-a")
+					s.AwaitReady()
+					for range 20 {
+						workers[0].QueueFaults(cwstandin.FaultRepeatRefusal)
+						for range 2 {
+							resp := s.Do(t.Context(), i, cwscene.RoutedRequest{Path: "/r/x", Header: header})
+							runs := 0
+							for _, run := range collectRuns(workers) {
+								if run.RequestID == resp.RequestID {
+									runs++
+								}
+							}
+							is.True(runs <= 1)
+							is.Equal(resp.Status == http.StatusOK, runs == 1) // a refused request has not run
+						}
+					}
+				})
+			})
+		}
+	}
+}
+
 // TestGatewayHeadersFromCallersAreDropped checks that header fields that only the gateway may
 // set do not reach an endpoint with values of the caller. Other fields are forwarded.
 func TestGatewayHeadersFromCallersAreDropped(t *testing.T) {
--- a/internal/cwconn/address_pool.go
+++ b/internal/cwconn/address_pool.go
@@ -16,16 +16,17 @@
 	lastTakenAt time.Time
 }
 
-// takeIdle returns a usable idle connection, or nil. It prefers the one used most
-// recently: the peer is most likely to close the one that has been idle longest.
-func (p *addressPool) takeIdle(now time.Time) *conn {
+// takeIdle returns a usable idle connection for a call, or nil, and closes those that are not usable. It
+// prefers the one used most recently: the peer is most likely to close the one that has been idle
+// longest.
+func (p *addressPool) takeIdle(call *Call, now time.Time) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lastTakenAt = now
 	for len(p.idle) > 0 {
 		c := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
-		if c.isReusable(now) {
+		if c.isReusable(now) && !(c.hasUnnamedResponse && call.NeedsNamedResponses) {
 			return c
 		}
 		_ = c.Conn.Close()
--- a/internal/cwconn/call.go
+++ b/internal/cwconn/call.go
@@ -19,11 +19,13 @@
 	KeepsPending bool
 	// Body is the whole body.
 	Body []byte
-	// MatchesResponse reports whether a response with this status and these fields
-	// belongs to the request. Other responses are skipped: endpoints may send a second,
-	// late response to an earlier request. If it is nil, every response belongs to the
-	// request.
-	MatchesResponse func(status int, field func(name string) string) bool
+	// MatchResponse returns whether a response with this status and these fields belongs to the
+	// request. Other responses are skipped: endpoints may send a second, late response to an
+	// earlier request. If it is nil, every response belongs to the request.
+	MatchResponse func(status int, field func(name string) string) Match
+	// NeedsNamedResponses is set if the call must not be sent on a connection on which a response
+	// came that named no request: another copy of it can't be told from the response to the call.
+	NeedsNamedResponses bool
 	// ForceNewConn prevents the use of an idle connection.
 	ForceNewConn bool
 	// MaxConns is the largest number of connections to the address; 0 means no limit.
--- a/internal/cwconn/conn.go
+++ b/internal/cwconn/conn.go
@@ -51,6 +51,8 @@
 	isAwaitingHead atomic.Bool
 	// hasSkippedResponse is set after a response to another request.
 	hasSkippedResponse bool
+	// hasUnnamedResponse is set after a response that named no request.
+	hasUnnamedResponse bool
 	// hasReadDeadline is set if a time limit for reading must be removed before the next call.
 	hasReadDeadline bool
 	// idleUntil is when the idle timeout passes.
@@ -146,7 +148,12 @@
 		if err != nil {
 			return nil, err
 		}
-		if call.MatchesResponse == nil || call.MatchesResponse(resp.StatusCode, resp.Header.Get) {
+		match := MatchByName
+		if call.MatchResponse != nil {
+			match = call.MatchResponse(resp.StatusCode, resp.Header.Get)
+		}
+		if match != MatchNone {
+			c.hasUnnamedResponse = c.hasUnnamedResponse || match == MatchByOrder
 			return resp, nil
 		}
 		c.hasSkippedResponse = true
--- a/internal/cwconn/endless_head_test.go
+++ b/internal/cwconn/endless_head_test.go
@@ -64,8 +64,14 @@
 		EncodeHead: func() []byte {
 			return []byte("GET / HTTP/1.1\r\nHost: h\r\n" + cwstandin.RequestIDHeader + ": 1\r\n\r\n")
 		},
-		MatchesResponse: func(_ int, field func(string) string) bool {
-			return field(cwstandin.RequestIDHeader) == "" || field(cwstandin.RequestIDHeader) == "1"
+		MatchResponse: func(_ int, field func(string) string) cwconn.Match {
+			switch field(cwstandin.RequestIDHeader) {
+			case "":
+				return cwconn.MatchByOrder
+			case "1":
+				return cwconn.MatchByName
+			}
+			return cwconn.MatchNone
 		},
 	}
 }
--- a/internal/cwconn/pool.go
+++ b/internal/cwconn/pool.go
@@ -99,7 +99,7 @@
 	pool := p.addressPool(call.Address)
 	var c *conn
 	if !call.ForceNewConn {
-		c = pool.takeIdle(time.Now())
+		c = pool.takeIdle(call, time.Now())
 	}
 	if c == nil {
 		var err error
--- a/internal/cwgate/attempt.go
+++ b/internal/cwgate/attempt.go
@@ -212,6 +212,7 @@
 	if a.exitDomain == "" {
 		call.MaxConns = a.maxConns(routed.service)
 		call.Admit, call.KeepsPending = a.checkWanted, true
+		call.NeedsNamedResponses = !routed.route.IsIdempotent()
 	}
 	call.EncodeHead = func() []byte {
 		if a.onSent != nil {
@@ -219,8 +220,8 @@
 		}
 		return a.codec.EncodeHead(routed.Request, a.buildParams())
 	}
-	call.MatchesResponse = func(status int, field func(string) string) bool {
-		return a.codec.MatchesResponse(routed.Request, status, field)
+	call.MatchResponse = func(status int, field func(string) string) cwconn.Match {
+		return a.codec.MatchResponse(routed.Request, status, field)
 	}
 	return call
 }
--- a/internal/cwgate/codec.go
+++ b/internal/cwgate/codec.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/clementinewell/clementinewell/internal/cwconn"
 	"github.com/clementinewell/clementinewell/internal/cwstream"
 )
 
@@ -14,9 +15,9 @@
 	EncodeHead(r *Request, a *AttemptParams) []byte
 	// DecodeHead decodes the fields of a response's head that the gateway uses.
 	DecodeHead(resp *http.Response) ResponseHead
-	// MatchesResponse reports whether a response with this status and these fields
-	// belongs to the request and not to an earlier one on the same connection.
-	MatchesResponse(r *Request, status int, field func(name string) string) bool
+	// MatchResponse returns whether a response with this status and these fields belongs to the
+	// request and not to an earlier one on the same connection.
+	MatchResponse(r *Request, status int, field func(name string) string) cwconn.Match
 	// EncodeOrigin sets the fields in the head of a relayed response that name what serves the
 	// stream.
 	EncodeOrigin(h http.Header, o cwstream.Origin)
--- a/internal/cwstandin/worker.go
+++ b/internal/cwstandin/worker.go
@@ -84,6 +84,9 @@
 	FaultRejectAtDeadline
 	// FaultSlowResponse runs the request and responds after SlowResponseTime.
 	FaultSlowResponse
+	// FaultRepeatRefusal acts as FaultReject, and sends the refusal once more when the next request
+	// arrives on the same connection.
+	FaultRepeatRefusal
 	// FaultEndlessLine sends bytes that are no response, in one line, until the client closes.
 	FaultEndlessLine
 	// FaultEndlessField sends a status line and one field until the client closes.
@@ -252,6 +255,10 @@
 		case <-r.Context().Done():
 		}
 	}
+	if fault == FaultRepeatRefusal {
+		w.repeatRefusal(rw)
+		return
+	}
 	if fault == FaultReject {
 		rw.Header().Set("Clementinewell-Not-Executed", "1")
 		rw.WriteHeader(http.StatusServiceUnavailable)
