Streams that can't go on are cut off: scenes for the reported fault

Operators of similar systems saw the text of an error in the middle of a stream, or a stream that ended as if it were complete, when it had broken off and the next endpoint answered with an error.

--- a/internal/cwapp/routed_path_test.go
+++ b/internal/cwapp/routed_path_test.go
@@ -197,6 +197,45 @@
 	})
 }
 
+// TestStreamThatCannotGoOnIsCutOff guards against the text of an error in the middle of a stream, or
+// against its end as if it were complete, if the stream breaks off and the next endpoint answers with
+// something else than the rest.
+func TestStreamThatCannotGoOnIsCutOff(t *testing.T) {
+	for _, isRelayed := range []bool{false, true} {
+		for name, fault := range map[string]cwstandin.WorkerFault{
+			"rejected": cwstandin.FaultReject, "error": cwstandin.FaultServerError, "response lost": cwstandin.FaultLoseResponse,
+			"no signature": cwstandin.FaultOmitSignature, "broken again": cwstandin.FaultTruncateStream, "response to another request": cwstandin.FaultUnexpectedResponse,
+			"endless head": cwstandin.FaultEndlessHead, "no response": cwstandin.FaultEndlessLine,
+		} {
+			t.Run(fmt.Sprintf("%s, relayed=%t", name, isRelayed), func(t *testing.T) {
+				inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+					s.Publish(cwscene.NewEngineService(0), cwscene.NewRoute("r", "streaming", cwscene.RoutedRoute{"resumable": true, "home-regions": []string{"north"}}))
+					workers := []*cwstandin.Worker{s.AddWorker("north-a", "10.1.1.1"), s.AddWorker("north-a", "10.1.1.2")}
+					i := s.AddInstance("10.1.0.1", "north-a")
+					if isRelayed {
+						i = s.AddInstance("10.2.0.1", "south-a")
+					}
+					s.AwaitReady()
+					time.Sleep(4 * time.Second)
+					for _, w := range workers {
+						w.SetDefaultFault(fault)
+					}
+					cwstandin.SetFirstRequestFault(workers, cwstandin.FaultTruncateStream)
+					resp := s.Do(t.Context(), i, cwscene.RoutedRequest{Path: "/r/x", Header: newPromptHeader()})
+					whole := ""
+					for n := range 6 {
+						whole += fmt.Sprintf("id: %d\ndata: piece %d\n\n", n+1, n+1)
+					}
+					is.Equal(resp.Status, http.StatusOK)
+					is.True(strings.HasPrefix(whole, resp.Body))
+					is.True(strings.HasPrefix(resp.Body, "id: 1\n"))
+					is.Equal(resp.Err == nil, resp.Body == whole)
+				})
+			})
+		}
+	}
+}
+
 // TestLongRunningStreamResumes checks that a stream that is truncated long after its first
 // byte was due is resumed at another endpoint.
 func TestLongRunningStreamResumes(t *testing.T) {
