What holds when several statements of an endpoint meet

Seven rows: pauses that overlap, a pause with a rate limit, of a cold endpoint and of one that is leaving, a cold replacement, an entry that says ready again.

--- a/internal/cwplacement/announcement_test.go
+++ b/internal/cwplacement/announcement_test.go
@@ -70,3 +70,68 @@
 		}
 	}
 }
+
+// TestStatementsTogether guards against one statement of an endpoint that hides another: each keeps
+// requests away as long as it lasts, and a refused caller is told why.
+func TestStatementsTogether(t *testing.T) {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	const pause = 3 * time.Second
+	for _, test := range []struct {
+		name  string
+		state func(p *cwplacement.Pool, e *cwplacement.Endpoint)
+		// usableAfter is the time after which a request is sent; negative for never. reason is that of
+		// the refusal before.
+		usableAfter time.Duration
+		reason      string
+	}{
+		{"a shorter pause after a longer one", func(_ *cwplacement.Pool, e *cwplacement.Endpoint) {
+			e.AnnouncePause(pause, start)
+			e.AnnouncePause(time.Second, start)
+		}, pause, "paused"},
+		{"a longer pause after a shorter one", func(_ *cwplacement.Pool, e *cwplacement.Endpoint) {
+			e.AnnouncePause(time.Second, start)
+			e.AnnouncePause(pause, start)
+		}, pause, "paused"},
+		{"a pause and a spent rate limit", func(_ *cwplacement.Pool, e *cwplacement.Endpoint) {
+			e.ObserveRateLimit(true, 1, start, start)
+			e.SetRateShare(0.2, 1, start) // a request in 5 s
+			e.AnnouncePause(pause, start)
+		}, 5 * time.Second, "paused"},
+		{"a pause of a cold endpoint", func(p *cwplacement.Pool, e *cwplacement.Endpoint) {
+			e.AnnouncePause(pause, start)
+			p.Register(e.Endpoint, "north", true, start, start.Add(time.Minute))
+		}, pause, "paused"},
+		{"a pause of an endpoint that is leaving", func(_ *cwplacement.Pool, e *cwplacement.Endpoint) {
+			e.AnnouncePause(pause, start)
+			e.AnnounceLeaving()
+		}, -1, "noPlace"},
+		{"leaving beside a cold replacement of another instance", func(p *cwplacement.Pool, e *cwplacement.Endpoint) {
+			e.AnnounceLeaving()
+			p.Register(cwroute.Endpoint{ID: "replacement"}, "north", false, start, start.Add(pause))
+		}, pause, "noPlace"},
+		{"an entry that says ready again", func(p *cwplacement.Pool, e *cwplacement.Endpoint) {
+			e.AnnounceLeaving()
+			p.Register(e.Endpoint, "north", false, start, time.Time{})
+		}, -1, "noPlace"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			p := cwplacement.NewPool(cwroute.Service{ColdRate: 1}, "a", rand.New(rand.NewPCG(1, 1)))
+			test.state(p, p.Register(cwroute.Endpoint{ID: "e", StartedAtMillis: 7}, "north", false, start, time.Time{}))
+			request := &cwplacement.Request{
+				Requirements:   cwplacement.Requirements{FirstByteTarget: time.Second, FirstByteTimeout: 5 * time.Second},
+				IsLocalAllowed: true, WasTried: func(string) bool { return false },
+			}
+			first := p.Decide(request, start)
+			is.Equal(first.Action, cwplacement.ActionRefuse)
+			is.Equal(first.Reason, test.reason)
+			usableAfter := time.Duration(-1)
+			for after := time.Duration(0); usableAfter < 0 && after < 10*time.Second; after += 100 * time.Millisecond {
+				if d := p.Decide(request, start.Add(after)); d.Action == cwplacement.ActionSend {
+					usableAfter = after
+				}
+			}
+			is.Equal(usableAfter, test.usableAfter)
+		})
+	}
+}
