The soak's check of rate limits excuses what waited while an instance was frozen

The users' rule excuses a frozen machine. Change: requests within 100 ms after a freeze don't count if the limit was lowered during that freeze. Instances that were not frozen stay bound, and so is a frozen one if the limit was not lowered meanwhile.

--- a/internal/cwsoak/gateway_process_test.go
+++ b/internal/cwsoak/gateway_process_test.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/clementinewell/clementinewell/internal/cwstandin"
 )
 
 // gatewayProcess is a gateway instance that runs as a separate process. Signals are
@@ -159,6 +161,19 @@
 	return slices.ContainsFunc(p.faults, func(f span) bool { return f.overlaps(from, to) })
 }
 
+// freezes returns the times in which the process was paused.
+func (p *gatewayProcess) freezes() []cwstandin.Freeze {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var freezes []cwstandin.Freeze
+	for _, f := range p.faults {
+		if f.to.After(f.from) {
+			freezes = append(freezes, cwstandin.Freeze{From: f.from, To: f.to})
+		}
+	}
+	return freezes
+}
+
 // hadRestart reports whether the process was started, or shut down, between two times. A
 // killed process is started again at once.
 func (p *gatewayProcess) hadRestart(from, to time.Time) bool {
--- a/internal/cwstandin/rate_limit.go
+++ b/internal/cwstandin/rate_limit.go
@@ -16,8 +16,13 @@
 	// lowerLimitReaction is the time after which a lower limit counts: a response has to
 	// arrive with it, and half a second is given after that.
 	lowerLimitReaction = time.Second
+	// wakeReaction is the time after a freeze in which an instance sends what has waited for it.
+	wakeReaction = 100 * time.Millisecond
 )
 
+// Freeze is a time in which an instance was frozen.
+type Freeze struct{ From, To time.Time }
+
 // rateLimitChange is a limit that a worker names from a time on.
 type rateLimitChange struct {
 	at        time.Time
@@ -52,13 +57,20 @@
 // CheckRateLimit returns an error if the worker received more requests than tolerated in any
 // window. Requests of all instances count, also of those that no response told the limit.
 // Counting begins when the worker has named a limit for the settling time, and ends when it
-// names none. Windows for which isExcused returns true are omitted; it may be nil.
-func (w *Worker) CheckRateLimit(settling time.Duration, isExcused func(from, to time.Time) bool) error {
+// names none. Windows for which isExcused returns true are omitted; it may be nil. So are requests
+// right after the freezes of instances in which the limit was lowered: the platform excuses such an
+// instance, and it can't know the limit before it has a response.
+func (w *Worker) CheckRateLimit(settling time.Duration, isExcused func(from, to time.Time) bool, freezes ...Freeze) error {
 	arrivals := w.Arrivals()
 	slices.SortFunc(arrivals, time.Time.Compare)
 	w.mu.Lock()
 	limits := slices.Clone(w.rateLimits)
 	w.mu.Unlock()
+	for _, f := range freezes {
+		if wasLowered(limits, f) {
+			arrivals = slices.DeleteFunc(arrivals, func(at time.Time) bool { return !at.Before(f.To) && at.Sub(f.To) < wakeReaction })
+		}
+	}
 	for first, start := range arrivals {
 		allowed, ok := allowedRequests(limits, start, settling)
 		if !ok || isExcused != nil && isExcused(start, start.Add(rateLimitWindow)) {
@@ -77,6 +89,16 @@
 	return nil
 }
 
+// wasLowered reports whether the limit was lowered during a freeze.
+func wasLowered(limits []rateLimitChange, f Freeze) bool {
+	for i := 1; i < len(limits); i++ {
+		if before, now := limits[i-1], limits[i]; now.isNamed && (!before.isNamed || now.perSecond < before.perSecond) && now.at.After(f.From) && now.at.Before(f.To) {
+			return true
+		}
+	}
+	return false
+}
+
 // allowedRequests returns the number of requests that the limits allow in the window from
 // start, false if the worker doesn't name a limit in all of the window and for the settling
 // time before it.
