Emulator: engines that ask for pauses and leave under load

Three instances and five engines in virtual time; two engines ask for a pause of 2 s four times, and one states that it leaves. At most one request of each instance is spent on each pause, what is sent elsewhere is on time, the one that leaves gets one request of each instance, and paused engines are in use again under load.

--- a/internal/cwplacement/decide_test.go
+++ b/internal/cwplacement/decide_test.go
@@ -78,6 +78,34 @@
 	is.True(unresponsive.requests-before < 20*5/10) // less than a tenth; an even share is a quarter
 }
 
+// TestPausesCostOnlyTheirCapacity guards against requests that are spent on engines in a pause, and against
+// a rush when it ends. Half of the engines ask for a pause again and again, and one leaves; the others
+// can serve the whole load.
+func TestPausesCostOnlyTheirCapacity(t *testing.T) {
+	is := is.New(t)
+	const instances, pauses, pause, load = 3, 4, 2 * time.Second, 8.0
+	m := newEmulator(instances, 50_000, 50_000, 50_000, 50_000, 50_000)
+	m.run(load, 5*time.Second, m.sharedPromptRequests(8))
+	m.onTime, m.late, m.refused, m.rejected = 0, 0, 0, 0
+	leaving := m.engines["engine-4"]
+	leaving.isLeaving = true
+	for range pauses {
+		for _, id := range []string{"engine-0", "engine-1"} {
+			m.engines[id].pausedUntil = m.now.Add(pause)
+		}
+		m.run(load, pause+500*time.Millisecond, m.sharedPromptRequests(8))
+	}
+	t.Logf("%d on time, %d late, %d refused, %d rejected, %d at the one that leaves", m.onTime, m.late, m.refused, m.rejected, leaving.requests)
+	is.True(m.rejected <= 2*pauses*instances)  // one for each engine, pause and instance
+	is.True(m.onTime >= 19*(m.late+m.refused)) // rejected ones are sent elsewhere
+	before := leaving.requests
+	m.run(load, 5*time.Second, m.sharedPromptRequests(8))
+	is.True(leaving.requests-before <= instances) // each instance is told by a response of its own
+	before = m.engines["engine-0"].requests
+	m.run(4*load, 5*time.Second, m.sharedPromptRequests(8))
+	is.True(m.engines["engine-0"].requests-before >= 10) // in use again under load
+}
+
 // TestDifferentSpeedsAreMeasured guards against slow engines that get as much load as
 // fast ones. Engines differ by a factor of ten, and at half of their capacity at least
 // 19 of 20 requests must be on time.
--- a/internal/cwplacement/emulator_test.go
+++ b/internal/cwplacement/emulator_test.go
@@ -45,6 +45,10 @@
 	failureRate float64
 	// unansweredShare is the share of requests that get no response.
 	unansweredShare float64
+	// pausedUntil is the time until which it rejects all requests and asks for a pause.
+	pausedUntil time.Time
+	// isLeaving is set while its responses state that it is leaving.
+	isLeaving bool
 	// room is the number of requests that may run or wait; 0 means no limit.
 	room      int
 	running   int
@@ -115,6 +119,12 @@
 		m.unanswered = append(m.unanswered, r)
 		return
 	}
+	if m.now.Before(e.pausedUntil) {
+		m.rejected++
+		r.placement.Endpoint.AnnouncePause(e.pausedUntil.Sub(m.now), m.now)
+		r.placement.OnEnd(cwplacement.Rejected, m.now)
+		return
+	}
 	if e.room > 0 && len(e.queue)+e.running >= e.room {
 		m.rejected++
 		r.placement.OnEnd(cwplacement.Rejected, m.now)
@@ -173,6 +183,10 @@
 		return false
 	}
 	r.engine.running--
+	r.placement.Endpoint.EndReturn(r.arrivedAt)
+	if r.engine.isLeaving {
+		r.placement.Endpoint.AnnounceLeaving()
+	}
 	r.placement.OnFirstByte(m.now)
 	r.placement.OnEnd(cwplacement.Served, m.now)
 	if m.now.Sub(r.arrivedAt) <= r.requirements.FirstByteTarget {
