--- a/internal/cwgate/attempt_announcement.go
+++ b/internal/cwgate/attempt_announcement.go
@@ -47,7 +47,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.placement.Endpoint.AnnounceLeaving() {
-		a.logLeaving(a.placement.EndpointID, "response")
+		a.logLeaving(a.placement.EndpointID, "response", zap.String("request", a.req.ID))
 	}
 }
 
@@ -61,7 +61,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if p := a.pools[a.req.service]; p != nil && p.AnnounceLeaving(l.ID, l.StartedAtMillis) {
-		a.logLeaving(l.ID, "relayedResponse")
+		a.logLeaving(l.ID, "relayedResponse", zap.String("request", a.req.ID))
 	}
 }
 
@@ -85,7 +85,7 @@
 	defer a.mu.Unlock()
 	if a.placement.Endpoint.AnnouncePause(pause, time.Now()) {
 		a.metrics.countAnnouncement("pause")
-		a.Log.Info("endpoint wants a pause", zap.String("endpoint", a.placement.EndpointID), zap.Duration("pause", pause))
+		a.Log.Info("endpoint wants a pause", zap.String("endpoint", a.placement.EndpointID), zap.Duration("pause", pause), zap.String("request", a.req.ID))
 	}
 }
 
@@ -101,7 +101,7 @@
 
 // logLeaving logs that an endpoint is leaving. The source is "response", "relayedResponse" if the
 // response came by another instance, or "peer" if another instance reported it.
-func (g *Gate) logLeaving(id, source string) {
+func (g *Gate) logLeaving(id, source string, fields ...zap.Field) {
 	g.metrics.countAnnouncement("leaving")
-	g.Log.Info("endpoint is leaving", zap.String("endpoint", id), zap.String("source", source))
+	g.Log.Info("endpoint is leaving", append(fields, zap.String("endpoint", id), zap.String("source", source))...)
 }
