Soak: statements come from the worker in use, and the other takes over

Trace: both instances of the region sent all requests to worker-3, as they had sent all to worker-2 before: under a light load the worker that seems a little faster gets everything, and one that is back is not needed. Not a fault of pauses, and no guarantee of the product. Change: the worker that is in use makes the statement, and the other one has to get requests meanwhile, whatever it stated before. That a worker is used again is so checked where it is needed; the bounds on arrivals are the same.

--- a/internal/cwsoak/announcements_test.go
+++ b/internal/cwsoak/announcements_test.go
@@ -21,8 +21,9 @@
 	// regionInstances is the number of instances of a region, and arrivalsInPause the number of
 	// requests that a worker may get from each in a pause.
 	regionInstances, arrivalsInPause = 2, 2
-	// returnTime is the time after which a worker that is back gets requests again.
-	returnTime = 6 * time.Second
+	// takeOverTime is the time in which a worker gets requests once the other one of its region does
+	// not, also if it was leaving or in a pause before.
+	takeOverTime = 6 * time.Second
 )
 
 // runAnnouncements lets one worker of each region at a time state that it is leaving, or that it
@@ -35,7 +36,7 @@
 		regionRNG := rand.New(rand.NewPCG(rng.Uint64(), 1))
 		wg.Go(func() {
 			for time.Since(start) < announcementPeriod {
-				n := 2*region + regionRNG.IntN(2)
+				n := s.busyWorker(region)
 				if regionRNG.IntN(2) == 0 {
 					s.letWorkerLeave(n)
 				} else {
@@ -63,12 +64,23 @@
 	wg.Wait()
 }
 
+// busyWorker returns the worker of a region that got the latest request. Under a light load one of them
+// may get all.
+func (s *soakRun) busyWorker(region int) int {
+	first, second := s.workers[2*region].Arrivals(), s.workers[2*region+1].Arrivals()
+	if len(first) == 0 || len(second) > 0 && second[len(second)-1].After(first[len(first)-1]) {
+		return 2*region + 1
+	}
+	return 2 * region
+}
+
 // letWorkerLeave lets a worker state that it is leaving while its entry says that it is ready, lapses
 // and returns, and then restarts it.
 func (s *soakRun) letWorkerLeave(n int) {
 	w := s.workers[n]
 	w.SetHeader("Server-Leaving", "1")
-	saidAt := s.awaitArrival(w, time.Now())
+	saidAt := s.awaitArrival(n, time.Now())
+	s.awaitArrival(n^1, saidAt)
 	<-time.After(leavingTime / 3)
 	s.store.Remove(cwstandin.WorkerKeyPrefix + w.ID)
 	<-time.After(leavingTime / 6)
@@ -78,7 +90,6 @@
 	w.SetHeader("Server-Leaving", "")
 	s.observers[n].restarted()
 	s.registerWorker(n, "ready")
-	s.awaitArrival(w, time.Now())
 }
 
 // letWorkerPause lets a worker reject all requests and ask for a pause of a duration.
@@ -86,23 +97,23 @@
 	w := s.workers[n]
 	w.SetHeader("Retry-After", strconv.FormatFloat(pause.Seconds(), 'f', -1, 64))
 	w.SetDefaultFault(cwstandin.FaultReject)
-	saidAt := s.awaitArrival(w, time.Now())
+	saidAt := s.awaitArrival(n, time.Now())
+	s.awaitArrival(n^1, saidAt)
 	<-time.After(time.Until(saidAt.Add(pause)))
 	s.checkArrivals(n, "asked for a pause", saidAt.Add(pauseNotice), saidAt.Add(pause), regionInstances*arrivalsInPause)
 	w.SetDefaultFault(cwstandin.FaultNone)
 	w.SetHeader("Retry-After", "")
-	s.awaitArrival(w, time.Now())
 }
 
-// awaitArrival waits until a worker gets a request, and returns when it did.
-func (s *soakRun) awaitArrival(w *cwstandin.Worker, after time.Time) time.Time {
-	for time.Since(after) < returnTime {
-		if arrivals := w.Arrivals(); len(arrivals) > 0 && arrivals[len(arrivals)-1].After(after) {
+// awaitArrival waits until a worker gets a request after a time, and returns when it did.
+func (s *soakRun) awaitArrival(n int, after time.Time) time.Time {
+	for time.Since(after) < takeOverTime {
+		if arrivals := s.workers[n].Arrivals(); len(arrivals) > 0 && arrivals[len(arrivals)-1].After(after) {
 			return arrivals[len(arrivals)-1]
 		}
 		<-time.After(time.Millisecond)
 	}
-	s.t.Errorf("%s got no request within %v", w.ID, returnTime)
+	s.t.Errorf("%s got no request within %v", s.workers[n].ID, takeOverTime)
 	return time.Now()
 }
 
