Soak: the program of an earlier commit beside the present one

-soak.previous COMMIT takes that commit from the repository's history, builds it, and starts all instances with it; each restart changes between it and the present program. A first part of the issue "Old and new builds side by side".

--- a/internal/cwsoak/gateway_process_test.go
+++ b/internal/cwsoak/gateway_process_test.go
@@ -18,8 +18,9 @@
 // gatewayProcess is a gateway instance that runs as a separate process. Signals are
 // sent to this process only.
 type gatewayProcess struct {
-	t            *testing.T
-	programPath  string
+	t *testing.T
+	// programs are run in turn, the next one at each start.
+	programs     []string
 	settingsPath string
 	logPath      string
 	ip, domain   string
@@ -71,9 +72,9 @@
 `, ip, domain, strings.TrimSuffix(domain, "-a"), strings.Join(seedPeers, ","), storeAddress())
 }
 
-func newGatewayProcess(t *testing.T, program, ip, domain string, seedPeers []string) *gatewayProcess {
+func newGatewayProcess(t *testing.T, programs []string, ip, domain string, seedPeers []string) *gatewayProcess {
 	dir := t.TempDir()
-	p := &gatewayProcess{t: t, programPath: program, settingsPath: filepath.Join(dir, "node.conf"), logPath: filepath.Join(dir, "log"), ip: ip, domain: domain}
+	p := &gatewayProcess{t: t, programs: programs, settingsPath: filepath.Join(dir, "node.conf"), logPath: filepath.Join(dir, "log"), ip: ip, domain: domain}
 	if err := os.WriteFile(p.settingsPath, []byte(formatSettings(ip, domain, seedPeers)), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -85,6 +86,13 @@
 	return p
 }
 
+// nextProgram returns the program of the next start.
+func (p *gatewayProcess) nextProgram() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.programs[len(p.starts)%len(p.programs)]
+}
+
 // start starts the process. It may run outside of the test's goroutine, so it does not end
 // the test if that fails.
 func (p *gatewayProcess) start() {
@@ -94,7 +102,7 @@
 		return
 	}
 	defer func() { _ = log.Close() }()
-	cmd := exec.Command(p.programPath, "serve")
+	cmd := exec.Command(p.nextProgram(), "serve")
 	cmd.Env = append(os.Environ(), "CLEMENTINEWELL_SETTINGS="+p.settingsPath)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
--- a/internal/cwsoak/soak_test.go
+++ b/internal/cwsoak/soak_test.go
@@ -12,8 +12,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -31,6 +29,7 @@
 	seedCount   = flag.Int("soak.seeds", 1, "number of seeds to run")
 	network     = flag.Int("soak.network", 0, "second number of the loopback addresses, so that several soaks can run at once")
 	playsKept   = flag.Bool("soak.kept", false, "also run the seeds that have failed before and are not part of the short run")
+	previous    = flag.String("soak.previous", "", "commit of this repository whose program runs beside the present one: each restart of an instance changes between the two")
 	faultPeriod = flag.Duration("soak.lasts", 5*time.Second, "duration of the fault injection in each run")
 )
 
@@ -70,11 +69,7 @@
 // end workers are kept from them while sound ones are served, and all instances recover in
 // time.
 func TestSoak(t *testing.T) {
-	program := filepath.Join(t.TempDir(), "clementinewell")
-	build := exec.Command("go", "build", "-o", program, "../../cmd/clementinewell")
-	if out, err := build.CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
+	programs := buildPrograms(t, *previous)
 	runSeeds := slices.Clone(regressionSeeds)
 	if *playsKept {
 		runSeeds = append(runSeeds, keptSeeds...)
@@ -83,7 +78,7 @@
 		runSeeds = append(runSeeds, *firstSeed+uint64(n))
 	}
 	for _, seed := range runSeeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { newSoakRun(t, program, seed).run() })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { newSoakRun(t, programs, seed).run() })
 	}
 }
 
@@ -121,7 +116,7 @@
 	silences        []silence
 }
 
-func newSoakRun(t *testing.T, program string, seed uint64) *soakRun {
+func newSoakRun(t *testing.T, programs []string, seed uint64) *soakRun {
 	s := &soakRun{
 		t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 7)), store: cwstandin.NewStore(),
 		refusedIDs: make(map[string]bool), unsafeIDs: make(map[string]bool),
@@ -139,7 +134,7 @@
 	s.publishConfig()
 	seedAddresses := []string{loopbackIP(23, 1) + ":8003", loopbackIP(23, 3) + ":8003"}
 	for n, domain := range []string{"north-a", "north-a", "south-a", "south-a"} {
-		s.instances = append(s.instances, newGatewayProcess(t, program, loopbackIP(23, n+1), domain, seedAddresses))
+		s.instances = append(s.instances, newGatewayProcess(t, programs, loopbackIP(23, n+1), domain, seedAddresses))
 	}
 	return s
 }
