Abandoned requests are not sent when a partition of the network ends

Cause: the request waits in the socket of a kept connection. Its end closed the connection, but a closed socket goes on sending what it holds. Change: a connection that is closed because the request was given up discards what it has not sent (SO_LINGER 0). Result: TestAbandonedRequestIsNotSentLater red before, green.

--- a/internal/cwconn/conn.go
+++ b/internal/cwconn/conn.go
@@ -98,6 +98,15 @@
 		_ = c.SetReadDeadline(time.Now())
 		return
 	}
+	c.abort()
+}
+
+// abort closes the connection and discards what has not been sent. Otherwise a request that its
+// caller has given up would reach the peer when a partition of the network ends.
+func (c *conn) abort() {
+	if l, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		_ = l.SetLinger(0) // fails only on a closed connection
+	}
 	_ = c.Conn.Close()
 }
 
@@ -198,7 +207,11 @@
 		c.pool.putIdle(c)
 		return
 	}
-	_ = c.Conn.Close()
+	if stopped {
+		_ = c.Conn.Close()
+	} else {
+		c.abort()
+	}
 	c.pool.releaseConn()
 }
 
--- a/internal/cwconn/pending.go
+++ b/internal/cwconn/pending.go
@@ -17,7 +17,7 @@
 // ctx closes the connection. The caller must read the body to its end or close the response.
 func (p *Pending) Await(ctx context.Context) (*Response, error) {
 	_ = p.conn.SetReadDeadline(time.Time{})
-	p.conn.cancelCloseHook = context.AfterFunc(ctx, func() { _ = p.conn.Conn.Close() })
+	p.conn.cancelCloseHook = context.AfterFunc(ctx, p.conn.abort)
 	isKept := false
 	defer func() {
 		if !isKept {
