--- a/internal/cwplacement/announcement.go
+++ b/internal/cwplacement/announcement.go
@@ -7,7 +7,7 @@
 	// After it a request finds out whether the endpoint still wants it.
 	maxPause = 10 * time.Minute
 	// returnInterval is the time between two requests to an endpoint whose pause is over, until it
-	// has answered one. It covers most response times.
+	// has answered one: few enough for an endpoint that is not ready, and soon enough for one that is.
 	returnInterval = 200 * time.Millisecond
 )
 
