Review, case 5: streams of two software versions after restarts under one identifier

Rule ORDER, from the first entry of KNOWN-RED.txt, with real processes. Idle workers restart with another version 1.2 s before their entries follow. It takes the place of the case on request bodies and the memory limit, which REPORT.md keeps as a finding.

--- a/review/standin/extra.go
+++ b/review/standin/extra.go
@@ -15,6 +15,8 @@
 )
 
 const (
+	bookingService = "dispatch-app"
+	bookingWorkers = 3
 	// faultyWorkers of bookingWorkers send additional bytes after a share of their answers.
 	faultyWorkers = 2
 	extraShare    = 0.03
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,8 +19,8 @@
 var cases = map[string]func(f *fleet) (isBroken bool, err error){
 	"brittle":  runBrittle,
 	"unframed": runUnframed,
-	"bodies":   runBodies,
 	"extra":    runExtra,
+	"upgrade":  runUpgrade,
 }
 
 // main runs the case named by the first argument and writes record.txt into the folder named by the
