Gate: the steps of a request and the periodic work are lists of parts; accounts and quotas as values

New parts (accounts, quotas, a plan of the regions) would have grown sync.go and serve.go further. The steps before the attempts are a list of step, what sync derives is a list of part, and sync.go is split by concern. cwroute gets client accounts and quotas as plain values that nothing sets yet. No change of behaviour.

--- a/internal/cwgate/gate.go
+++ b/internal/cwgate/gate.go
@@ -35,6 +35,8 @@
 	conns   *cwconn.Pool
 	codec   Codec
 	metrics *metrics
+	// steps are taken with each request before its attempts.
+	steps   []step
 	crashes *cwcrash.Ledger
 	streams *cwstream.Ledger
 
@@ -67,6 +69,8 @@
 	// rateSharesSetAt is when the shares of the endpoints' rate limits were last computed.
 	rateSharesSetAt time.Time
 	bounds          cwsite.Bounds
+	// parts are brought up to date by sync.
+	parts []part
 	// view and snapshot are those that sync applied last.
 	view     *cwpublished.View
 	snapshot *cwcontrol.Snapshot
@@ -109,6 +113,7 @@
 		awaited:          make(map[*cwplacement.Endpoint]bool),
 		startedAt:        time.Now(),
 	}
+	g.steps, g.parts = g.newSteps(), g.newParts()
 	g.streams = cwstream.NewLedger()
 	g.crashes = cwcrash.NewLedger(common.Incarnation, g.logBlocks)
 	return g
--- /dev/null
+++ b/internal/cwgate/peer_work.go
@@ -0,0 +1,140 @@
+package cwgate
+
+import (
+	"time"
+
+	"github.com/clementinewell/clementinewell/internal/cwcontrol"
+	"github.com/clementinewell/clementinewell/internal/cwplacement"
+	"github.com/clementinewell/clementinewell/internal/cwpolicy"
+)
+
+// syncPeerWork passes the combined reports of the other instances of the region to the
+// endpoints. Prompt parts are taken only from reports that were not used before.
+func (g *Gate) syncPeerWork(now time.Time) {
+	totals := make(map[string]*peerWork)
+	cutOff := make(map[string]bool)
+	for i := range g.snapshot.Members {
+		if m := &g.snapshot.Members[i]; m.IsCutOff {
+			cutOff[m.PeerAddress] = true
+		}
+	}
+	reporting := 0
+	for address, peer := range g.snapshot.PeerWork {
+		g.mergeRateLimits(&peer, now)
+		g.mergeLeaving(&peer)
+		if now.Sub(peer.ReportedAt) > maxPeerWorkAge {
+			continue
+		}
+		reporting++
+		isNew := peer.ReportedAt.After(g.peerWorkAt[address])
+		g.peerWorkAt[address] = peer.ReportedAt
+		for i := range peer.EndpointWork {
+			w := peer.EndpointWork[i] // a copy: snapshots are shared
+			cutOffAt := time.Time{}
+			if cutOff[address] {
+				cutOffAt, w.UnreachableAt, w.FailureRate = w.UnreachableAt, time.Time{}, 0
+				if g.reach.HasReachedSince(cutOffAt.Add(-cwplacement.MaxSoundSilence)) {
+					// The failures are those of the peer's links.
+					cutOffAt = time.Time{}
+				}
+			}
+			if totals[w.Endpoint] == nil {
+				totals[w.Endpoint] = &peerWork{}
+			}
+			totals[w.Endpoint].add(&w, cutOffAt, peer.ReportedAt)
+			if isNew {
+				totals[w.Endpoint].promptParts = append(totals[w.Endpoint].promptParts, w.PromptParts...)
+			}
+		}
+	}
+	coverage := g.reportCoverage(reporting, now)
+	for _, p := range g.pools {
+		for id, e := range p.Endpoints() {
+			total := totals[id]
+			if total == nil {
+				e.SetPeerReport(cwplacement.PeerReport{}, now)
+				continue
+			}
+			total.Coverage = coverage
+			e.SetPeerReport(total.PeerReport, now)
+			e.AddPeerParts(toPlacementParts(total.promptParts))
+			e.Suspect(total.unreachableAt, total.cutOffUnreachableAt)
+		}
+	}
+}
+
+// reportCoverage returns the share of the other usable instances of the region that have reported
+// their work lately.
+func (g *Gate) reportCoverage(reporting int, now time.Time) float64 {
+	others := 0
+	for i := range g.snapshot.Members {
+		m := &g.snapshot.Members[i]
+		if m.Region == g.site.Region && m.Incarnation != 0 && !m.IsLeaving && m.IsUsable(now, cwpolicy.MemberContactTimeout) {
+			others++
+		}
+	}
+	if others == 0 {
+		return 1
+	}
+	return min(float64(reporting)/float64(others), 1)
+}
+
+// peerWork combines the reports of the other instances about an endpoint.
+type peerWork struct {
+	cwplacement.PeerReport
+	promptParts []cwcontrol.PromptPart
+	// unreachableAt is when one of them last failed to reach it, cutOffUnreachableAt when one did
+	// that is cut off from all endpoints.
+	unreachableAt, cutOffUnreachableAt time.Time
+}
+
+func (p *peerWork) add(w *cwcontrol.EndpointWork, cutOffAt, at time.Time) {
+	p.Work = p.Work.Add(toPlacementWork(w))
+	p.FailureRate = max(p.FailureRate, w.FailureRate)
+	p.PromptSpeed, p.EventRate = p.PromptSpeed.Add(cwplacement.Measurement(w.PromptSpeed)), p.EventRate.Add(cwplacement.Measurement(w.EventRate))
+	if w.UnreachableAt.After(p.unreachableAt) {
+		p.unreachableAt = w.UnreachableAt
+	}
+	if cutOffAt.After(p.cutOffUnreachableAt) {
+		p.cutOffUnreachableAt = cutOffAt
+	}
+	if at.After(p.At) {
+		p.At = at
+	}
+}
+
+func toPlacementParts(parts []cwcontrol.PromptPart) []cwplacement.PromptPart {
+	converted := make([]cwplacement.PromptPart, len(parts))
+	for i, p := range parts {
+		converted[i] = cwplacement.PromptPart{ID: p.ID, Tokens: p.Tokens}
+	}
+	return converted
+}
+
+func toControlParts(parts []cwplacement.PromptPart) []cwcontrol.PromptPart {
+	converted := make([]cwcontrol.PromptPart, len(parts))
+	for i, p := range parts {
+		converted[i] = cwcontrol.PromptPart{ID: p.ID, Tokens: p.Tokens}
+	}
+	return converted
+}
+
+func toPlacementWork(w *cwcontrol.EndpointWork) cwplacement.Work {
+	work := cwplacement.Work{HeldTokens: w.HeldTokens, InFlight: w.InFlight}
+	for band := range min(len(w.QueuedTokens), len(work.QueuedTokens)) {
+		work.QueuedTokens[band] = float64(w.QueuedTokens[band])
+	}
+	return work
+}
+
+func toQueuedTokens(w cwplacement.Work) []float32 {
+	tokens := make([]float32, len(w.QueuedTokens))
+	for band, n := range w.QueuedTokens {
+		tokens[band] = float32(n)
+	}
+	return tokens
+}
+
+// maxPeerWorkAge is the age above which a peer's report is not combined with the others. It
+// covers several exchanges.
+const maxPeerWorkAge = 2 * time.Second
--- a/internal/cwgate/request_body.go
+++ b/internal/cwgate/request_body.go
@@ -13,8 +13,9 @@
 	"github.com/clementinewell/clementinewell/internal/cwroute"
 )
 
-// receiveBody reads the whole body until the request's deadline or the end of the instance.
-func (g *Gate) receiveBody(routed *routedRequest, maxBytes int64) *Refusal {
+// receiveBody reads the whole body until the request's deadline or the end of the instance. What
+// is left of a body that was not read closes the connection, but for one that is too large.
+func (g *Gate) receiveBody(_ context.Context, routed *routedRequest) *Refusal {
 	if routed.Body == nil || routed.Length == 0 {
 		return nil
 	}
@@ -22,9 +23,11 @@
 	// If a deadline can't be set, the connection is closed already.
 	_ = control.SetReadDeadline(routed.deadline)
 	defer context.AfterFunc(g.ended, func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })()
-	refusal := routed.readBody(maxBytes)
+	refusal := routed.readBody(routed.maxBodyBytes(&routed.config.Limits))
 	if refusal == nil {
 		_ = control.SetReadDeadline(time.Time{})
+	} else if refusal.Status != http.StatusRequestEntityTooLarge {
+		routed.responder.Header().Set("Connection", "close")
 	}
 	return refusal
 }
--- a/internal/cwgate/routed_request.go
+++ b/internal/cwgate/routed_request.go
@@ -16,7 +16,11 @@
 // routedRequest is a request in progress that matched a route.
 type routedRequest struct {
 	*Request
-	route   *cwroute.Route
+	// config is the configuration in force when the request arrived.
+	config *cwroute.Config
+	route  *cwroute.Route
+	// account is the client account of the caller; nil if the route needs no key.
+	account *cwroute.Account
 	service string
 	body    []byte
 	// deadline is when the response must be complete.
--- a/internal/cwgate/serve.go
+++ b/internal/cwgate/serve.go
@@ -53,19 +53,12 @@
 		g.refuseUnrouted(r, responder, newNotRunRefusal("starting", configRetryAfter))
 		return
 	}
-	route := config.Match(r.Host, r.Path)
-	if route == nil {
-		g.refuseUnrouted(r, responder, Refusal{Status: http.StatusNotFound, Reason: "noRoute"})
-		return
-	}
-	routed := &routedRequest{Request: r, route: route, responder: responder, deadline: deadlineOf(r, route)}
-	routed.setTraits()
-	if refusal := g.receiveBody(routed, routed.maxBodyBytes(&config.Limits)); refusal != nil {
-		if refusal.Status != http.StatusRequestEntityTooLarge {
-			w.Header().Set("Connection", "close")
+	routed := &routedRequest{Request: r, config: config, responder: responder}
+	for _, s := range g.steps {
+		if refusal := s.take(ctx, routed); refusal != nil {
+			g.refuseUnrouted(r, responder, *refusal)
+			return
 		}
-		g.refuseUnrouted(r, responder, *refusal)
-		return
 	}
 	ctx, cancel := context.WithDeadlineCause(ctx, routed.deadline, errDeadline)
 	defer cancel()
--- a/internal/cwroute/config.go
+++ b/internal/cwroute/config.go
@@ -14,8 +14,12 @@
 	Services map[string]Service
 	// Limits bound the requests of callers.
 	Limits Limits
+	// Accounts are the client accounts. Without any, requests need no key.
+	Accounts []Account
 
-	routesByHost map[string][]*Route
+	routesByHost   map[string][]*Route
+	accountsByKey  map[string]*Account
+	accountsByName map[string]*Account
 }
 
 // NewConfig returns a configuration that is indexed for Match and HomesOf.
@@ -32,6 +36,30 @@
 	return c
 }
 
+// SetAccounts sets the client accounts.
+func (c *Config) SetAccounts(accounts []Account) {
+	c.Accounts = accounts
+	c.accountsByKey = make(map[string]*Account, len(accounts))
+	c.accountsByName = make(map[string]*Account, len(accounts))
+	for i := range accounts {
+		a := &accounts[i]
+		c.accountsByName[a.Name] = a
+		for _, key := range a.Keys {
+			c.accountsByKey[key] = a
+		}
+	}
+}
+
+// AccountOfKey returns the account that holds the key, nil if none does.
+func (c *Config) AccountOfKey(key string) *Account {
+	return c.accountsByKey[key]
+}
+
+// Account returns the account with the name, nil if there is none.
+func (c *Config) Account(name string) *Account {
+	return c.accountsByName[name]
+}
+
 // Match returns the route of the host with the longest prefix of the path, or nil.
 func (c *Config) Match(host, path string) *Route {
 	var best *Route
--- a/internal/cwroute/route.go
+++ b/internal/cwroute/route.go
@@ -29,6 +29,8 @@
 	// MaxAttempts is the maximum number of attempts that may run one idempotent request;
 	// 0 means 1.
 	MaxAttempts int
+	// IsPublic is set if requests need no key, even if the configuration has accounts.
+	IsPublic bool
 	// Homes are the regions in which requests may be served; empty allows all.
 	Homes []string
 	// Shares divide the requests between the services of the route.
