Placement: a short shared part is no reason to leave the region

Cause: a request went to the region that caches the shared parts of its prompt whenever the weighted cost of processing them again was above the round trip. Now processing must take a quarter of the round trip at least.

--- a/internal/cwplacement/decide.go
+++ b/internal/cwplacement/decide.go
@@ -25,6 +25,10 @@
 	// response must be expected to be complete: one that is cut off has used capacity
 	// for nothing.
 	responseTimeoutShare = 0.85
+	// minAffinityGainShare is the share of the round trip to the affinity region that must be
+	// saved by not processing shared parts again: the caller waits for the round trip, and a
+	// response that crosses regions can be cut off with its link.
+	minAffinityGainShare = 0.25
 	// minRetryAfter and maxRetryAfter bound the time after which a refused caller should
 	// retry, before retryAfterJitter is added. Predictions of longer times are too uncertain;
 	// the end of a pause is not, so it has no upper bound.
@@ -74,6 +78,12 @@
 	cost float64
 }
 
+// savedSeconds returns the time that the endpoint needs for the shared parts that another one may
+// have in its cache.
+func (c *candidate) savedSeconds() float64 {
+	return float64(c.prediction.recomputedTokens) / c.endpoint.promptSpeed.rate
+}
+
 // Decide chooses where a request goes and records its load there. It prefers, in this
 // order: the affinity region of the shared parts, if the request is on time there and
 // relaying pays off; this region, if the request is well on time here; another region,
@@ -218,7 +228,7 @@
 		return candidate{}
 	}
 	remote := p.bestRemote(req, affinityRegion, affinityRegion, now)
-	if remote.remoteCapacity == nil || remote.remoteCapacity.FailureRate >= degradedFailureRate || !req.isWithinTargetShare(onTimeTargetShare, remote.prediction.firstByteSeconds) || remote.prediction.firstByteSeconds > local.cost {
+	if remote.remoteCapacity == nil || local.savedSeconds() < minAffinityGainShare*remote.remoteCapacity.RoundTrip.Seconds() || remote.remoteCapacity.FailureRate >= degradedFailureRate || !req.isWithinTargetShare(onTimeTargetShare, remote.prediction.firstByteSeconds) || remote.prediction.firstByteSeconds > local.cost {
 		return candidate{}
 	}
 	return remote
