--- a/internal/cwgate/gate.go
+++ b/internal/cwgate/gate.go
@@ -64,6 +64,8 @@
 	reach cwplacement.Reachability
 	// redialing are the endpoints that are being redialed.
 	redialing map[*cwplacement.Endpoint]bool
+	// openingSpares are the addresses of exits to which a spare connection is being opened.
+	openingSpares map[string]bool
 	// awaited are the endpoints of which a late response is awaited.
 	awaited map[*cwplacement.Endpoint]bool
 	// rateSharesSetAt is when the shares of the endpoints' rate limits were last computed.
@@ -110,6 +112,7 @@
 		exitsSilentSince: make(map[string]time.Time),
 		exitsCutOffUntil: make(map[string]time.Time),
 		redialing:        make(map[*cwplacement.Endpoint]bool),
+		openingSpares:    make(map[string]bool),
 		awaited:          make(map[*cwplacement.Endpoint]bool),
 		startedAt:        time.Now(),
 	}
