Placement: long prompts and long streams use different endpoints

Cause: the pauses between events decided nothing. Now the cost of an endpoint includes the pauses that a prompt causes in the streams there, and those that the endpoint's prompts mean for the request's own stream. Only where the route states a longest pause.

--- a/internal/cwgate/routed_request.go
+++ b/internal/cwgate/routed_request.go
@@ -85,6 +85,7 @@
 		FirstByteTarget:  r.route.FirstByteTarget,
 		FirstByteTimeout: r.nextByteDeadline().Sub(now),
 		ResponseTimeout:  r.deadline.Sub(now),
+		MaxEventGap:      r.route.MaxEventGap,
 		Elapsed:          r.Elapsed + now.Sub(r.ArrivedAt),
 	}
 	if r.responder.eventCount > 0 {
--- a/internal/cwplacement/emulator_test.go
+++ b/internal/cwplacement/emulator_test.go
@@ -33,6 +33,10 @@
 	// onTime, late, refused, failed and rejected count requests by their result. Those rejected
 	// had no room at their engine.
 	onTime, late, refused, failed, rejected int
+	// eventInterval is the time between two events of a stream; with 0 responses end with their
+	// first byte. disturbed is the number of streams that met the processing of a long prompt.
+	eventInterval time.Duration
+	disturbed     int
 	// processedSharedTokens is the number of processed tokens of shared parts, and
 	// processedTokens that of all parts.
 	processedSharedTokens, processedTokens int
@@ -62,18 +66,25 @@
 	placement    *cwplacement.Placement
 	requirements cwplacement.Requirements
 	arrivedAt    time.Time
-	doneAt       time.Time
-	engine       *engine
+	// firstAt is when the first byte is due, and doneAt the last one.
+	firstAt, doneAt time.Time
+	hasFirst        bool
+	isDisturbed     bool
+	engine          *engine
 }
 
 const (
 	emulatorStep            = 5 * time.Millisecond
 	defaultExchangeInterval = 300 * time.Millisecond
+	// emulatedEventTokens is the number of output tokens in one event of a stream.
+	emulatedEventTokens = 6
+	// longPromptTokens is the number of processed tokens from which a prompt holds up streams.
+	longPromptTokens = 6000
 )
 
 func newEmulator(instances int, speeds ...float64) *emulator {
 	m := &emulator{now: time.Unix(1000, 0), rng: rand.New(rand.NewPCG(1, 2)), engines: make(map[string]*engine), exchangeInterval: defaultExchangeInterval, heardShare: 1}
-	service := cwroute.Service{Name: "m", Engine: &cwroute.Engine{Slots: 64, MemoryTokens: 300_000, EventTokens: 6}}
+	service := cwroute.Service{Name: "m", Engine: &cwroute.Engine{Slots: 64, MemoryTokens: 300_000, EventTokens: emulatedEventTokens}}
 	for range instances {
 		m.instances = append(m.instances, cwplacement.NewPool(service, "a", rand.New(rand.NewPCG(3, uint64(len(m.instances))))))
 	}
@@ -172,13 +183,36 @@
 		start = m.now
 	}
 	e.busyUntil = start.Add(time.Duration(float64(uncached) / e.tokensPerSecond * float64(time.Second)))
-	r.doneAt = e.busyUntil
+	r.firstAt = e.busyUntil
+	r.doneAt = r.firstAt.Add(time.Duration(r.requirements.OutputTokens/emulatedEventTokens) * m.eventInterval)
+	if uncached >= longPromptTokens {
+		m.disturbStreams(e)
+	}
 	e.running++
 	m.running = append(m.running, r)
 }
 
+// disturbStreams counts the streams at an engine that a long prompt holds up for the first time.
+func (m *emulator) disturbStreams(e *engine) {
+	for _, r := range m.running {
+		if r.engine == e && r.hasFirst && !r.isDisturbed {
+			r.isDisturbed = true
+			m.disturbed++
+		}
+	}
+}
+
 // finish ends a request whose processing is done, and reports whether it did.
 func (m *emulator) finish(r *emulatedRequest) bool {
+	if !r.hasFirst && !r.firstAt.After(m.now) {
+		r.hasFirst = true
+		r.placement.OnFirstByte(m.now)
+		if m.now.Sub(r.arrivedAt) <= r.requirements.FirstByteTarget {
+			m.onTime++
+		} else {
+			m.late++
+		}
+	}
 	if r.doneAt.After(m.now) {
 		return false
 	}
@@ -187,13 +221,7 @@
 	if r.engine.isLeaving {
 		r.placement.Endpoint.AnnounceLeaving()
 	}
-	r.placement.OnFirstByte(m.now)
 	r.placement.OnEnd(cwplacement.Served, m.now)
-	if m.now.Sub(r.arrivedAt) <= r.requirements.FirstByteTarget {
-		m.onTime++
-	} else {
-		m.late++
-	}
 	return true
 }
 
--- a/internal/cwplacement/pool.go
+++ b/internal/cwplacement/pool.go
@@ -162,7 +162,7 @@
 			continue
 		}
 		expected := e.predict(rs, band, now)
-		cost := p.cost(e, expected, e == affinity, now)
+		cost := p.cost(e, expected, e == affinity, now) + e.paceCost(rs, expected, now)
 		if excess := expected.firstByteSeconds + expected.restSeconds - rs.ResponseTimeout.Seconds(); rs.ResponseTimeout > 0 && excess > 0 {
 			cost += deadlineMissCostFactor * excess
 		}
--- a/internal/cwplacement/requirements.go
+++ b/internal/cwplacement/requirements.go
@@ -23,6 +23,9 @@
 	// ResponseTimeout the time left for the whole response; a ResponseTimeout of 0 sets
 	// no deadline.
 	FirstByteTimeout, ResponseTimeout time.Duration
+	// MaxEventGap is the longest time between two events of the response that the caller expects;
+	// 0 if it expects none.
+	MaxEventGap time.Duration
 	// Elapsed is the time since the caller sent the request, as far as it is known.
 	Elapsed time.Duration
 }
