Test of short shared parts: a part for which the code before relayed

With 200 tokens the code before did not relay either, so the test could not fail. With 500 (12 ms of processing) it fails on the code before the change.

--- a/internal/cwplacement/affinity_gain_test.go
+++ b/internal/cwplacement/affinity_gain_test.go
@@ -19,7 +19,7 @@
 		sharedTokens int
 		isRelayed    bool
 	}{
-		{"saves a few milliseconds", 200, false},
+		{"saves some milliseconds", 500, false},
 		{"saves more than the round trip", 10_000, true},
 	} {
 		t.Run(sc.name, func(t *testing.T) {
