--- a/internal/cwplacement/affinity_gain_test.go
+++ b/internal/cwplacement/affinity_gain_test.go
@@ -23,6 +23,7 @@
 		{"saves more than the round trip", 10_000, true},
 	} {
 		t.Run(sc.name, func(t *testing.T) {
+			is := is.New(t)
 			relayed := 0
 			for n := range uint64(40) {
 				north, south := newEmulator(1, 50_000), newEmulator(1, 50_000, 50_000, 50_000, 50_000)
