Published state: a probe each second ends a watch that the store has lost

Cause: a watch that began, or was due to be answered, while the store was silent is never answered although its connection lives. The reader awaited it for its wait and margin, 9.5 s, whatever the store did meanwhile.

Ruled out: shorter waits alone (2.5 s costs 0.31 calls a second and reader against 0.115 and still takes 4 s; 1 s costs 0.59); staggered watches (a domain of one or two instances has none to stagger, and changes align them again); news from a peer (all peers were as far behind).

Change: while a watch is quiet its reader makes a stale read after 0.1 s and then each second. One that fails ends the watch, and the next one doesn't wait, so that its answer shows at once whether the store is back. One that returns a newer revision, which the watch doesn't deliver in 0.7 s, has the watch replaced. A call that took long needs no long pause after it. A restart that is requested just as a watch ends is no longer lost.

TestReadersWatchStoreForTheirDomain keeps its bound on calls that count toward the rate limit, and bounds the stale reads too.

--- a/internal/cwapp/routed_fleet_test.go
+++ b/internal/cwapp/routed_fleet_test.go
@@ -302,9 +302,10 @@
 		}
 		s.AwaitReady()
 		time.Sleep(2 * time.Second)
-		before := s.Store.Calls()
+		before, staleBefore := s.Store.Calls(), s.Store.StaleReads()
 		time.Sleep(30 * time.Second)
-		is.True(s.Store.Calls()-before <= 3*(30/8+1)) // three readers, each watch lasts 8 s
+		is.True(s.Store.Calls()-before <= 3*(30/8+1))         // three readers, each watch lasts 8 s
+		is.True(s.Store.StaleReads()-staleBefore <= 3*(30+1)) // a probe each second
 		var others []*cwscene.RoutedInstance
 		for _, i := range instances {
 			if i.IsReader() {
--- a/internal/cwpublished/follower.go
+++ b/internal/cwpublished/follower.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,8 +13,8 @@
 )
 
 const (
-	// watchWait is how long one watch waits at the store. A longer wait means fewer
-	// calls, a shorter one detects a lost response earlier.
+	// watchWait is how long one watch waits at the store. A longer wait means fewer calls;
+	// the probes detect a watch that was lost.
 	watchWait = 8 * time.Second
 	// callTimeoutMargin is the time for the response to arrive, in addition to the wait.
 	// The store responds within milliseconds, and a slow one within a few hundred.
@@ -29,6 +28,17 @@
 	// occur in between arrive in one call. It is a small part of the seconds within
 	// which changes must be in force.
 	watchGap = 700 * time.Millisecond
+	// firstProbeDelay is the time from the begin of a watch to its first probe. It is short,
+	// so that hardly any silence of the store loses the watch and not the probe, and longer
+	// than a watch takes that has changes to return.
+	firstProbeDelay = 100 * time.Millisecond
+	// probeInterval is the time from one probe to the next. With callTimeoutMargin it bounds
+	// the detection of a silence, and a change must be in force within 4 s. A probe costs a
+	// tenth of a call.
+	probeInterval = time.Second
+	// deliveryTime is the time that a watch has to deliver a revision that a probe returned.
+	// A slow store responds within a few hundred milliseconds.
+	deliveryTime = 700 * time.Millisecond
 	// readerCheckInterval is how often an instance that is not the reader of its domain
 	// checks whether it has become the reader.
 	readerCheckInterval = 500 * time.Millisecond
@@ -53,6 +63,9 @@
 	isReader func() bool
 	// watchedAt is when the latest watch began or all items were last read.
 	watchedAt time.Time
+	// hasFailed is set if the latest call failed. The next watch then doesn't wait, so that
+	// its response shows at once whether the store is back.
+	hasFailed bool
 }
 
 // NewFollower returns a follower that does nothing until Run is called.
@@ -63,7 +76,9 @@
 // Run follows the store until ctx ends. It always returns nil.
 func (f *Follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
+		startedAt := time.Now()
 		err := f.step(ctx)
+		f.hasFailed = err != nil
 		if err == nil {
 			f.retryPause = minRetryPause
 			continue
@@ -77,10 +92,12 @@
 			cwcommon.Sleep(ctx, minRetryPause/2+rand.N(minRetryPause))
 			continue
 		}
+		// The time that the call took counts as part of the pause.
+		pause := max(minRetryPause, f.retryPause-time.Since(startedAt))
 		f.state.SetStoreUnreachable(true)
 		f.Metrics.Counter("store_failures").Inc(1)
-		f.Log.Warn("store not read", zap.Error(err), zap.Duration("pause", f.retryPause))
-		cwcommon.Sleep(ctx, f.retryPause/2+rand.N(f.retryPause))
+		f.Log.Warn("store not read", zap.Error(err), zap.Duration("pause", pause))
+		cwcommon.Sleep(ctx, pause/2+rand.N(pause))
 		f.retryPause = min(2*f.retryPause, maxRetryPause)
 	}
 	return nil
@@ -111,32 +128,93 @@
 		return nil
 	}
 	f.watchedAt = time.Now()
-	ctx, cancel := context.WithTimeout(ctx, watchWait+callTimeoutMargin)
-	defer cancel()
-	watchDone := make(chan struct{})
-	var restarted atomic.Bool
+	changes, err := f.watch(ctx)
+	switch {
+	case errors.Is(err, errRestartRequested):
+		f.hasAllItems = false
+		return nil
+	case errors.Is(err, errWatchBehind):
+		f.Log.Info("watch has not delivered a change; watching again", zap.Error(err))
+		return nil
+	case err != nil:
+		return err
+	}
+	f.state.SetStoreUnreachable(false)
+	f.state.Apply("store", Delta{Items: changes.Items, Revision: changes.Revision})
+	f.wait(ctx, watchGap)
+	return nil
+}
+
+var (
+	errRestartRequested = errors.New("restart requested")
+	errWatchBehind      = errors.New("the store has a newer revision")
+)
+
+// watch runs one watch and probes the store meanwhile if this instance is a reader. It
+// returns the reason if it ends the watch itself.
+func (f *Follower) watch(ctx context.Context) (Changes, error) {
+	wait := watchWait
+	if f.hasFailed {
+		wait = 0
+	}
+	ctx, cancelTimeout := context.WithTimeout(ctx, wait+callTimeoutMargin)
+	defer cancelTimeout()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watchDone, restartHandled := make(chan struct{}), make(chan struct{})
 	go func() {
+		defer close(restartHandled)
 		select {
 		case <-f.restart:
-			restarted.Store(true)
-			cancel()
+			cancel(errRestartRequested)
 		case <-watchDone:
 		}
 	}()
-	changes, err := f.store.Watch(ctx, f.state.Revision(), watchWait)
+	if wait > 0 {
+		f.Go("probeStore", func() {
+			if err := f.probe(ctx); err != nil {
+				cancel(err)
+			}
+		})
+	}
+	changes, err := f.store.Watch(ctx, f.state.Revision(), wait)
 	close(watchDone)
+	<-restartHandled
 	f.Metrics.Counter("store_calls").Inc(1)
-	if restarted.Load() {
-		f.hasAllItems = false
-		return nil
+	cause := context.Cause(ctx)
+	if errors.Is(cause, errRestartRequested) || err != nil && errors.Is(ctx.Err(), context.Canceled) {
+		return Changes{}, cause
 	}
-	if err != nil {
-		return err
+	return changes, err
+}
+
+// probe probes the store until ctx ends. It returns an error if the watch in progress has to
+// be replaced: the store doesn't respond, so that it may have lost the watch too, or it has
+// changes that the watch doesn't deliver.
+func (f *Follower) probe(ctx context.Context) error {
+	for delay := firstProbeDelay; ; delay = probeInterval {
+		cwcommon.Sleep(ctx, delay)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if !f.isReader() {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, callTimeoutMargin)
+		revision, err := f.store.Probe(callCtx)
+		cancel()
+		f.Metrics.Counter("store_probes").Inc(1)
+		if err != nil {
+			return fmt.Errorf("probe store during a watch: %w", err)
+		}
+		if revision <= f.state.Revision() {
+			continue
+		}
+		cwcommon.Sleep(ctx, deliveryTime)
+		if behind := f.state.Revision(); revision > behind {
+			return fmt.Errorf("watch from revision %d, store at %d: %w", behind.StoreRevision(), revision.StoreRevision(), errWatchBehind)
+		}
 	}
-	f.state.SetStoreUnreachable(false)
-	f.state.Apply("store", Delta{Items: changes.Items, Revision: changes.Revision})
-	f.wait(ctx, watchGap)
-	return nil
 }
 
 // wait waits for the time, or until a restart is requested.
--- a/internal/cwpublished/store.go
+++ b/internal/cwpublished/store.go
@@ -40,4 +40,7 @@
 	// most for the given time. It returns ErrCompacted if the store no longer has them, and
 	// ErrRestored if the store is in another era than the revision.
 	Watch(ctx context.Context, after Revision, wait time.Duration) (Changes, error)
+	// Probe returns a revision that the store had at most a few seconds ago. It is a cheap
+	// call that responds at once.
+	Probe(ctx context.Context) (Revision, error)
 }
--- a/internal/cwstandin/store.go
+++ b/internal/cwstandin/store.go
@@ -32,7 +32,8 @@
 	changed      chan struct{}
 	shouldRefuse func(remote string) bool
 	isHanging    bool
-	calls        int
+	// calls counts the calls that count toward the rate limit, and staleReads the others.
+	calls, staleReads int
 }
 
 type storeItem struct {
@@ -117,13 +118,21 @@
 	s.isHanging = hanging
 }
 
-// Calls returns the number of calls so far, including refused ones.
+// Calls returns the number of calls so far without stale reads, including refused ones.
 func (s *Store) Calls() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.calls
 }
 
+// StaleReads returns the number of reads so far with allow-stale, which cost a tenth of a
+// call, including refused ones.
+func (s *Store) StaleReads() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.staleReads
+}
+
 // Handler returns the HTTP interface for range reads and watches.
 func (s *Store) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -136,7 +145,11 @@
 func (s *Store) withRefusal(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
-		s.calls++
+		if r.URL.Query().Get("allow-stale") == "1" {
+			s.staleReads++
+		} else {
+			s.calls++
+		}
 		refused := s.shouldRefuse(r.RemoteAddr)
 		w.Header().Set(eraHeader, s.formatEra())
 		s.mu.Unlock()
