Reload: the grace of a shutdown and the age of directory responses are taken over

Cause: RoutedApp read both from the settings of its start, while a reload replaced the bounds of the gate only, and the page for operators promises that bounds are read again. With a shorter grace a shutdown was killed with requests in progress. The other parts that use bounds read the gate's (rate limits of leaving instances, cold endpoints, retry budgets).

Change: shutdown and directory use the gate's bounds; the copy of the settings is gone. The window of retry budgets still changes only with a restart.

Measured: TestReloadedBoundsHold failed in its three cases before (directory, end of the grace) and passes.

--- a/internal/cwapp/reload.go
+++ b/internal/cwapp/reload.go
@@ -38,8 +38,8 @@
 }
 
 // applySite applies the settings that can change while the instance runs: the seed peers and
-// the bounds that the gate uses. ShutdownGrace, MaxResponseAge, addresses, region and domain
-// change only with a restart.
+// the bounds, which the gate keeps. A shutdown uses the grace in force when it begins. The window of
+// retry budgets, addresses, region and domain change only with a restart.
 func (r *RoutedApp) applySite(site *cwsite.Site, signalled bool) {
 	changed := !reflect.DeepEqual(site.SeedPeers, r.seedPeers) || site.Bounds != r.gate.Bounds()
 	if !changed && !signalled {
--- a/internal/cwapp/routed_app.go
+++ b/internal/cwapp/routed_app.go
@@ -30,7 +30,6 @@
 	gate *cwgate.Gate
 	// State is exported for tests.
 	State *cwpublished.State
-	site  *cwsite.Site
 	// seedPeers are those of the settings that were applied last. After construction only
 	// the goroutine that runs WatchSettings accesses them.
 	seedPeers []string
@@ -43,7 +42,7 @@
 
 // NewRoutedApp builds an instance without starting its servers and background loops.
 func NewRoutedApp(settings *cwsetting.Settings, site *cwsite.Site, log *zap.Logger, n cwnet.Net) *RoutedApp {
-	r := &RoutedApp{instance: newInstance(settings, log, n, site.MemoryBytes), site: site, seedPeers: site.SeedPeers}
+	r := &RoutedApp{instance: newInstance(settings, log, n, site.MemoryBytes), seedPeers: site.SeedPeers}
 	r.State = cwpublished.NewState(r.Common, cwwire.DecodeRecord)
 	r.State.OnApply = func(revision cwpublished.Revision) {
 		r.Control.TryPost(cwcontrol.PublishedApplied{Revision: uint64(revision)})
@@ -109,7 +108,7 @@
 	if !r.IsReady() && !s.Self.IsLeaving {
 		members = s.Members
 	}
-	ttl := min(cwpolicy.DirectoryResponseTTL, r.site.Bounds.MaxResponseAge)
+	ttl := min(cwpolicy.DirectoryResponseTTL, r.gate.Bounds().MaxResponseAge)
 	query := cwpolicy.DirectoryQuery{Region: region, Domain: domain}
 	if config := r.State.View().Config; config != nil {
 		query.HomeRegions = config.HomesOf(host)
@@ -163,7 +162,7 @@
 // longer get a response or, if it has begun, are broken off. The directory, the ready check and
 // the interfaces for peers and operators are closed last.
 func (r *RoutedApp) shutdown(ctx context.Context) {
-	graceEnd := time.Now().Add(r.site.Bounds.ShutdownGrace)
+	graceEnd := time.Now().Add(r.gate.Bounds().ShutdownGrace)
 	closeCtx, cancelClose := context.WithDeadline(ctx, graceEnd.Add(-closeMargin))
 	defer cancelClose()
 	endCtx, cancelEnd := context.WithDeadline(ctx, graceEnd.Add(-endMargin))
--- a/internal/cwapp/routed_grace_test.go
+++ b/internal/cwapp/routed_grace_test.go
@@ -1,7 +1,10 @@
 package cwapp_test
 
 import (
+	"context"
 	"net/http"
+	"os"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/clementinewell/clementinewell/internal/cwscene"
+	"github.com/clementinewell/clementinewell/internal/cwsite"
 	"github.com/clementinewell/clementinewell/internal/cwstandin"
 )
 
@@ -35,3 +39,52 @@
 		is.True(time.Since(start) < cwscene.DefaultBounds().ShutdownGrace)
 	})
 }
+
+// TestReloadedBoundsHold guards against bounds that are read once at the start. After a reload
+// with a shorter grace the process would be killed with requests in progress, and after one with
+// a shorter time for responses of the directory callers would keep addresses for too long.
+func TestReloadedBoundsHold(t *testing.T) {
+	for _, c := range []struct {
+		name                         string
+		shutdownGrace, responseAge   time.Duration
+		isSignalled                  bool
+		wantEndAfter, wantEndWithin  time.Duration
+		wantDirectoryResponseSeconds float64
+	}{
+		{"shorter", 5 * time.Second, time.Second, true, 4 * time.Second, 5 * time.Second, 1},
+		{"longer", 14 * time.Second, 10 * time.Second, true, 13 * time.Second, 14 * time.Second, 2},
+		{"without a signal", 5 * time.Second, time.Second, false, 4 * time.Second, 5 * time.Second, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+				s.Publish(nil, cwscene.NewRoute("r", "unsafe", cwscene.RoutedRoute{"timeout-ms": 60_000}))
+				s.AddWorker("north-a", "10.1.1.1").SetDefaultFault(cwstandin.FaultHang)
+				i := s.AddInstance("10.1.0.1", "north-a")
+				s.AwaitReady()
+				site := &cwsite.Site{SeedPeers: s.SeedPeers, Bounds: cwscene.DefaultBounds()}
+				site.Bounds.ShutdownGrace, site.Bounds.MaxResponseAge = c.shutdownGrace, c.responseAge
+				signals := make(chan os.Signal, 1)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				go i.WatchSettings(ctx, signals, func() (*cwsite.Site, error) { return site, nil })
+				if c.isSignalled {
+					signals <- syscall.SIGHUP
+				}
+				time.Sleep(11 * time.Second)
+				_, ttlSeconds := i.ResolveAddresses("", "north", "north-a")
+				is.Equal(ttlSeconds, c.wantDirectoryResponseSeconds)
+				responses := make(chan cwscene.RoutedResponse, 1)
+				go func() {
+					responses <- s.Do(t.Context(), i, cwscene.RoutedRequest{Path: "/r/x", Body: "order", Timeout: time.Minute})
+				}()
+				synctest.Wait()
+				start := time.Now()
+				i.Stop()
+				is.NoErr((<-responses).Err)
+				is.True(time.Since(start) > c.wantEndAfter)
+				<-i.Done()
+				is.True(time.Since(start) < c.wantEndWithin)
+			})
+		})
+	}
+}
