Placement: instances divide a surplus among the domains that can take it

Cause: all instances of a region relay by the same summaries of the other domains, and each took the one with the lowest cost. 60 instances with one request each sent 60 to one domain of 6 endpoints and none to one of 12 that was a millisecond farther away (test, without the change). Now domains of similar cost are chosen in proportion to how fast they process prompts, and what this instance has relayed since the summary counts for each instance of its region. Nothing more is exchanged. Weighed: a plan that every instance computes from the demand of all regions (the exchange carries no demand by service, and a second of it is stale at a rising wave); a random domain (sends as much to the busy ones). Measured: the test, 21 and 39.

--- a/internal/cwgate/placement.go
+++ b/internal/cwgate/placement.go
@@ -46,7 +46,7 @@
 		WasDomainTried: wasDomainTried,
 	}
 	if !routed.IsRelayed {
-		request.RemoteCapacities = g.remoteCapacities(routed)
+		request.RemoteCapacities, request.RelayingInstances = g.remoteCapacities(routed), g.relayingInstances
 		if request.IsLocalAllowed {
 			request.RemoteCapacities = append(request.RemoteCapacities, g.regionCapacities(p, wasEndpointTried, now)...)
 		}
--- a/internal/cwplacement/decide.go
+++ b/internal/cwplacement/decide.go
@@ -57,6 +57,8 @@
 	IsLocalAllowed bool
 	// RemoteCapacities are the capacities of the permitted domains in other regions.
 	RemoteCapacities []cwpolicy.DomainCapacity
+	// RelayingInstances is the number of instances that relay by the same summaries, with this one.
+	RelayingInstances int
 	// IsRelayed is set if another instance relayed the request; it is not relayed again.
 	IsRelayed bool
 	// IsStarting is set while this instance may not have received the capacities of other
@@ -234,28 +236,29 @@
 	return remote
 }
 
-// bestRemote returns the domain with the lowest cost, of one region or, if region is
+// bestRemote returns a domain with about the lowest cost, of one region or, if region is
 // empty, of all. The candidate is empty if there is none or the request was relayed to
-// this instance. The affinity region is the one that should cache the shared parts.
+// this instance. The affinity region is the one that should cache the shared parts. What this
+// instance relayed since the summary counts for each instance that relays by the same summaries.
 func (p *Pool) bestRemote(req *Request, region, affinityRegion string, now time.Time) candidate {
-	var best candidate
 	if req.IsRelayed {
-		return best
+		return candidate{}
 	}
+	var choice remoteChoice
 	for i := range req.RemoteCapacities {
 		r := &req.RemoteCapacities[i]
 		if region != "" && r.Region != region || !isRemoteUsable(r, now) || req.WasDomainTried(r.Domain) {
 			continue
 		}
 		tokens := remoteUncachedTokens(&req.Requirements, r.Region == affinityRegion)
-		firstByteSeconds := remoteFirstByteSeconds(r, &req.Requirements, tokens, p.relayedSince(r), now)
+		relayed := p.relayedSince(r).Scale(float64(max(req.RelayingInstances, 1)))
+		firstByteSeconds := remoteFirstByteSeconds(r, &req.Requirements, tokens, relayed, now)
 		recomputed := tokens - float64(req.PromptTokens-req.sharedTokens())
-		cost := firstByteSeconds + recomputeCostFactor*recomputed*r.SecondsPerToken
-		if best.remoteCapacity == nil || cost < best.cost {
-			best.remoteCapacity, best.cost, best.prediction.firstByteSeconds, best.prediction.uncachedTokens = r, cost, firstByteSeconds, int(tokens)
-		}
+		c := candidate{remoteCapacity: r, cost: firstByteSeconds + recomputeCostFactor*recomputed*r.SecondsPerToken}
+		c.prediction.firstByteSeconds, c.prediction.uncachedTokens = firstByteSeconds, int(tokens)
+		choice.add(c)
 	}
-	return best
+	return choice.pick(p.rng.Float64())
 }
 
 // relayedSince returns the work that this instance relayed to a domain since the
