--- a/internal/cwroute/config.go
+++ b/internal/cwroute/config.go
@@ -36,10 +36,20 @@
 	return c
 }
 
-// SetAccounts sets the client accounts.
+// HasAccounts reports whether the configuration has client accounts, so that requests need a key
+// unless their route is public.
+func (c *Config) HasAccounts() bool {
+	return len(c.Accounts) > 0
+}
+
+// SetAccounts sets the client accounts. No two of them have the same name or hold the same key.
 func (c *Config) SetAccounts(accounts []Account) {
 	c.Accounts = accounts
-	c.accountsByKey = make(map[string]*Account, len(accounts))
+	keyCount := 0
+	for i := range accounts {
+		keyCount += len(accounts[i].Keys)
+	}
+	c.accountsByKey = make(map[string]*Account, keyCount)
 	c.accountsByName = make(map[string]*Account, len(accounts))
 	for i := range accounts {
 		a := &accounts[i]
@@ -50,7 +60,8 @@
 	}
 }
 
-// AccountOfKey returns the account that holds the key, nil if none does.
+// AccountOfKey returns the account that holds the key, nil if none does. It takes constant time
+// whatever the number of accounts.
 func (c *Config) AccountOfKey(key string) *Account {
 	return c.accountsByKey[key]
 }
