Gate: a request needs a key of an account, whose name alone goes on

Weighed: an exit that decides by its own configuration alone: it would refuse new keys that it does not hold yet. One that trusts the entry always: a key that was withdrawn would run on through an instance that is behind. The newer configuration of the two decides; the entry tells the account, a fingerprint and its version, and answers 401 to an exit's refusal only if its own configuration agrees by then. Change: a step before the body is read gives 401 (keyMissing, keyMalformed, keyUnknown, keyWithdrawn); the key is removed where the configuration has accounts; the account's name goes to endpoints in every attempt, and a caller's own field never does; priority and homes go through the request; the account counts in the identity of requests that end endpoints; log lines name the account and, where a request is turned away, the key's fingerprint.

--- a/internal/cwcrash/identity.go
+++ b/internal/cwcrash/identity.go
@@ -17,6 +17,8 @@
 	// between attempts of the same request.
 	Header       http.Header
 	IsPerAttempt func(name string) bool
+	// Account is the name of the client account, which endpoints are told; empty if there is none.
+	Account string
 	// CallerIP is the address of the caller's host.
 	CallerIP string
 }
@@ -40,6 +42,9 @@
 // identitySalt separates identities from traits of other kinds.
 const identitySalt = 0xc2b2ae3d27d4eb4f
 
+// accountSalt separates the account from a header field.
+const accountSalt = 0x9e3779b185ebca87
+
 // PathTrait returns the trait of all requests with the method, host and path.
 func (r *Request) PathTrait() Trait {
 	hash := combine(identitySalt, xxhash.Sum64String(r.Method))
@@ -53,6 +58,9 @@
 	id[sameBody] = Trait(combine(uint64(r.PathTrait()), xxhash.Sum64(r.Body)))
 	query := combine(uint64(id[sameBody]), xxhash.Sum64String(r.Query))
 	fields := uint64(sameFields)
+	if r.Account != "" {
+		fields += combine(accountSalt, xxhash.Sum64String(r.Account))
+	}
 	for name, values := range r.Header {
 		if r.IsPerAttempt(name) {
 			continue
--- a/internal/cwgate/attempt.go
+++ b/internal/cwgate/attempt.go
@@ -238,9 +238,11 @@
 	if a.exitDomain != "" {
 		params.IsRelayed, params.Elapsed = true, routed.Elapsed+time.Since(routed.ArrivedAt)
 		params.Origin = a.origin
+		params.RelayedAccount = routed.relayedAccount()
 		params.Timeout -= a.relayMargin(params.Timeout)
 	} else {
 		params.Endpoint = a.placement.EndpointID
+		params.Account = routed.accountName()
 		params.Timeout = max(params.Timeout-endpointResponseMargin, 0)
 	}
 	return params
--- a/internal/cwgate/attempt_failure.go
+++ b/internal/cwgate/attempt_failure.go
@@ -56,6 +56,9 @@
 // handleRejection handles a response which states that the request was not run.
 func (a *attempt) handleRejection(ctx context.Context, response *cwconn.Response, head ResponseHead) result {
 	response.Discard()
+	if head.IsKeyRefused && a.exitDomain != "" {
+		a.recordKeyRefused()
+	}
 	if a.exitDomain == "" || !head.IsExitCutOff || !a.recordExitCutOff() {
 		a.excludePlace()
 	}
--- a/internal/cwgate/codec.go
+++ b/internal/cwgate/codec.go
@@ -26,6 +26,11 @@
 	// EncodeCutOff marks the refusal of a relayed request: this instance is cut off from the
 	// endpoints.
 	EncodeCutOff(h http.Header)
+	// EncodeKeyRefused marks the refusal of a relayed request: this instance does not accept the
+	// caller's key.
+	EncodeKeyRefused(h http.Header)
+	// RemoveKey removes the caller's key from the fields to be forwarded.
+	RemoveKey(h http.Header)
 	// IsPerAttempt reports whether a header field differs between attempts of the same request.
 	IsPerAttempt(name string) bool
 }
@@ -51,6 +56,11 @@
 	// Origin is what began the stream that a relayed request goes on with; unknown if it begins
 	// one.
 	Origin cwstream.Origin
+	// Account is the name of the client account for the endpoint; empty if there is none, and in
+	// requests to another instance.
+	Account string
+	// RelayedAccount is what another instance learns of the account.
+	RelayedAccount RelayedAccount
 }
 
 // ResponseHead is the decoded head of a response.
@@ -75,6 +85,8 @@
 	Pause time.Duration
 	// IsExitCutOff is set in a refusal of another instance that is cut off from the endpoints.
 	IsExitCutOff bool
+	// IsKeyRefused is set in a refusal of another instance that does not accept the key.
+	IsKeyRefused bool
 	// Origin is what serves the stream, in the response of another instance.
 	Origin cwstream.Origin
 	// LeavingEndpoint is the endpoint that states in the response of another instance that it is
--- a/internal/cwgate/log.go
+++ b/internal/cwgate/log.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/clementinewell/clementinewell/internal/cwplacement"
+	"github.com/clementinewell/clementinewell/internal/cwroute"
 )
 
 // logAttempt counts an attempt, and logs its place, the reason for it and the result. A
@@ -65,7 +66,7 @@
 		g.recordBurn(routed, reason)
 	}
 	fields := []zap.Field{
-		zap.String("request", routed.ID), zap.String("route", routed.route.Name), zap.String("service", routed.service), zap.String("reason", d.Reason),
+		zap.String("request", routed.ID), zap.String("route", routed.route.Name), zap.String("service", routed.service), zap.String("reason", d.Reason), zap.String("account", routed.accountName()),
 		zap.Duration("predicted", d.LocalFirstByte), zap.Duration("predictedAway", d.RemoteFirstByte), zap.Duration("retryAfter", d.RetryAfter),
 		zap.Int("attempts", routed.attempts), zap.Bool("relayed", routed.IsRelayed), zap.Uint64("revision", g.state.Revision().StoreRevision()),
 	}
@@ -87,7 +88,7 @@
 		g.recordBurn(routed, reason)
 	}
 	fields := []zap.Field{
-		zap.String("request", routed.ID), zap.String("route", routed.route.Name), zap.String("outcome", outcome), zap.Int("status", routed.responder.status),
+		zap.String("request", routed.ID), zap.String("route", routed.route.Name), zap.String("account", routed.accountName()), zap.String("outcome", outcome), zap.Int("status", routed.responder.status),
 		zap.String("place", routed.responder.place), zap.Int("attempts", routed.attempts), zap.Duration("predicted", routed.predictedFirstByte), zap.Duration("first", firstByte), zap.Duration("total", total),
 		zap.String("ran", string(routed.outcome)), zap.Bool("relayed", routed.IsRelayed), zap.Bool("limited", routed.isEndpointLimited),
 	}
@@ -104,3 +105,16 @@
 	}
 	g.Log.Info("request ended", fields...)
 }
+
+// accountFields returns the fields that tell an operator which key a request had and which
+// configuration decided about it. The fingerprint does not reveal the key.
+func (r *routedRequest) accountFields() []zap.Field {
+	if !r.config.HasAccounts() {
+		return nil
+	}
+	fingerprint := cwroute.Fingerprint(r.Key.Text)
+	if r.RelayedAccount.Name != "" {
+		fingerprint = r.RelayedAccount.KeyFingerprint
+	}
+	return []zap.Field{zap.String("account", r.accountName()), zap.String("key", fingerprint), zap.Uint64("config", r.config.Version)}
+}
--- a/internal/cwgate/placement.go
+++ b/internal/cwgate/placement.go
@@ -38,9 +38,9 @@
 	wasEndpointTried, wasDomainTried := g.limitToOrigin(routed, wasTried)
 	request := &cwplacement.Request{
 		Requirements:   routed.requirements(now),
-		Priority:       routed.route.Priority,
+		Priority:       routed.priority(),
 		WasTried:       wasEndpointTried,
-		IsLocalAllowed: routed.route.AllowsRegion(g.site.Region),
+		IsLocalAllowed: routed.allowsRegion(g.site.Region),
 		IsRelayed:      routed.IsRelayed,
 		IsStarting:     now.Sub(g.startedAt) < startupPeriod,
 		WasDomainTried: wasDomainTried,
@@ -59,7 +59,7 @@
 func (g *Gate) remoteCapacities(routed *routedRequest) []cwpolicy.DomainCapacity {
 	var capacities []cwpolicy.DomainCapacity
 	for _, c := range g.snapshot.Capacities[routed.service] {
-		if c.Region == g.site.Region || !routed.route.AllowsRegion(c.Region) || g.view.EvacuatedDomains[c.Domain] {
+		if c.Region == g.site.Region || !routed.allowsRegion(c.Region) || g.view.EvacuatedDomains[c.Domain] {
 			continue
 		}
 		if g.exitAddresses[c.Domain] == "" {
--- a/internal/cwgate/request.go
+++ b/internal/cwgate/request.go
@@ -24,6 +24,8 @@
 	Length int64
 	// Query is the query of Target, without the question mark.
 	Query string
+	// Key is the caller's key.
+	Key CallerKey
 	// CallerIP is the address of the caller's host.
 	CallerIP string
 	// ArrivedAt is when this instance received the request.
@@ -42,6 +44,8 @@
 	// was spent on it before.
 	IsRelayed bool
 	Elapsed   time.Duration
+	// RelayedAccount is what the instance that relayed the request told about the account.
+	RelayedAccount RelayedAccount
 	// Origin is what began the stream that a relayed request goes on with; unknown otherwise.
 	Origin cwstream.Origin
 }
--- a/internal/cwgate/routed_request.go
+++ b/internal/cwgate/routed_request.go
@@ -61,6 +61,8 @@
 	// the caller takes it up. origin is unknown if the stream can't go on.
 	hasOrigin bool
 	origin    cwstream.Origin
+	// isKeyRefused is set once an exit has refused the request because of its key.
+	isKeyRefused bool
 	// ends is the number of endpoints that ended while the request may have been the cause.
 	ends int
 }
--- a/internal/cwgate/serve.go
+++ b/internal/cwgate/serve.go
@@ -56,7 +56,7 @@
 	routed := &routedRequest{Request: r, config: config, responder: responder}
 	for _, s := range g.steps {
 		if refusal := s.take(ctx, routed); refusal != nil {
-			g.refuseUnrouted(r, responder, *refusal)
+			g.refuseUnrouted(r, responder, *refusal, routed.accountFields()...)
 			return
 		}
 	}
@@ -101,7 +101,7 @@
 // request.
 func (g *Gate) runAttempts(ctx context.Context, routed *routedRequest) {
 	if refusal := g.bindTakenUpStream(ctx, routed); refusal != nil {
-		g.refuseUnrouted(routed.Request, routed.responder, *refusal)
+		g.refuseUnrouted(routed.Request, routed.responder, *refusal, routed.accountFields()...)
 		return
 	}
 	g.assignService(routed)
@@ -122,6 +122,11 @@
 			g.logEnd(routed, "answered", nil)
 			return
 		}
+		if ctx.Err() == nil && g.isKeyWithdrawn(routed) {
+			g.drop(result.next)
+			g.refuseUnrouted(routed.Request, routed.responder, Refusal{Status: http.StatusUnauthorized, Reason: reasonKeyWithdrawn}, routed.accountFields()...)
+			return
+		}
 		if result.hasEndedPlace {
 			routed.ends++
 		}
@@ -185,7 +190,7 @@
 	g.releasePlacement(&d)
 	g.takeBackUnsent(routed, d, result{notSent: true})
 	routed.responder.Header().Set("Connection", "close")
-	g.refuseUnrouted(routed.Request, routed.responder, newNotRunRefusal("leaving", leavingRetryAfter))
+	g.refuseUnrouted(routed.Request, routed.responder, newNotRunRefusal("leaving", leavingRetryAfter), routed.accountFields()...)
 }
 
 // releasePlacement releases the placement of an attempt that is not made.
@@ -261,10 +266,10 @@
 }
 
 // refuseUnrouted refuses a request before it is assigned to a service.
-func (g *Gate) refuseUnrouted(r *Request, resp *responder, refusal Refusal) {
+func (g *Gate) refuseUnrouted(r *Request, resp *responder, refusal Refusal, fields ...zap.Field) {
 	resp.writeRefusal(refusal)
 	g.metrics.countRefusal(refusal.Reason)
-	g.Log.Info("request turned away", zap.String("request", r.ID), zap.String("reason", refusal.Reason), zap.Int("status", refusal.Status))
+	g.Log.Info("request turned away", append(fields, zap.String("request", r.ID), zap.String("reason", refusal.Reason), zap.Int("status", refusal.Status))...)
 }
 
 // refuseUnplaced ends a request for which no place is left.
--- a/internal/cwscene/routed_scene.go
+++ b/internal/cwscene/routed_scene.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/spf13/pflag"
+	"go.uber.org/zap"
 
 	"github.com/clementinewell/clementinewell/internal/cwapp"
 	"github.com/clementinewell/clementinewell/internal/cwmemnet"
@@ -47,6 +48,10 @@
 	// an instance contacts first.
 	RegionByDomain map[string]string
 	SeedPeers      []string
+	// Accounts are the client accounts of the configurations that are published from now on.
+	Accounts []map[string]any
+	// Log, if set, is the logger of the instances that are added.
+	Log *zap.Logger
 	// WrapNet, if set, changes the network of the instances that are added.
 	WrapNet func(n cwnet.Net) cwnet.Net
 
@@ -121,6 +126,9 @@
 	if limits != nil {
 		s.config["limits"] = limits
 	}
+	if len(s.Accounts) > 0 {
+		s.config["tenants"] = s.Accounts
+	}
 	s.RepublishConfig()
 }
 
@@ -187,8 +195,12 @@
 	if s.WrapNet != nil {
 		host = s.WrapNet(host)
 	}
+	log := s.Log
+	if log == nil {
+		log = newLogger()
+	}
 	ctx, stop := context.WithCancel(context.Background())
-	i := &RoutedInstance{RoutedApp: cwapp.NewRoutedApp(settings, site, newLogger(), host), IP: ip, stop: stop, done: make(chan struct{})}
+	i := &RoutedInstance{RoutedApp: cwapp.NewRoutedApp(settings, site, log, host), IP: ip, stop: stop, done: make(chan struct{})}
 	s.instances = append(s.instances, i)
 	go func() {
 		defer close(i.done)
--- a/internal/cwstandin/published.go
+++ b/internal/cwstandin/published.go
@@ -3,10 +3,14 @@
 // This file builds the records that the operator and the workers publish, with the
 // platform's field names. Tests replace other values by field name.
 
+// AccountHeader is the header field that names the client account to a worker.
+const AccountHeader = "Clementinewell-Tenant-Id"
+
 // Header fields that callers send.
 const (
 	RequestIDHeader = "Clementinewell-Request-Id"
 	DeadlineHeader  = "Clementinewell-Deadline-Ms"
+	KeyHeader       = "Authorization"
 )
 
 // NewPublishedRoute returns a route from a host and the path prefix /NAME/ to a service.
@@ -39,6 +43,11 @@
 	}
 }
 
+// NewPublishedAccount returns a client account without a quota, with the keys of its callers.
+func NewPublishedAccount(name string, keys ...string) map[string]any {
+	return map[string]any{"name": name, "api-keys": keys, "unit": "requests", "rate-per-s": 0, "burst": 0}
+}
+
 // NewPublishedWorker returns the entry of a worker of a service in a failure domain.
 func NewPublishedWorker(service, domain, address string) map[string]any {
 	return map[string]any{
