Gate: a 401 says how a key is sent, and accounts are logged where there are any

Cause: RFC 9110, section 15.5.2, asks for WWW-Authenticate with every 401; the field `account` was logged empty on sites without accounts. Measured: TestKeyDecidesAboutRequest with the field, all scenes of accounts.

--- a/internal/cwapp/routed_account_test.go
+++ b/internal/cwapp/routed_account_test.go
@@ -80,6 +80,7 @@
 				requireNoKey(is, runs)
 				if sc.status != http.StatusOK {
 					is.Equal(strings.TrimSpace(resp.Body), sc.reason)
+					is.Equal(resp.Header.Get("WWW-Authenticate") == "Token", sc.status == http.StatusUnauthorized)
 					return
 				}
 				is.Equal(strings.Join(runs[0].Header.Values(cwstandin.AccountHeader), ","), sc.account)
--- a/internal/cwgate/account.go
+++ b/internal/cwgate/account.go
@@ -37,16 +37,22 @@
 	if routed.account != nil || routed.route.IsPublic {
 		return nil
 	}
-	refusal := &Refusal{Status: http.StatusUnauthorized, Reason: reasonKeyUnknown}
 	switch {
 	case routed.IsRelayed:
 		return g.refuseRelayedKey(routed)
 	case routed.Key.IsMalformed:
-		refusal.Reason = reasonKeyMalformed
+		return g.refuseKey(routed, reasonKeyMalformed)
 	case routed.Key.Text == "":
-		refusal.Reason = reasonKeyMissing
+		return g.refuseKey(routed, reasonKeyMissing)
+	default:
+		return g.refuseKey(routed, reasonKeyUnknown)
 	}
-	return refusal
+}
+
+// refuseKey returns the refusal of a caller whose key is not accepted.
+func (g *Gate) refuseKey(routed *routedRequest, reason string) *Refusal {
+	g.codec.EncodeKeyChallenge(routed.responder.Header())
+	return &Refusal{Status: http.StatusUnauthorized, Reason: reason}
 }
 
 // findRelayedAccount sets the client account of a request that another instance relayed. Of the
--- a/internal/cwgate/codec.go
+++ b/internal/cwgate/codec.go
@@ -29,6 +29,8 @@
 	// EncodeKeyRefused marks the refusal of a relayed request: this instance does not accept the
 	// caller's key.
 	EncodeKeyRefused(h http.Header)
+	// EncodeKeyChallenge states in the head of a response which kind of key is expected.
+	EncodeKeyChallenge(h http.Header)
 	// RemoveKey removes the caller's key from the fields to be forwarded.
 	RemoveKey(h http.Header)
 	// IsPerAttempt reports whether a header field differs between attempts of the same request.
--- a/internal/cwgate/log.go
+++ b/internal/cwgate/log.go
@@ -66,7 +66,7 @@
 		g.recordBurn(routed, reason)
 	}
 	fields := []zap.Field{
-		zap.String("request", routed.ID), zap.String("route", routed.route.Name), zap.String("service", routed.service), zap.String("reason", d.Reason), zap.String("account", routed.accountName()),
+		zap.String("request", routed.ID), zap.String("route", routed.route.Name), zap.String("service", routed.service), zap.String("reason", d.Reason), routed.accountField(),
 		zap.Duration("predicted", d.LocalFirstByte), zap.Duration("predictedAway", d.RemoteFirstByte), zap.Duration("retryAfter", d.RetryAfter),
 		zap.Int("attempts", routed.attempts), zap.Bool("relayed", routed.IsRelayed), zap.Uint64("revision", g.state.Revision().StoreRevision()),
 	}
@@ -88,7 +88,7 @@
 		g.recordBurn(routed, reason)
 	}
 	fields := []zap.Field{
-		zap.String("request", routed.ID), zap.String("route", routed.route.Name), zap.String("account", routed.accountName()), zap.String("outcome", outcome), zap.Int("status", routed.responder.status),
+		zap.String("request", routed.ID), zap.String("route", routed.route.Name), routed.accountField(), zap.String("outcome", outcome), zap.Int("status", routed.responder.status),
 		zap.String("place", routed.responder.place), zap.Int("attempts", routed.attempts), zap.Duration("predicted", routed.predictedFirstByte), zap.Duration("first", firstByte), zap.Duration("total", total),
 		zap.String("ran", string(routed.outcome)), zap.Bool("relayed", routed.IsRelayed), zap.Bool("limited", routed.isEndpointLimited),
 	}
@@ -106,6 +106,14 @@
 	g.Log.Info("request ended", fields...)
 }
 
+// accountField returns the field with the name of the client account, none without an account.
+func (r *routedRequest) accountField() zap.Field {
+	if r.account == nil {
+		return zap.Skip()
+	}
+	return zap.String("account", r.account.Name)
+}
+
 // accountFields returns the fields that tell an operator which key a request had and which
 // configuration decided about it. The fingerprint does not reveal the key.
 func (r *routedRequest) accountFields() []zap.Field {
@@ -116,5 +124,5 @@
 	if r.RelayedAccount.Name != "" {
 		fingerprint = r.RelayedAccount.KeyFingerprint
 	}
-	return []zap.Field{zap.String("account", r.accountName()), zap.String("key", fingerprint), zap.Uint64("config", r.config.Version)}
+	return []zap.Field{r.accountField(), zap.String("key", fingerprint), zap.Uint64("config", r.config.Version)}
 }
--- a/internal/cwgate/serve.go
+++ b/internal/cwgate/serve.go
@@ -124,7 +124,7 @@
 		}
 		if ctx.Err() == nil && g.isKeyWithdrawn(routed) {
 			g.drop(result.next)
-			g.refuseUnrouted(routed.Request, routed.responder, Refusal{Status: http.StatusUnauthorized, Reason: reasonKeyWithdrawn}, routed.accountFields()...)
+			g.refuseUnrouted(routed.Request, routed.responder, *g.refuseKey(routed, reasonKeyWithdrawn), routed.accountFields()...)
 			return
 		}
 		if result.hasEndedPlace {
