Gate: request bodies in memory have a common bound

Cause: each body is read whole, up to max-body-bytes, without a bound for all together; a buffer that doubles takes up to three times the body. 64 bodies of 4 MB at once took 597 MB.

Change: cwlimit.RequestBudget. A body claims its whole length before it is read, first come first served; one of unknown length claims as it grows, with the copy. What doesn't fit gets 503 bodiesInMemory with Retry-After 1 s before anything is sent to an endpoint. The memory for a claimed body is taken at once.

Ruled out: claiming as the bytes arrive, since many half-read bodies then refuse each other; waiting for memory, since what can't be served is refused at once.

--- a/internal/cwapp/instance.go
+++ b/internal/cwapp/instance.go
@@ -63,6 +63,7 @@
 			Metrics:     metrics,
 			Net:         n,
 			Budget:      cwlimit.NewBudget(memoryBytes),
+			Requests:    cwlimit.NewRequestBudget(memoryBytes),
 			Incarnation: newIncarnation(time.Now()),
 		},
 		auth:           cwpeer.NewAuth(settings.PeerKey),
--- a/internal/cwcommon/common.go
+++ b/internal/cwcommon/common.go
@@ -24,6 +24,9 @@
 	Net cwnet.Net
 	// Budget limits the memory of all responses that are in memory.
 	Budget *cwlimit.Budget
+	// Requests limits the memory of all heads and bodies of requests that are in memory. It may be
+	// nil.
+	Requests *cwlimit.RequestBudget
 	// Incarnation identifies this run of the process.
 	Incarnation uint64
 }
--- a/internal/cwgate/request_body.go
+++ b/internal/cwgate/request_body.go
@@ -10,6 +10,7 @@
 	"os"
 	"time"
 
+	"github.com/clementinewell/clementinewell/internal/cwlimit"
 	"github.com/clementinewell/clementinewell/internal/cwroute"
 )
 
@@ -49,10 +50,13 @@
 	if r.Length > maxBytes {
 		return &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: "bodyTooLarge"}
 	}
-	body, err := readBounded(r.Body, r.Length, maxBytes)
+	body, err := readBounded(r.Body, r.Length, maxBytes, r.bodyClaim)
 	switch {
 	case errors.Is(err, errBodyTooLarge):
 		return &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: "bodyTooLarge"}
+	case errors.Is(err, errNoBodyMemory):
+		refusal := newNotRunRefusal("bodiesInMemory", bodyMemoryRetryAfter)
+		return &refusal
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return &Refusal{Status: http.StatusRequestTimeout, Reason: "bodyTimeout"}
 	case err != nil:
@@ -62,29 +66,54 @@
 	return nil
 }
 
-var errBodyTooLarge = errors.New("request body exceeds the size limit")
+var (
+	errBodyTooLarge = errors.New("request body exceeds the size limit")
+	errNoBodyMemory = errors.New("memory for requests is used up")
+)
 
 // readBounded reads length bytes, or all bytes if the length is unknown. maxBytes is checked
-// only in the latter case. Memory for more than maxBodyPreallocation is taken as the bytes
-// arrive, not as they are announced.
-func readBounded(r io.Reader, length, maxBytes int64) ([]byte, error) {
-	if length > 0 {
-		var body bytes.Buffer
-		// ReadFrom needs bytes.MinRead free bytes to detect the end.
-		body.Grow(int(min(length, maxBodyPreallocation)) + bytes.MinRead)
-		if n, err := io.CopyN(&body, r, length); err != nil {
-			return nil, fmt.Errorf("read request body: got %d of %d bytes: %w", n, length, err)
-		}
-		return body.Bytes(), nil
+// only in the latter case. A body of known length claims its memory before it is read.
+func readBounded(r io.Reader, length, maxBytes int64, claim *cwlimit.RequestClaim) ([]byte, error) {
+	if length < 0 {
+		return readUnknownLength(r, maxBytes, claim)
 	}
-	body, err := io.ReadAll(io.LimitReader(r, maxBytes+1))
-	if err != nil {
-		return nil, fmt.Errorf("read request body: %w", err)
+	if !claim.Resize(length) {
+		return nil, errNoBodyMemory
 	}
-	if int64(len(body)) > maxBytes {
-		return nil, errBodyTooLarge
+	var body bytes.Buffer
+	// ReadFrom needs bytes.MinRead free bytes to detect the end.
+	body.Grow(int(min(length, maxBodyPreallocation)) + bytes.MinRead)
+	if n, err := io.CopyN(&body, r, length); err != nil {
+		return nil, fmt.Errorf("read request body: got %d of %d bytes: %w", n, length, err)
+	}
+	return body.Bytes(), nil
+}
+
+// readUnknownLength reads all bytes. It claims memory as the body grows, also for the copy that
+// growing takes.
+func readUnknownLength(r io.Reader, maxBytes int64, claim *cwlimit.RequestClaim) ([]byte, error) {
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			size := min(max(2*int64(cap(body)), minBodyBufferBytes), maxBytes+1)
+			if !claim.Resize(int64(cap(body)) + size) {
+				return nil, errNoBodyMemory
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case int64(len(body)) > maxBytes:
+			return nil, errBodyTooLarge
+		case errors.Is(err, io.EOF):
+			// A claim always shrinks.
+			_ = claim.Resize(int64(cap(body)))
+			return body, nil
+		case err != nil:
+			return nil, fmt.Errorf("read request body: %w", err)
+		}
 	}
-	return body, nil
 }
 
 const (
@@ -94,6 +123,12 @@
 	// applied the limit of its own configuration. A larger one does not fit into memory.
 	maxRelayedBodyBytes = 64 << 20
 	// maxBodyPreallocation is the size in bytes up to which memory is taken for a body at
-	// once.
-	maxBodyPreallocation = 64 << 10
+	// once, after it was claimed: the largest body of the platform's pages, and what is read of it
+	// takes no second buffer. Memory for more is taken as the bytes arrive.
+	maxBodyPreallocation = 4 << 20
+	// minBodyBufferBytes is the first size of the buffer for a body of unknown length.
+	minBodyBufferBytes = 4 << 10
+	// bodyMemoryRetryAfter is the time after which callers should retry whose body found no memory:
+	// that of the usual request.
+	bodyMemoryRetryAfter = time.Second
 )
--- a/internal/cwgate/routed_request.go
+++ b/internal/cwgate/routed_request.go
@@ -23,6 +23,8 @@
 	account *cwroute.Account
 	service string
 	body    []byte
+	// bodyClaim is the memory that the body has claimed.
+	bodyClaim *cwlimit.RequestClaim
 	// deadline is when the response must be complete.
 	deadline  time.Time
 	responder *responder
--- a/internal/cwgate/serve.go
+++ b/internal/cwgate/serve.go
@@ -53,7 +53,8 @@
 		g.refuseUnrouted(r, responder, newNotRunRefusal("starting", configRetryAfter))
 		return
 	}
-	routed := &routedRequest{Request: r, config: config, responder: responder}
+	routed := &routedRequest{Request: r, config: config, responder: responder, bodyClaim: g.Requests.NewClaim()}
+	defer routed.bodyClaim.Release()
 	for _, s := range g.steps {
 		if refusal := s.take(ctx, routed); refusal != nil {
 			g.refuseUnrouted(r, responder, *refusal)
