Servers: heads in memory have a common bound

Cause: net/http keeps a map entry, a slice and strings for each line of a head, and bounds only its bytes: 3,200 lines of five bytes take 235 bytes each. The number of connections times that isn't bounded by the memory, neither for heads being read nor for those of requests in progress.

Change: each connection of every server claims the memory of its head from the common budget of requests as the bytes arrive: 4 bytes for each and 256 for each line, until the request or the connection ends. A head that was read together with the end of a request with chunks is claimed once it is parsed. A trailer is dropped at the end of its body.

--- a/internal/cwserver/conn.go
+++ b/internal/cwserver/conn.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/clementinewell/clementinewell/internal/cwlimit"
 	"github.com/clementinewell/clementinewell/internal/cwnet"
 )
 
@@ -63,6 +64,11 @@
 	isExcess bool
 	// lingers is set by lingerOnClose, for the request in progress.
 	lingers bool
+	// headClaim is the memory that the head of the request has claimed, and headCost what it takes.
+	// isHeadRefused is set if that is not to be had.
+	headClaim     *cwlimit.RequestClaim
+	headCost      int64
+	isHeadRefused bool
 }
 
 // Read reads from the connection and records the bytes as part of a request. It returns
@@ -92,6 +98,9 @@
 		if hasDeadline && errors.Is(err, os.ErrDeadlineExceeded) {
 			c.refuseLateHead()
 		}
+		if c.refuseCostlyHead() {
+			return 0, io.EOF
+		}
 		return n, err
 	}
 }
@@ -198,6 +207,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n, isEnd := c.framer.take(p)
+	c.claimHead(p[:n])
 	if n < len(p) {
 		c.unread = slices.Concat(p[n:], c.unread)
 	}
@@ -319,7 +329,10 @@
 	case http.StateActive:
 		// The deadline was that of the head.
 		_ = c.Conn.SetReadDeadline(time.Time{})
+	case http.StateClosed, http.StateHijacked:
+		c.releaseHead()
 	case http.StateIdle:
+		c.releaseHead()
 		c.idleSince = time.Now()
 		c.responseCount++
 		// The time for a head begins with the response's end if the peer sent its first bytes
--- a/internal/cwserver/listener.go
+++ b/internal/cwserver/listener.go
@@ -45,7 +45,7 @@
 			if stopAt > 0 {
 				l.lateCount.Add(1)
 			}
-			return &conn{Conn: raw, server: l.server, openedAt: time.Now()}, nil
+			return &conn{Conn: raw, server: l.server, openedAt: time.Now(), headClaim: l.server.Requests.NewClaim()}, nil
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil, asAcceptError(err)
--- a/internal/cwserver/server.go
+++ b/internal/cwserver/server.go
@@ -112,7 +112,7 @@
 	tracked := &trackedWriter{ResponseWriter: w}
 	var body *trackedBody
 	if r.ContentLength != 0 {
-		body = &trackedBody{ReadCloser: r.Body}
+		body = &trackedBody{ReadCloser: r.Body, request: r}
 		r.Body = body
 	}
 	defer func() {
@@ -136,9 +136,12 @@
 	if s.isKeepAliveOff.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	if c.takeExcess() && s.isFull() {
+	switch {
+	case c.takeExcess() && s.isFull():
 		s.refuseExcess(tracked, id)
-	} else {
+	case !c.claimParsedHead(r.Header):
+		s.refuseParsedHead(tracked, id)
+	default:
 		s.handler.ServeHTTP(tracked, r)
 	}
 	endBody(c, w, body)
--- a/internal/cwserver/tracked_body.go
+++ b/internal/cwserver/tracked_body.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/http"
 	"sync/atomic"
 )
 
@@ -9,6 +10,8 @@
 // still read it when the handler returns.
 type trackedBody struct {
 	io.ReadCloser
+	// request is the request of the body; nil if unknown.
+	request  *http.Request
 	hasEnded atomic.Bool
 }
 
@@ -16,6 +19,10 @@
 func (b *trackedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if err == io.EOF {
+		if b.request != nil {
+			// Nothing uses the trailer, and it would take memory until the request has ended.
+			b.request.Trailer = nil
+		}
 		b.hasEnded.Store(true)
 	}
 	return n, err
