Headers: the list of a Connection field is searched, not compared with every field

Cause: each field of a head was compared with each name that its Connection field lists. A legal head can have 1,600 of both.

Change: the list is sorted and searched. The new test of what is forwarded passes on both.

--- a/internal/cwheader/end_to_end.go
+++ b/internal/cwheader/end_to_end.go
@@ -22,7 +22,10 @@
 	filtered := make(http.Header, len(h)+4)
 	listed := connectionFields(h)
 	for name, values := range h {
-		if slices.Contains(hopByHopFields, name) || slices.Contains(listed, name) || exclude(name) {
+		if slices.Contains(hopByHopFields, name) || exclude(name) {
+			continue
+		}
+		if _, isListed := slices.BinarySearch(listed, name); isListed {
 			continue
 		}
 		filtered[name] = values
@@ -30,7 +33,8 @@
 	return filtered
 }
 
-// connectionFields returns the field names that the Connection field of h lists.
+// connectionFields returns the field names that the Connection field of h lists, in order. Both the
+// list and the fields may be thousands, so that each can't be compared with each.
 func connectionFields(h http.Header) []string {
 	var names []string
 	for _, value := range h["Connection"] {
@@ -38,5 +42,6 @@
 			names = append(names, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
 		}
 	}
+	slices.Sort(names)
 	return names
 }
