Placement: light work goes first within its rank

Cause: the priority of an account goes before that of the route, so that with accounts long prompts of 2 s targets and short ones of 0.8 s have the same rank and waited for each other in the order of their arrival. Now a prompt that takes up to a twentieth of its target goes before others of its rank. Ranks keep their order, also where a rank has only one kind of request. Reports carry the light part in two further numbers, so that builds of before read the same sums. Weighed: least slack first (a long prompt with 1.2 s would pass short ones whose callers wait for 30 ms of work); a band for each priority (does nothing where all are equal).

--- a/internal/cwgate/attempt.go
+++ b/internal/cwgate/attempt.go
@@ -302,7 +302,7 @@
 
 // enginePriorities are the priorities at an engine by band. There are gaps, so that other
 // values can be inserted.
-var enginePriorities = map[cwplacement.Band]int{cwplacement.Urgent: 3, cwplacement.Normal: 5, cwplacement.Late: 8}
+var enginePriorities = map[cwplacement.Band]int{cwplacement.UrgentLight: 2, cwplacement.Urgent: 3, cwplacement.NormalLight: 4, cwplacement.Normal: 5, cwplacement.Late: 8}
 
 // enginePriority returns the priority of the request at an engine.
 func (a *attempt) enginePriority() int {
--- a/internal/cwgate/peer_work.go
+++ b/internal/cwgate/peer_work.go
@@ -119,19 +119,39 @@
 	return converted
 }
 
+// Indexes of queued tokens in a report. Instances of earlier versions know the first three only.
+const (
+	reportedUrgent = iota
+	reportedNormal
+	reportedLate
+	// reportedUrgentLight and reportedNormalLight are parts of reportedUrgent and reportedNormal.
+	reportedUrgentLight
+	reportedNormalLight
+	reportedBands
+)
+
 func toPlacementWork(w *cwcontrol.EndpointWork) cwplacement.Work {
-	work := cwplacement.Work{HeldTokens: w.HeldTokens, InFlight: w.InFlight}
-	for band := range min(len(w.QueuedTokens), len(work.QueuedTokens)) {
-		work.QueuedTokens[band] = float64(w.QueuedTokens[band])
+	var reported [reportedBands]float64
+	for i := range min(len(w.QueuedTokens), len(reported)) {
+		reported[i] = float64(w.QueuedTokens[i])
 	}
+	work := cwplacement.Work{HeldTokens: w.HeldTokens, InFlight: w.InFlight}
+	work.QueuedTokens[cwplacement.UrgentLight] = reported[reportedUrgentLight]
+	work.QueuedTokens[cwplacement.Urgent] = reported[reportedUrgent] - reported[reportedUrgentLight]
+	work.QueuedTokens[cwplacement.NormalLight] = reported[reportedNormalLight]
+	work.QueuedTokens[cwplacement.Normal] = reported[reportedNormal] - reported[reportedNormalLight]
+	work.QueuedTokens[cwplacement.Late] = reported[reportedLate]
 	return work
 }
 
 func toQueuedTokens(w cwplacement.Work) []float32 {
-	tokens := make([]float32, len(w.QueuedTokens))
-	for band, n := range w.QueuedTokens {
-		tokens[band] = float32(n)
-	}
+	queued := &w.QueuedTokens
+	tokens := make([]float32, reportedBands)
+	tokens[reportedUrgent] = float32(queued[cwplacement.UrgentLight] + queued[cwplacement.Urgent])
+	tokens[reportedNormal] = float32(queued[cwplacement.NormalLight] + queued[cwplacement.Normal])
+	tokens[reportedLate] = float32(queued[cwplacement.Late])
+	tokens[reportedUrgentLight] = float32(queued[cwplacement.UrgentLight])
+	tokens[reportedNormalLight] = float32(queued[cwplacement.NormalLight])
 	return tokens
 }
 
--- a/internal/cwplacement/band.go
+++ b/internal/cwplacement/band.go
@@ -4,22 +4,47 @@
 type Band int
 
 const (
-	// Urgent is work of the most urgent routes that is expected on time.
-	Urgent Band = iota
-	// Normal is other work that is expected on time.
+	// UrgentLight is work of the most urgent rank that is expected on time and takes a small part
+	// of its target.
+	UrgentLight Band = iota
+	// Urgent is other work of that rank that is expected on time.
+	Urgent
+	// NormalLight is light work of the other ranks that is expected on time.
+	NormalLight
+	// Normal is other work of these ranks that is expected on time.
 	Normal
 	// Late is work that is expected to miss its target. It gets the capacity that the
 	// other bands leave, so that it delays no other work.
 	Late
 
-	bandCount = 3
+	bandCount = 5
 )
 
-// bandForPriority returns the band of a request that is on time, by the priority of
-// its route.
-func bandForPriority(priority int) Band {
-	if priority == 0 {
+// lightTargetShare is the share of the target up to which the processing of a prompt is light. Light
+// work goes before other work of its rank: it delays that by little, while behind a long prompt it
+// would itself be late.
+const lightTargetShare = 0.05
+
+// bandOf returns the band of a request that is on time, by its rank and by the share of its target
+// that its prompt takes.
+func bandOf(priority int, targetShare float64) Band {
+	isLight := targetShare <= lightTargetShare
+	switch {
+	case priority == 0 && isLight:
+		return UrgentLight
+	case priority == 0:
 		return Urgent
+	case isLight:
+		return NormalLight
 	}
 	return Normal
 }
+
+// targetShare returns the share of the target that the prompt of the request takes at the mean speed
+// of the endpoints.
+func (p *Pool) targetShare(rs *Requirements) float64 {
+	if rs.FirstByteTarget <= 0 {
+		return 0
+	}
+	return float64(rs.PromptTokens) / p.meanPromptSpeed() / rs.FirstByteTarget.Seconds()
+}
--- a/internal/cwplacement/decide.go
+++ b/internal/cwplacement/decide.go
@@ -95,7 +95,7 @@
 func (p *Pool) Decide(req *Request, now time.Time) Decision {
 	d := Decision{LocalFirstByte: -1, RemoteFirstByte: -1}
 	p.arrivals.Count(now)
-	band := bandForPriority(req.Priority)
+	band := bandOf(req.Priority, p.targetShare(&req.Requirements))
 	var local, remote candidate
 	if req.IsLocalAllowed {
 		local = p.bestLocal(req, band, now)
--- a/internal/cwplacement/emulator_test.go
+++ b/internal/cwplacement/emulator_test.go
@@ -37,6 +37,8 @@
 	// first byte. disturbed is the number of streams that met the processing of a long prompt.
 	eventInterval time.Duration
 	disturbed     int
+	// lateByTarget counts late requests by their target.
+	lateByTarget map[time.Duration]int
 	// processedSharedTokens is the number of processed tokens of shared parts, and
 	// processedTokens that of all parts.
 	processedSharedTokens, processedTokens int
@@ -83,7 +85,7 @@
 )
 
 func newEmulator(instances int, speeds ...float64) *emulator {
-	m := &emulator{now: time.Unix(1000, 0), rng: rand.New(rand.NewPCG(1, 2)), engines: make(map[string]*engine), exchangeInterval: defaultExchangeInterval, heardShare: 1}
+	m := &emulator{now: time.Unix(1000, 0), rng: rand.New(rand.NewPCG(1, 2)), engines: make(map[string]*engine), exchangeInterval: defaultExchangeInterval, heardShare: 1, lateByTarget: make(map[time.Duration]int)}
 	service := cwroute.Service{Name: "m", Engine: &cwroute.Engine{Slots: 64, MemoryTokens: 300_000, EventTokens: emulatedEventTokens}}
 	for range instances {
 		m.instances = append(m.instances, cwplacement.NewPool(service, "a", rand.New(rand.NewPCG(3, uint64(len(m.instances))))))
@@ -211,6 +213,7 @@
 			m.onTime++
 		} else {
 			m.late++
+			m.lateByTarget[r.requirements.FirstByteTarget]++
 		}
 	}
 	if r.doneAt.After(m.now) {
