Published state: a pull from a silent peer holds up no other one

Cause: at most one pull ran at a time, and a peer that fell silent between its offer and the pull was awaited for the whole timeout of a call, 2.5 s, while offers of other peers were dropped. With the exchange before and after it the instance was behind for over 4 s. It is the watch of the store's case: a long call that its peer loses while the connection lives.

Looked at, and without it: exchanges (2.5 s, one for each peer, none waits for another), crash and stream records (each peer on its own), questions about streams (0.5 s).

Change: a pull that has waited or fetched for a second keeps no other one from starting. Changes may arrive out of order, as before from watch and pulls.

--- a/internal/cwsync/published_puller.go
+++ b/internal/cwsync/published_puller.go
@@ -17,6 +17,11 @@
 // before it pulls: the interval between two of its watches plus a round trip.
 const watchGracePeriod = 900 * time.Millisecond
 
+// overduePullTime is the time after which a pull in progress keeps no other one from starting:
+// its peer may be silent, and changes must be in force within 4 s. It is longer than
+// watchGracePeriod and than most pulls across regions take.
+const overduePullTime = time.Second
+
 // PublishedPuller fetches published state from peers if this instance does not get it from
 // the store.
 type PublishedPuller struct {
@@ -26,8 +31,10 @@
 	follower *cwpublished.Follower
 
 	mu sync.Mutex
-	// isPulling is set while a pull is in progress; there is at most one.
-	isPulling bool
+	// pulls is the number of pulls in progress. There is at most one that is not overdue.
+	pulls int
+	// pullBeganAt is when the latest pull began to wait for the watch, or to fetch.
+	pullBeganAt time.Time
 }
 
 // NewPublishedPuller returns a puller that applies what it fetches to state.
@@ -48,6 +55,7 @@
 		if p.state.Revision() >= cwpublished.Revision(offered.Number) {
 			return
 		}
+		p.recordFetch()
 	}
 	before := p.state.Revision()
 	delta, err := p.client.FetchPublished(ctx, address, before)
@@ -71,20 +79,29 @@
 	return p.state.Revision() > 0 && p.follower.IsReader() && !p.state.IsStoreUnreachable()
 }
 
-// beginPull marks a pull as in progress. It returns false, and marks nothing, if one
-// already is in progress or if this instance is not behind the offered revision.
+// beginPull marks a pull as in progress. It returns false, and marks nothing, if one that is
+// not overdue already is in progress or if this instance is not behind the offered revision.
 func (p *PublishedPuller) beginPull(offered cwpublished.Revision) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.isPulling || offered <= p.state.Revision() {
+	isBusy := p.pulls > 0 && time.Since(p.pullBeganAt) < overduePullTime
+	if isBusy || offered <= p.state.Revision() {
 		return false
 	}
-	p.isPulling = true
+	p.pulls++
+	p.pullBeganAt = time.Now()
 	return true
 }
 
+// recordFetch records that the pull in progress begins to fetch after its wait.
+func (p *PublishedPuller) recordFetch() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pullBeganAt = time.Now()
+}
+
 func (p *PublishedPuller) endPull() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.isPulling = false
+	p.pulls--
 }
