Directory and ready check: connections are bounded, unused ones give way

Cause: only the callers' server had a limit of connections. 1,000 idle connections each to the directory and the ready check took 2,018 descriptors of 1,500 in the settings.

Change: the directory may have a quarter of the connections of callers in addition (358 at the smallest machines), the ready check a sixteenth (89).

Ruled out: a bound without eviction: a crowd of idle connections then makes the instance seem not ready.

--- a/internal/cwapp/routed_app.go
+++ b/internal/cwapp/routed_app.go
@@ -41,6 +41,14 @@
 	forwardingServers, lookupServers, controlServers []*cwserver.Server
 }
 
+// directoryConnsShare and readyConnsShare are the parts, as divisors, of the connections allowed
+// to callers that the directory and the ready check may have in addition: their peers send one short
+// request after the other. At the smallest machines that is 358 and 89.
+const (
+	directoryConnsShare = 4
+	readyConnsShare     = 16
+)
+
 // NewRoutedApp builds an instance without starting its servers and background loops.
 func NewRoutedApp(settings *cwsetting.Settings, site *cwsite.Site, log *zap.Logger, n cwnet.Net) *RoutedApp {
 	r := &RoutedApp{instance: newInstance(settings, log, n, site.MemoryBytes), site: site, seedPeers: site.SeedPeers}
@@ -67,8 +75,8 @@
 		s.RequestID = cwwire.RequestID
 	}
 	r.lookupServers = []*cwserver.Server{
-		cwserver.NewServer(r.Common, "ready", site.ReadyAddress, cwwire.NewReadyHandler(r.IsReady), cwserver.Limits{}),
-		cwserver.NewServer(r.Common, "directory", site.DirectoryAddress, cwwire.NewDirectoryHandler(r), cwserver.Limits{}),
+		cwserver.NewServer(r.Common, "ready", site.ReadyAddress, cwwire.NewReadyHandler(r.IsReady), cwserver.Limits{Conns: max(settings.MaxConnections/readyConnsShare, 1), EvictsUnused: true}),
+		cwserver.NewServer(r.Common, "directory", site.DirectoryAddress, cwwire.NewDirectoryHandler(r), cwserver.Limits{Conns: max(settings.MaxConnections/directoryConnsShare, 1), EvictsUnused: true}),
 	}
 	r.controlServers = []*cwserver.Server{
 		cwserver.NewServer(r.Common, "peer", site.PeerAddress, peerServer.Handler(), cwserver.Limits{}),
--- a/internal/cwserver/conn.go
+++ b/internal/cwserver/conn.go
@@ -192,6 +192,13 @@
 	return c.state == http.StateIdle && c.requestBytes == 0 && !c.isClosing
 }
 
+// isEvictable reports whether the connection has no request and is not being closed.
+func (c *conn) isEvictable() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state != http.StateActive && c.requestBytes == 0 && !c.isClosing
+}
+
 // isUnused reports whether the peer has sent no request since the last response. After a
 // request whose end the framer can't find, bytes of the next one may have been read together
 // with it, so that requestBytes does not include them. The caller holds mu.
--- a/internal/cwserver/limits.go
+++ b/internal/cwserver/limits.go
@@ -21,6 +21,9 @@
 	// connection in excess of it is refused with status 503, and not run. Connections above
 	// maxExcessConns of these are closed.
 	Conns int
+	// EvictsUnused is set if a connection in excess of Conns ends the oldest one that has no
+	// request, so that peers which send nothing keep nobody out.
+	EvictsUnused bool
 	// Times returns how long peers may take to send a head and how long a connection may
 	// have no request. The server allows at least the header timeout of its settings for a
 	// head and for the first request, and keepAliveTimeout for the next ones. Times may be nil.
--- a/internal/cwserver/server.go
+++ b/internal/cwserver/server.go
@@ -342,6 +342,23 @@
 	}
 }
 
+// evictUnused closes the oldest connection without a request, other than the one that was just
+// accepted, if the limits want that. The caller holds mu.
+func (s *Server) evictUnused(accepted *conn) {
+	if !s.limits.EvictsUnused {
+		return
+	}
+	var oldest *conn
+	for c := range s.conns {
+		if c != accepted && c.isEvictable() && (oldest == nil || c.openedAt.Before(oldest.openedAt)) {
+			oldest = c
+		}
+	}
+	if oldest != nil {
+		oldest.closeWhenUnused()
+	}
+}
+
 // addConn adds a connection that was accepted. It marks or closes one in excess of the limit.
 func (s *Server) addConn(c *conn) {
 	s.mu.Lock()
@@ -349,6 +366,7 @@
 	s.conns[c] = true
 	if s.limits.Conns > 0 && len(s.conns) > s.limits.Conns {
 		c.setExcess()
+		s.evictUnused(c)
 	}
 	if s.limits.Conns > 0 && len(s.conns) > s.limits.Conns+maxExcessConns {
 		c.endRequest(endConnLimit)
