Serve: a soft memory limit at three quarters of the memory limit

Cause: the garbage collector lets the heap double, so that bounded bytes may take twice their memory.

Change: the runtime's soft limit is 0.75 of limits.memory-mb on the platform; none if that is unknown. It is no replacement for the bounds: alone it would only spend processor time.

--- a/internal/cwcommand/serve_routed.go
+++ b/internal/cwcommand/serve_routed.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"syscall"
@@ -27,6 +28,19 @@
 // may use. The rest is for endpoints, peers and files.
 const callerDescriptorShare = 0.5
 
+// softMemoryShare is the share of the memory limit above which the garbage collector works harder.
+// The rest is for what it doesn't manage: the program itself, and memory that it has not given back
+// yet. The bounds on what is held (cwlimit) keep the process below the limit, not this: alone it
+// would only spend processor time on memory that is in use.
+const softMemoryShare = 0.75
+
+// limitMemory sets the soft limit of the runtime. It does nothing if the memory limit is unknown.
+func limitMemory(site *cwsite.Site) {
+	if site.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(softMemoryShare * float64(site.MemoryBytes)))
+	}
+}
+
 // serveRouted runs an instance with the settings file of the users' platform. The file
 // is read again at an interval and on SIGHUP.
 func serveRouted(cmd *cobra.Command, path string) error {
@@ -42,6 +56,7 @@
 	if err != nil {
 		return fmt.Errorf("invalid settings:\n%w", err)
 	}
+	limitMemory(site)
 	log := cwlog.NewLogger(settings.LogLevel, settings.LogLinesPerSecond, os.Stdout)
 	defer log.Close()
 	ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, os.Interrupt)
