Placement: a decision is chosen first and recorded after

Cause: Decide chose a place and recorded its load in one go, so nothing could ask where a request would go without placing it.

Ruled out: a second function with the same rules (two versions drift apart); deciding and taking back (arrivals, cold and rate tokens, caches and returns can't be taken back).

Change: choose returns a plan and changes nothing but the pool's random numbers; record places, counts the relayed work or reserves the return. The random numbers are drawn in the same order as before.

Measured: the tests of internal/cwplacement pass unchanged.

--- a/internal/cwplacement/decide.go
+++ b/internal/cwplacement/decide.go
@@ -93,8 +93,13 @@
 // late here gets only the capacity that requests on time leave, or is refused if even a
 // late response is of no use.
 func (p *Pool) Decide(req *Request, now time.Time) Decision {
-	d := Decision{LocalFirstByte: -1, RemoteFirstByte: -1}
 	p.arrivals.Count(now)
+	return p.record(p.choose(req, now), req, now)
+}
+
+// choose chooses what Decide decides and changes nothing but the random numbers of the pool.
+func (p *Pool) choose(req *Request, now time.Time) plan {
+	d := Decision{LocalFirstByte: -1, RemoteFirstByte: -1}
 	band := bandForPriority(req.Priority)
 	var local, remote candidate
 	if req.IsLocalAllowed {
@@ -106,40 +111,47 @@
 	affinityRegion := p.affinityRegion(req, now)
 	if cached := p.bestInAffinityRegion(req, &local, affinityRegion, now); cached.remoteCapacity != nil {
 		d.RemoteFirstByte = durationOfSeconds(cached.prediction.firstByteSeconds)
-		return p.relay(d, cached, "held")
+		return planRelay(d, cached, "held")
 	}
 	if local.endpoint != nil && req.isWithinTargetShare(stayLocalTargetShare, local.prediction.firstByteSeconds) && !local.endpoint.isDegraded(now) {
-		return p.send(d, req, local, "local", now)
+		return planSend(d, local, "local")
 	}
 	remote = p.bestRemote(req, "", affinityRegion, now)
 	if remote.remoteCapacity != nil {
 		d.RemoteFirstByte = durationOfSeconds(remote.prediction.firstByteSeconds)
 		if p.shouldRelay(req, &local, &remote, now) {
-			return p.relay(d, remote, "away")
+			return planRelay(d, remote, "away")
 		}
 	}
 	if local.endpoint != nil {
-		return p.sendLocalOrRefuse(d, req, local, now)
+		return p.planLocalOrRefusal(d, req, local, now)
 	}
-	if wait, isLimited := p.reserveLimitedReturn(req, now); isLimited {
-		return p.refuse(d, wait, "rateLimit")
+	return p.planRefusal(d, req, now)
+}
+
+// planRefusal returns the refusal of a request that has no place.
+func (p *Pool) planRefusal(d Decision, req *Request, now time.Time) plan {
+	if returnAt, wait, isLimited := p.limitedReturn(req, now); isLimited {
+		refusal := refuse(d, wait, "rateLimit")
+		refusal.limitedReturnAt = returnAt
+		return refusal
 	}
 	if wait, isPaused := p.pausedReturn(req, now); isPaused {
-		d = p.refuse(d, wait, "paused")
-		d.RetryAfter += max(wait-maxRetryAfter, 0)
-		return d
+		refusal := refuse(d, wait, "paused")
+		refusal.unboundedAfter = max(wait-maxRetryAfter, 0)
+		return refusal
 	}
 	if wait, isBrittle := p.brittleReturn(req, now); isBrittle {
-		return p.refuse(d, wait, "brittle")
+		return refuse(d, wait, "brittle")
 	}
 	if d.IsReturnExpected = req.IsLocalAllowed && p.AwaitsReturn(req.WasTried, now); d.IsReturnExpected {
-		return p.refuse(d, MaxSoundSilence, "noPlace")
+		return refuse(d, MaxSoundSilence, "noPlace")
 	}
 	d.Exclusions = p.exclusions(req, now)
 	if req.IsStarting {
-		return p.refuse(d, startingRetryAfter, "noPlace")
+		return refuse(d, startingRetryAfter, "noPlace")
 	}
-	return p.refuse(d, noEndpointRetryAfter, "noPlace")
+	return refuse(d, noEndpointRetryAfter, "noPlace")
 }
 
 // isWithinTargetShare reports whether a request that takes firstByteSeconds more to its
@@ -172,18 +184,18 @@
 	return req.isWithinTargetShare(onTimeTargetShare, remote.prediction.firstByteSeconds) && remote.cost < maxRelayCostRatio*local.cost
 }
 
-// sendLocalOrRefuse sends a request to a local endpoint. If it can't be on time there, it
+// planLocalOrRefusal plans to send a request to a local endpoint. If it can't be on time there, it
 // is sent in the band Late, or refused if even a late response is of no use.
-func (p *Pool) sendLocalOrRefuse(d Decision, req *Request, local candidate, now time.Time) Decision {
+func (p *Pool) planLocalOrRefusal(d Decision, req *Request, local candidate, now time.Time) plan {
 	if req.isWithinTargetShare(onTimeTargetShare, local.prediction.firstByteSeconds) {
-		return p.send(d, req, local, "local", now)
+		return planSend(d, local, "local")
 	}
 	late := p.bestLocal(req, Late, now)
 	if !req.isUsefulLate(late.prediction) {
-		return p.refuse(d, durationOfSeconds(local.prediction.firstByteSeconds)-req.FirstByteTarget/2, "overload")
+		return refuse(d, durationOfSeconds(local.prediction.firstByteSeconds)-req.FirstByteTarget/2, "overload")
 	}
 	d.LocalFirstByte = durationOfSeconds(late.prediction.firstByteSeconds)
-	return p.send(d, req, late, "late", now)
+	return planSend(d, late, "late")
 }
 
 // bestLocal returns the best endpoint of this region for a request in the band. The
@@ -213,13 +225,6 @@
 	return isExpected
 }
 
-func (p *Pool) send(d Decision, req *Request, c candidate, reason string, now time.Time) Decision {
-	d.Action, d.Reason, d.RestOfResponse = ActionSend, reason, durationOfSeconds(c.prediction.restSeconds)
-	d.IsEndpointLimited = c.endpoint.limit.IsNamed
-	d.Placement = c.endpoint.place(&req.Requirements, c.band, c.prediction, now)
-	return d
-}
-
 // bestInAffinityRegion returns the best domain of the region that should cache the shared
 // parts of the prompt. The candidate is empty if that is this region, if no local
 // endpoint is usable or the chosen one has all shared parts in its cache, if the failure
@@ -250,17 +255,22 @@
 		if region != "" && r.Region != region || !isRemoteUsable(r, now) || req.WasDomainTried(r.Domain) {
 			continue
 		}
-		tokens := remoteUncachedTokens(&req.Requirements, r.Region == affinityRegion)
-		relayed := p.relayedSince(r).Scale(float64(max(req.RelayingInstances, 1)))
-		firstByteSeconds := remoteFirstByteSeconds(r, &req.Requirements, tokens, relayed, now)
-		recomputed := tokens - float64(req.PromptTokens-req.sharedTokens())
-		c := candidate{remoteCapacity: r, cost: firstByteSeconds + recomputeCostFactor*recomputed*r.SecondsPerToken}
-		c.prediction.firstByteSeconds, c.prediction.uncachedTokens = firstByteSeconds, int(tokens)
-		choice.add(c)
+		choice.add(p.remoteCandidate(req, r, affinityRegion, now))
 	}
 	return choice.pick(p.rng.Float64())
 }
 
+// remoteCandidate returns the domain with the prediction for the request.
+func (p *Pool) remoteCandidate(req *Request, r *cwpolicy.DomainCapacity, affinityRegion string, now time.Time) candidate {
+	tokens := remoteUncachedTokens(&req.Requirements, r.Region == affinityRegion)
+	relayed := p.relayedSince(r).Scale(float64(max(req.RelayingInstances, 1)))
+	firstByteSeconds := remoteFirstByteSeconds(r, &req.Requirements, tokens, relayed, now)
+	recomputed := tokens - float64(req.PromptTokens-req.sharedTokens())
+	c := candidate{remoteCapacity: r, cost: firstByteSeconds + recomputeCostFactor*recomputed*r.SecondsPerToken}
+	c.prediction.firstByteSeconds, c.prediction.uncachedTokens = firstByteSeconds, int(tokens)
+	return c
+}
+
 // relayedSince returns the work that this instance relayed to a domain since the
 // domain's capacity summary.
 func (p *Pool) relayedSince(r *cwpolicy.DomainCapacity) Work {
@@ -270,17 +280,6 @@
 	return Work{}
 }
 
-func (p *Pool) relay(d Decision, c candidate, reason string) Decision {
-	r := c.remoteCapacity
-	work := Work{InFlight: 1}
-	work.QueuedTokens[Normal] = float64(c.prediction.uncachedTokens)
-	work = p.relayedSince(r).Add(work)
-	p.relayed[r.Domain] = relayedWork{work: work, summaryAt: r.ReportedAt}
-	d.Action, d.Domain, d.Reason = ActionRelay, r.Domain, reason
-	d.relayedTokens, d.summaryAt = float64(c.prediction.uncachedTokens), r.ReportedAt
-	return d
-}
-
 // TakeBackRelay removes a request that was decided to be relayed, but of which nothing was
 // sent, from the work relayed since the domain's capacity summary.
 func (p *Pool) TakeBackRelay(d Decision) {
@@ -293,12 +292,6 @@
 	p.relayed[d.Domain] = s
 }
 
-func (p *Pool) refuse(d Decision, after time.Duration, reason string) Decision {
-	d.Action, d.Reason = ActionRefuse, reason
-	d.RetryAfter = RetryAfter(after, p.rng.Float64())
-	return d
-}
-
 // RetryAfter returns the time after which a refused caller should retry, if capacity is
 // likely after the given time. The random number in [0,1) determines the jitter that
 // keeps refused callers from retrying together.
--- a/internal/cwplacement/pool.go
+++ b/internal/cwplacement/pool.go
@@ -162,10 +162,7 @@
 			continue
 		}
 		expected := e.predict(rs, band, now)
-		cost := p.cost(e, expected, e == affinity, now) + e.paceCost(rs, expected, now)
-		if excess := expected.firstByteSeconds + expected.restSeconds - rs.ResponseTimeout.Seconds(); rs.ResponseTimeout > 0 && excess > 0 {
-			cost += deadlineMissCostFactor * excess
-		}
+		cost := p.requestCost(e, rs, expected, e == affinity, now)
 		if best == nil || cost < lowest {
 			best, bestPrediction, lowest = e, expected, cost
 		}
@@ -173,7 +170,17 @@
 	return best, bestPrediction
 }
 
-// cost returns the cost of a request at an endpoint, in weighted seconds.
+// requestCost returns the cost of a request at an endpoint, with that of pauses and of a missed
+// deadline, in weighted seconds.
+func (p *Pool) requestCost(e *Endpoint, rs *Requirements, expected prediction, isAffinity bool, now time.Time) float64 {
+	cost := p.cost(e, expected, isAffinity, now) + e.paceCost(rs, expected, now)
+	if excess := expected.firstByteSeconds + expected.restSeconds - rs.ResponseTimeout.Seconds(); rs.ResponseTimeout > 0 && excess > 0 {
+		cost += deadlineMissCostFactor * excess
+	}
+	return cost
+}
+
+// cost returns the cost of a request at an endpoint as such, in weighted seconds.
 func (p *Pool) cost(e *Endpoint, expected prediction, isAffinity bool, now time.Time) float64 {
 	recompute := recomputeCostFactor * float64(expected.recomputedTokens) / e.promptSpeed.rate
 	if isAffinity {
