Operators: GET /explain tells where a routed request would go now

Cause: operators saw the state of endpoints and the log of past requests, but not where a request would go now or what keeps it from a place.

Ruled out: a request marked as a trial (it counts in arrivals and caches, and could reach an endpoint); deciding in the operator interface (it only reads the query and hands it on).

Change: Gate.Explain finds route, account (by name), homes, the service with the largest share and blocks by prompt parts, and calls Pool.Explain with the request that a decision would be made for. GET /explain returns it as JSON, with at most 25 endpoints and 25 domains. What excludes a domain before a prediction is named by one function, which decisions use too. A place is left for the state of the account's quota; it is null.

Unknown route and account get 404, a missing account and malformed numbers 400.

--- a/internal/cwadmin/routed_handler.go
+++ b/internal/cwadmin/routed_handler.go
@@ -23,11 +23,14 @@
 	gate    *cwgate.Gate
 	burn    *cwburn.Recorder
 	metrics http.Handler
+	// parseParts decodes the parts of a prompt as callers write them.
+	parseParts PartsParser
 }
 
-// NewRoutedHandler returns a RoutedHandler that serves /metrics with metrics.
-func NewRoutedHandler(common *cwcommon.Common, control *cwcontrol.Control, state *cwpublished.State, gate *cwgate.Gate, burn *cwburn.Recorder, metrics http.Handler) *RoutedHandler {
-	return &RoutedHandler{Common: common, control: control, state: state, gate: gate, burn: burn, metrics: metrics}
+// NewRoutedHandler returns a RoutedHandler that serves /metrics with metrics and reads the parts of
+// prompts with parseParts.
+func NewRoutedHandler(common *cwcommon.Common, control *cwcontrol.Control, state *cwpublished.State, gate *cwgate.Gate, burn *cwburn.Recorder, metrics http.Handler, parseParts PartsParser) *RoutedHandler {
+	return &RoutedHandler{Common: common, control: control, state: state, gate: gate, burn: burn, metrics: metrics, parseParts: parseParts}
 }
 
 // RoutedStatus is the state of an instance that runs on the users' platform, with its
@@ -68,6 +71,7 @@
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, h.Status(time.Now())) })
 	mux.HandleFunc("GET /blocks", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, h.gate.BlockStatuses(time.Now())) })
 	mux.HandleFunc("DELETE /blocks/{id}", h.liftBlock)
+	mux.HandleFunc("GET /explain", h.explain)
 	return mux
 }
 
--- a/internal/cwapp/routed_app.go
+++ b/internal/cwapp/routed_app.go
@@ -57,7 +57,7 @@
 	streamSpreader := cwpeer.NewStreamSpreader(r.Common, r.Control, r.peerClient, r.gate.Streams())
 	r.gate.StreamFinder = streamSpreader
 	peerServer := cwpeer.NewServer(r.Common, r.Control, r.gate, cwpeer.Sources{Published: r.State, Crashes: r.gate.Crashes(), Streams: r.gate.Streams()}, puller, r.auth)
-	adminHandler := cwadmin.NewRoutedHandler(r.Common, r.Control, r.State, r.gate, r.gate.Burn, r.metricsHandler)
+	adminHandler := cwadmin.NewRoutedHandler(r.Common, r.Control, r.State, r.gate, r.gate.Burn, r.metricsHandler, cwwire.ParsePromptParts)
 	r.forwardingServers = []*cwserver.Server{
 		cwserver.NewServer(r.Common, "caller", site.CallerAddress, cwwire.NewFrontHandler(r.gate), cwserver.Limits{Conns: settings.MaxConnections, Times: r.callerTimeLimits}),
 		cwserver.NewServer(r.Common, "relay", site.RelayAddress, cwwire.NewRelayHandler(r.gate), cwserver.Limits{}),
--- a/internal/cwgate/placement.go
+++ b/internal/cwgate/placement.go
@@ -35,8 +35,14 @@
 		p = cwplacement.NewPool(service, g.site.Domain, g.rng)
 		g.pools[routed.service] = p
 	}
+	request := g.placementRequest(routed, p, wasTried, now)
+	return p.Decide(&request, now)
+}
+
+// placementRequest returns the request as its pool places it. The caller holds mu.
+func (g *Gate) placementRequest(routed *routedRequest, p *cwplacement.Pool, wasTried func(name string) bool, now time.Time) cwplacement.Request {
 	wasEndpointTried, wasDomainTried := g.limitToOrigin(routed, wasTried)
-	request := &cwplacement.Request{
+	request := cwplacement.Request{
 		Requirements:   routed.requirements(now),
 		Priority:       routed.priority(),
 		WasTried:       wasEndpointTried,
@@ -51,7 +57,7 @@
 			request.RemoteCapacities = append(request.RemoteCapacities, g.regionCapacities(p, wasEndpointTried, now)...)
 		}
 	}
-	return p.Decide(request, now)
+	return request
 }
 
 // remoteCapacities returns the capacities of the domains outside the region to which the
@@ -59,13 +65,24 @@
 func (g *Gate) remoteCapacities(routed *routedRequest) []cwpolicy.DomainCapacity {
 	var capacities []cwpolicy.DomainCapacity
 	for _, c := range g.snapshot.Capacities[routed.service] {
-		if c.Region == g.site.Region || !routed.allowsRegion(c.Region) || g.view.EvacuatedDomains[c.Domain] {
-			continue
-		}
-		if g.exitAddresses[c.Domain] == "" {
+		if c.Region == g.site.Region || g.domainExclusion(routed, &c) != "" {
 			continue
 		}
 		capacities = append(capacities, c)
 	}
 	return capacities
 }
+
+// domainExclusion returns what excludes a domain of another region for the request before any
+// prediction; empty if nothing does. The caller holds mu.
+func (g *Gate) domainExclusion(routed *routedRequest, c *cwpolicy.DomainCapacity) cwplacement.Exclusion {
+	switch {
+	case !routed.allowsRegion(c.Region):
+		return cwplacement.ExcludedRegion
+	case g.view.EvacuatedDomains[c.Domain]:
+		return cwplacement.ExcludedEvacuated
+	case g.exitAddresses[c.Domain] == "":
+		return cwplacement.ExcludedNoExit
+	}
+	return ""
+}
