--- a/internal/cwcommand/operator.go
+++ b/internal/cwcommand/operator.go
@@ -160,21 +160,6 @@
 	return cmd
 }
 
-func newExplain() *cobra.Command {
-	var instance, account string
-	cmd := &cobra.Command{
-		Use:   "explain SERVICE",
-		Short: "Print how an instance would route a request, and why, without sending it",
-		Args:  cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			return printJSON(cmd, instance, "/explain?service="+args[0]+"&account="+account)
-		},
-	}
-	cmd.Flags().StringVar(&instance, "instance", defaultAdminAddress, "operator address of the instance")
-	cmd.Flags().StringVar(&account, "account", "", "account whose home region limits the allowed regions")
-	return cmd
-}
-
 func printJSON(cmd *cobra.Command, address, path string) error {
 	var document json.RawMessage
 	if err := getJSON(cmd.Context(), address, path, &document); err != nil {
