--- a/internal/cwcommand/serve_routed.go
+++ b/internal/cwcommand/serve_routed.go
@@ -28,16 +28,21 @@
 // may use. The rest is for endpoints, peers and files.
 const callerDescriptorShare = 0.5
 
-// softMemoryShare is the share of the memory limit above which the garbage collector works harder.
-// The rest is for what it doesn't manage: the program itself, and memory that it has not given back
-// yet. The bounds on what is held (cwlimit) keep the process below the limit, not this: alone it
-// would only spend processor time on memory that is in use.
-const softMemoryShare = 0.75
+const (
+	// programBytes allows for the memory that the runtime doesn't manage, mainly the program itself:
+	// an idle process has 15 MB resident with its heap.
+	programBytes = 12 << 20
+	// softMemoryShare is the share of the rest of the memory limit above which the garbage collector
+	// works harder. The bounds on what is held (cwlimit) keep the process below the limit, not this:
+	// alone it would only spend processor time on memory that is in use.
+	softMemoryShare = 0.75
+)
 
-// limitMemory sets the soft limit of the runtime. It does nothing if the memory limit is unknown.
+// limitMemory sets the soft limit of the runtime. It does nothing if the memory limit is unknown or
+// too small for one.
 func limitMemory(site *cwsite.Site) {
-	if site.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(softMemoryShare * float64(site.MemoryBytes)))
+	if site.MemoryBytes > 2*programBytes {
+		debug.SetMemoryLimit(int64(softMemoryShare * float64(site.MemoryBytes-programBytes)))
 	}
 }
 
