Gate: the slots of a leaving instance stay its own until it has ended

Cause: at a brittle endpoint the others took over the slots of an instance as soon as it announced that it is leaving. It still accepts requests for 2.5 s and has requests in progress for up to the rest of its grace, so its slots were used twice and the endpoints had to turn requests away, and ended.

The class is every division among instances. Slots and cold endpoints dropped a leaving instance at once, rate limits kept it until the grace after its last contact. Ruled out: the retry budget (divided by the number of all instances known, which only makes shares smaller) and the limit of connections (even, over the same number).

Change: sharing.go alone says who uses what is divided: a leaving instance until its grace is over, counted from when that was first known of its incarnation, and a silent or frozen one for 30 s. A starting instance counts for the others as soon as it is known, and itself has no cold endpoint and no share of a rate limit for 3 s, as before. A cold endpoint now keeps a leaving owner until its grace is over.

Not covered: an early release when the requests of the leaving instance are done before its grace is over.

--- a/internal/cwapp/routed_brittle_test.go
+++ b/internal/cwapp/routed_brittle_test.go
@@ -28,8 +28,11 @@
 type brittleFleet struct {
 	scene *cwscene.RoutedScene
 	// most is the number of requests that an endpoint may turn away within a second.
-	most      int
-	startedAt time.Time
+	most int
+	// slots is the number of requests that an endpoint runs at once, each for serviceTime.
+	slots       int
+	serviceTime time.Duration
+	startedAt   time.Time
 
 	mu            sync.Mutex
 	starts, falls int
@@ -57,10 +60,10 @@
 	}
 	f.starts++
 	w := cwstandin.NewWorker(fmt.Sprintf("worker-%s-%d", ip, f.starts))
-	w.SetServiceTime(brittleServiceTime)
+	w.SetServiceTime(f.serviceTime)
 	f.scene.Net.RestoreHost(ip)
-	f.scene.Serve(ip+":8010", &brittleEndpoint{Worker: w, fleet: f, ip: ip, slots: make(chan struct{}, brittleSlots)})
-	f.scene.RegisterWorker(w.ID, "north-a", ip, map[string]any{"slots": brittleSlots, "born": time.Now().UnixMilli()})
+	f.scene.Serve(ip+":8010", &brittleEndpoint{Worker: w, fleet: f, ip: ip, slots: make(chan struct{}, f.slots)})
+	f.scene.RegisterWorker(w.ID, "north-a", ip, map[string]any{"slots": f.slots, "born": time.Now().UnixMilli()})
 }
 
 func (e *brittleEndpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -86,7 +89,7 @@
 	if now.Sub(e.fleet.startedAt) >= brittleAfter {
 		room = brittleQueue
 	}
-	if e.running < brittleSlots+room {
+	if e.running < e.fleet.slots+room {
 		e.running++
 		return true
 	}
@@ -130,7 +133,7 @@
 			t.Run(fmt.Sprintf("at most %d, load %g", most, load), func(t *testing.T) {
 				inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
 					s.Publish(nil, cwscene.NewRoute("r", "unsafe", nil))
-					f := &brittleFleet{scene: s, most: most, startedAt: time.Now().Add(5 * time.Second)}
+					f := &brittleFleet{scene: s, most: most, slots: brittleSlots, serviceTime: brittleServiceTime, startedAt: time.Now().Add(5 * time.Second)}
 					for n := range brittleEndpoints {
 						f.start(fmt.Sprintf("10.1.1.%d", n+1))
 					}
@@ -168,3 +171,50 @@
 		}
 	}
 }
+
+// TestSlotsOfLeavingInstanceStayReserved guards against endpoints that fall over because the other
+// instances take over the slots of one that is leaving while its requests still run there.
+func TestSlotsOfLeavingInstanceStayReserved(t *testing.T) {
+	const (
+		endpoints, slots = 6, 16
+		serviceTime      = 3 * time.Second
+		loadTenths       = 15
+		stopAfter        = 12 * time.Second
+		period           = 20 * time.Second
+	)
+	inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+		s.Publish(nil, cwscene.NewRoute("r", "unsafe", nil))
+		f := &brittleFleet{scene: s, most: 2, slots: slots, serviceTime: serviceTime, startedAt: time.Now().Add(5 * time.Second)}
+		for n := range endpoints {
+			f.start(fmt.Sprintf("10.1.1.%d", n+1))
+		}
+		var instances []*cwscene.RoutedInstance
+		for n := range 3 {
+			instances = append(instances, s.AddInstance(fmt.Sprintf("10.1.0.%d", n+1), "north-a"))
+		}
+		s.AwaitReady()
+		time.Sleep(5 * time.Second)
+		var wg sync.WaitGroup
+		interval := serviceTime * 10 / (endpoints * slots * loadTenths)
+		n, fallsBefore := 0, 0
+		for start := time.Now(); time.Since(start) < period; time.Sleep(interval) {
+			if len(instances) == 3 && time.Since(start) >= stopAfter {
+				instances[2].Stop()
+				instances = instances[:2]
+				f.mu.Lock()
+				fallsBefore = f.falls
+				f.mu.Unlock()
+			}
+			i := instances[n%len(instances)]
+			n++
+			wg.Go(func() { s.Do(t.Context(), i, cwscene.RoutedRequest{Path: "/r/x"}) })
+		}
+		wg.Wait()
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.isOver = true
+		falls := f.falls - fallsBefore
+		t.Logf("%d falls, %d before the stop", falls, fallsBefore)
+		is.True(10*falls <= 20+endpoints) // the users' bound: 2 and a tenth of the number
+	})
+}
--- a/internal/cwgate/brittle.go
+++ b/internal/cwgate/brittle.go
@@ -7,14 +7,14 @@
 	"go.uber.org/zap"
 )
 
-// syncSlotOwners determines which slots of brittle endpoints this instance may use. Members out of
-// contact keep theirs for a while: they may only be partitioned from this instance. Without
+// syncSlotOwners determines which slots of brittle endpoints this instance may use. Instances that are
+// leaving keep theirs until they have ended, and those out of contact for a while. Without
 // areEndpointsNew it does nothing if the members are the same as before. The caller holds mu.
 func (g *Gate) syncSlotOwners(areEndpointsNew bool, now time.Time) {
 	var others []string
 	for i := range g.snapshot.Members {
 		m := &g.snapshot.Members[i]
-		if m.Region == g.site.Region && !m.IsLeaving && now.Sub(m.LastContactAt) <= ownerSilenceLimit {
+		if m.Region == g.site.Region && g.sharing.isUsing(m, g.bounds, now) {
 			others = append(others, m.PeerAddress)
 		}
 	}
--- a/internal/cwgate/cold_owner.go
+++ b/internal/cwgate/cold_owner.go
@@ -8,15 +8,6 @@
 	"github.com/clementinewell/clementinewell/internal/cwpublished"
 )
 
-const (
-	// ownerSilenceLimit is how long an instance without contact still counts as the owner
-	// of cold endpoints: it may only be partitioned from this one, and still use them.
-	ownerSilenceLimit = 30 * time.Second
-	// ownershipDelay is the time after the start in which an instance owns no cold
-	// endpoint, since its list of the other instances may be incomplete.
-	ownershipDelay = 3 * time.Second
-)
-
 // coldPeriod is the time until which an endpoint is cold according to one revision of its
 // published entry. A cold endpoint takes only a low rate of requests.
 type coldPeriod struct {
@@ -55,13 +46,13 @@
 // cold. The owner is the instance with the highest rendezvous score in the endpoint's
 // failure domain, since instances of one domain have the most accurate lists of each other.
 func (g *Gate) ownsCold(id, domain string, now time.Time) bool {
-	if domain != g.site.Domain || now.Sub(g.startedAt) < ownershipDelay {
+	if domain != g.site.Domain || g.sharing.isStarting(now) {
 		return false
 	}
 	ownScore := rendezvousScore(id, g.snapshot.Self.PeerAddress)
 	for i := range g.snapshot.Members {
 		m := &g.snapshot.Members[i]
-		if m.Domain != domain || m.IsLeaving || now.Sub(m.LastContactAt) > ownerSilenceLimit {
+		if m.Domain != domain || !g.sharing.isUsing(m, g.bounds, now) {
 			continue
 		}
 		if rendezvousScore(id, m.PeerAddress) > ownScore {
--- a/internal/cwgate/gate.go
+++ b/internal/cwgate/gate.go
@@ -58,6 +58,8 @@
 	// exitsCutOffUntil are the times until which exits are avoided that are cut off from their
 	// endpoints, by the peer address.
 	exitsCutOffUntil map[string]time.Time
+	// sharing determines which instances use what is divided among instances.
+	sharing *sharing
 	// slotMembers are the other instances among which the slots of brittle endpoints were divided.
 	slotMembers []string
 	// reach tells whether this instance is cut off from the endpoints.
@@ -113,6 +115,7 @@
 		awaited:          make(map[*cwplacement.Endpoint]bool),
 		startedAt:        time.Now(),
 	}
+	g.sharing = newSharing(g.startedAt)
 	g.steps, g.parts = g.newSteps(), g.newParts()
 	g.streams = cwstream.NewLedger()
 	g.crashes = cwcrash.NewLedger(common.Incarnation, g.logBlocks)
--- a/internal/cwgate/rate_limit.go
+++ b/internal/cwgate/rate_limit.go
@@ -44,7 +44,7 @@
 		return
 	}
 	perSecond, burst := 0.0, 1
-	if now.Sub(g.startedAt) >= ownershipDelay {
+	if !g.sharing.isStarting(now) {
 		total := max(limit.PerSecond, cwpolicy.EndpointProbesPerSecond)
 		perSecond, burst = e.RateDivision().Divide(total, cwpolicy.MaxEndpointBurst(total), g.snapshot.Self.PeerAddress, g.rateSharers(e, now), now)
 	}
@@ -73,8 +73,7 @@
 	}
 	for i := range g.snapshot.Members {
 		m := &g.snapshot.Members[i]
-		hasEnded := m.IsLeaving && now.Sub(m.LastContactAt) > g.bounds.ShutdownGrace
-		if !isInGroup(m) || hasEnded {
+		if !isInGroup(m) || g.sharing.hasEnded(m, g.bounds, now) {
 			continue
 		}
 		sharers = append(sharers, cwpolicy.RateSharer{Address: m.PeerAddress, RequestsPerSecond: g.reportedDemand(m.PeerAddress, service), ContactAt: m.LastContactAt})
--- a/internal/cwgate/sync.go
+++ b/internal/cwgate/sync.go
@@ -35,6 +35,7 @@
 func (g *Gate) newParts() []part {
 	return []part{
 		partFunc(g.updateOriginRegions),
+		partFunc(g.updateSharing),
 		partFunc(g.updateEndpoints),
 		partFunc(g.updateExitAddresses),
 		partFunc(g.updateSlotOwners),
@@ -63,6 +64,12 @@
 	}
 }
 
+func (g *Gate) updateSharing(c change) {
+	if c.isSnapshotNew {
+		g.sharing.update(g.snapshot, c.at)
+	}
+}
+
 func (g *Gate) updateEndpoints(c change) {
 	if c.isViewNew || c.isAny() && g.hasColdEndpoint(c.at) {
 		g.syncEndpoints(c.at)
