Quotas: a pure ledger of what accounts spend over all instances

Cause: an account's quota holds for the sum of all instances without an arbiter, and an even share may be less than one request.

Ruled out: cumulative counters (a domain's sum has no common start between reporters); statements of a whole window as one number (a jump is smeared over the window, refill hides it: up to 1.08 of what is tolerated); parts of the rate at all times (refuse what is within the quota).

Change: internal/cwquota.

--- /dev/null
+++ b/internal/cwquota/account.go
@@ -0,0 +1,56 @@
+package cwquota
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// AccountID returns the number that identifies an account in statements.
+func AccountID(name string) uint64 {
+	return xxhash.Sum64String(name)
+}
+
+// account is what is known of the spending on an account.
+type account struct {
+	own timeline
+	// limit is the quota of the latest attempt to spend.
+	limit Limit
+	// others is the spending of all sources in contact.
+	others timeline
+	// instances and domains are the rates of the sources in contact: of instances of the own
+	// domain, and of other domains.
+	instances, domains rates
+	// spendings is the number of requests that this instance has allowed.
+	spendings int
+	// returnAt is when the last refused caller was told to return.
+	returnAt time.Time
+}
+
+// extrapolated returns the spending of the others that is not stated yet. It goes on at their
+// last rates. If spending has jumped in the own domain, which is known sooner, it is taken to
+// have jumped in the others too.
+func (a *account) extrapolated(scale, sinceEpoch float64, now time.Time) float64 {
+	last := slotOf(now)
+	ownRate := a.own.sum(last, 2) / (slotDuration + slotPassed(now)).Seconds()
+	ownOlder := a.own.sum(last-recentSlots, olderSlots) / (olderSlots * slotDuration).Seconds()
+	jump := (ownRate + a.instances.rate + scale) / (ownOlder + a.instances.older + scale)
+	return a.instances.spent(sinceEpoch) + max(a.domains.spent(sinceEpoch), min(jump, maxJump)*a.domains.olderSpent(sinceEpoch))
+}
+
+const (
+	// olderSlots is the number of slots before the recent ones from which the usual rate is taken.
+	olderSlots = 8
+	// maxJump bounds the factor by which spending is taken to have jumped elsewhere.
+	maxJump = 10
+)
+
+// add adds or, with a factor of -1, removes what a source in contact stated.
+func (a *account) add(s *source, e *entry, at, factor float64) {
+	a.others.addAll(&e.spent, factor)
+	r := &a.instances
+	if s.isDomain() {
+		r = &a.domains
+	}
+	r.add(e, at, factor)
+}
