Gate: quotas of client accounts are charged at the entry instance

Cause: accounts' quotas are part of the configuration and nothing held them.

Change: a step before the body is read charges routed.account, and refuses with 429 and Retry-After; a request that has certainly not run is refunded. What accounts spend is a field of the exchange between instances, only added. The bounds quota-window-s, quota-overage and quota-slack are read from the settings (overage is not used yet).

Measured: TestSpendingReachesOtherInstances (failed while a zero slack made the extrapolation NaN) passes; internal/cwpeer, platform and internal/cwlog pass; internal/cwapp -run 'RateLimit|SlotsOf' passes. Not run: a scene with keys, since nothing sets routed.account yet.

--- a/internal/cwapp/routed_app.go
+++ b/internal/cwapp/routed_app.go
@@ -53,11 +53,11 @@
 	r.gate = cwgate.NewGate(r.Common, site, r.Control, r.State, cwwire.Codec{}, newSeed())
 	puller := cwsync.NewPublishedPuller(r.Common, r.State, r.peerClient, r.follower)
 	r.exchanger = cwpeer.NewExchanger(r.Common, r.Control, r.peerClient, r.gate, puller)
-	r.exchanger.Crashes = r.gate.Crashes()
+	r.exchanger.Crashes, r.exchanger.Quotas = r.gate.Crashes(), r.gate.Quotas()
 	spreader := cwpeer.NewCrashSpreader(r.Common, r.Control, r.peerClient, r.gate.Crashes())
 	streamSpreader := cwpeer.NewStreamSpreader(r.Common, r.Control, r.peerClient, r.gate.Streams())
 	r.gate.StreamFinder = streamSpreader
-	peerServer := cwpeer.NewServer(r.Common, r.Control, r.gate, cwpeer.Sources{Published: r.State, Crashes: r.gate.Crashes(), Streams: r.gate.Streams()}, puller, r.auth)
+	peerServer := cwpeer.NewServer(r.Common, r.Control, r.gate, cwpeer.Sources{Published: r.State, Crashes: r.gate.Crashes(), Quotas: r.gate.Quotas(), Streams: r.gate.Streams()}, puller, r.auth)
 	adminHandler := cwadmin.NewRoutedHandler(r.Common, r.Control, r.State, r.gate, r.gate.Burn, r.metricsHandler)
 	r.forwardingServers = []*cwserver.Server{
 		cwserver.NewServer(r.Common, "caller", site.CallerAddress, cwwire.NewFrontHandler(r.gate), cwserver.Limits{Conns: settings.MaxConnections, Times: r.callerTimeLimits}),
--- a/internal/cwgate/gate.go
+++ b/internal/cwgate/gate.go
@@ -39,6 +39,7 @@
 	steps   []step
 	crashes *cwcrash.Ledger
 	streams *cwstream.Ledger
+	quotas  *Quotas
 
 	// mu guards the fields below, except startedAt and the atomic ones.
 	mu  sync.Mutex
@@ -115,6 +116,7 @@
 		awaited:          make(map[*cwplacement.Endpoint]bool),
 		startedAt:        time.Now(),
 	}
+	g.quotas = newQuotas(common, site, g.startedAt)
 	g.sharing = newSharing(g.startedAt)
 	g.steps, g.parts = g.newSteps(), g.newParts()
 	g.streams = cwstream.NewLedger()
@@ -132,6 +134,11 @@
 	return g.streams
 }
 
+// Quotas returns what this instance knows of the spending on client accounts.
+func (g *Gate) Quotas() *Quotas {
+	return g.quotas
+}
+
 // Conns returns the pool of connections to endpoints and other instances.
 func (g *Gate) Conns() *cwconn.Pool {
 	return g.conns
@@ -155,6 +162,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.bounds = b
+	g.quotas.setBounds(b)
 	for _, budget := range g.budgets {
 		budget.SetBounds(b.RetryRatio, b.RetrySlack)
 	}
--- a/internal/cwgate/metrics.go
+++ b/internal/cwgate/metrics.go
@@ -26,6 +26,10 @@
 	blocks tally.Counter
 	// cutOffs counts how often this instance was cut off from all endpoints.
 	cutOffs tally.Counter
+	// quotaRefusals counts the requests refused for their account's quota, and quotaRefunds those
+	// that were charged and have not run.
+	quotaRefusals tally.Counter
+	quotaRefunds  tally.Counter
 }
 
 func newMetrics(root tally.Scope) *metrics {
@@ -39,6 +43,9 @@
 		limitedSends: root.Counter("routed_limited_sends"),
 		blocks:       root.Counter("crash_blocks"),
 		cutOffs:      root.Counter("endpoint_cut_offs"),
+
+		quotaRefusals: root.Counter("quota_refusals"),
+		quotaRefunds:  root.Counter("quota_refunds"),
 	}
 }
 
--- a/internal/cwgate/routed_request.go
+++ b/internal/cwgate/routed_request.go
@@ -21,8 +21,10 @@
 	route  *cwroute.Route
 	// account is the client account of the caller; nil if the route needs no key.
 	account *cwroute.Account
-	service string
-	body    []byte
+	// quotaCharge is what the request has spent of the account's quota.
+	quotaCharge quotaCharge
+	service     string
+	body        []byte
 	// deadline is when the response must be complete.
 	deadline  time.Time
 	responder *responder
--- a/internal/cwgate/serve.go
+++ b/internal/cwgate/serve.go
@@ -56,6 +56,7 @@
 	routed := &routedRequest{Request: r, config: config, responder: responder}
 	for _, s := range g.steps {
 		if refusal := s.take(ctx, routed); refusal != nil {
+			g.refundQuota(routed)
 			g.refuseUnrouted(r, responder, *refusal)
 			return
 		}
@@ -65,6 +66,9 @@
 	defer cwserver.LimitWrites(ctx, w)()
 	defer routed.releaseErrorResponse()
 	g.runAttempts(ctx, routed)
+	if routed.isNotRun() {
+		g.refundQuota(routed)
+	}
 }
 
 // waitForConfig returns the configuration in force, nil if there is none within configWait and
--- a/internal/cwgate/step.go
+++ b/internal/cwgate/step.go
@@ -23,6 +23,7 @@
 func (g *Gate) newSteps() []step {
 	return []step{
 		stepFunc(g.findRoute),
+		stepFunc(g.chargeQuota),
 		stepFunc(g.receiveBody),
 	}
 }
--- a/internal/cwgate/sync.go
+++ b/internal/cwgate/sync.go
@@ -41,6 +41,7 @@
 		partFunc(g.updateSlotOwners),
 		partFunc(g.updatePeerWork),
 		partFunc(g.updateRateShares),
+		partFunc(g.updateQuotas),
 	}
 }
 
--- a/internal/cwpeer/exchanger.go
+++ b/internal/cwpeer/exchanger.go
@@ -32,6 +32,8 @@
 	puller  Puller
 	// Crashes holds the evidence about requests that end endpoints; nil if there is none.
 	Crashes CrashLedger
+	// Quotas holds the spending on client accounts; nil if there are no quotas.
+	Quotas QuotaLedger
 
 	mu sync.Mutex
 	// inProgress holds the addresses of the peers with an exchange in progress.
@@ -214,6 +216,7 @@
 	if x.Crashes != nil {
 		message.Crashes = protoCrashRecords(x.Crashes.Reports(now, maxExchangedCrashes), now)
 	}
+	message.Quotas = quotaReportTo(x.Quotas, address, domain, now)
 	response, roundTrip, err := x.client.Exchange(ctx, address, message)
 	if err != nil {
 		x.Log.Debug("exchange failed", zap.String("peer", address), zap.Error(err))
@@ -222,6 +225,7 @@
 		return
 	}
 	x.control.Post(ctx, eventOf(response, roundTrip, time.Now()))
+	receiveQuotas(x.Quotas, response, time.Now())
 	if x.Crashes != nil {
 		x.Crashes.Merge(crashReportsOf(response.GetCrashes(), time.Now()), time.Now())
 	}
--- a/internal/cwpeer/server.go
+++ b/internal/cwpeer/server.go
@@ -34,6 +34,8 @@
 	Published PublishedSource
 	// Crashes holds the evidence about requests that end endpoints; nil if there is none.
 	Crashes CrashLedger
+	// Quotas holds the spending on client accounts; nil if there are no quotas.
+	Quotas QuotaLedger
 	// Streams holds the origins of streams; nil if there are none.
 	Streams StreamLedger
 }
@@ -85,6 +87,8 @@
 		s.sources.Crashes.Merge(crashReportsOf(message.GetCrashes(), now), now)
 		answer.Crashes = protoCrashRecords(s.sources.Crashes.Reports(now, maxExchangedCrashes), now)
 	}
+	receiveQuotas(s.sources.Quotas, message, now)
+	answer.Quotas = quotaReportTo(s.sources.Quotas, event.Member.PeerAddress, event.Member.Domain, now)
 	return answer, nil
 }
 
--- a/internal/cwsite/site.go
+++ b/internal/cwsite/site.go
@@ -47,6 +47,11 @@
 	// in one second: its cold rate times the overage, plus the slack.
 	ColdOverage float64
 	ColdSlack   float64
+	// QuotaWindow is the length of the windows for which quotas of client accounts hold,
+	// QuotaOverage the fraction and QuotaSlack the amount that is tolerated beyond them.
+	QuotaWindow  time.Duration
+	QuotaOverage float64
+	QuotaSlack   float64
 	// MaxResponseAge is how long callers may cache a response of the directory.
 	MaxResponseAge time.Duration
 }
