--- a/internal/cwgate/serve.go
+++ b/internal/cwgate/serve.go
@@ -57,6 +57,7 @@
 	defer routed.bodyClaim.Release()
 	for _, s := range g.steps {
 		if refusal := s.take(ctx, routed); refusal != nil {
+			g.refundQuota(routed)
 			g.refuseUnrouted(r, responder, *refusal, routed.accountFields()...)
 			return
 		}
@@ -66,6 +67,9 @@
 	defer cwserver.LimitWrites(ctx, w)()
 	defer routed.releaseErrorResponse()
 	g.runAttempts(ctx, routed)
+	if routed.isNotRun() {
+		g.refundQuota(routed)
+	}
 }
 
 // waitForConfig returns the configuration in force, nil if there is none within configWait and
--- a/internal/cwgate/step.go
+++ b/internal/cwgate/step.go
@@ -24,6 +24,7 @@
 	return []step{
 		stepFunc(g.findRoute),
 		stepFunc(g.findAccount),
+		stepFunc(g.chargeQuota),
 		stepFunc(g.receiveBody),
 	}
 }
