A refusal that names no request is proof only if nothing else can have sent it

What was seen: a faulty endpoint sends an additional refusal after an answer.

Cause: a response without an identifier was tied to a request by its place on the connection alone. That place proves something only for the first response on a connection; after another response, an additional one is the peer's to send. Connections with an unnamed response were closed to requests that may run once, but the first such response was not caught. Looked for elsewhere: the same holds after a response to another request was skipped, and for every unnamed status from 300 on (a 421 counts as not run); all of them pass the one place in cwconn. Late responses that are awaited set no outcome.

Ruled out: a new connection for each request that may run once (28 a second at the site of the case, each priced and each may hold a slot); to count all unnamed refusals on kept connections as unknown (each sound refusal there becomes a 502); to wait for a second response (nothing follows a sound refusal).

Change: after such a response a check is sent on the same connection: a health check that expects an endpoint which doesn't exist, which is answered 421 and runs nothing. A peer answers in order. If the check's answer comes next, the refusal was the request's; if the request's own response comes, that one is used; with anything else the outcome is unknown. Only requests that may run once are checked.

What it costs: each sound refusal without an identifier on a kept connection costs one round trip and one request that is answered 421, and its connection if that 421 names no request. If the endpoint closes the connection with the refusal, turns the check away with another unnamed status, or is slower than the request's deadline, the outcome is unknown: 502 or 504 where it was a retry. Two additional refusals of which the second has status 421 are still believed. Requests that may be repeated still go on after an unnamed refusal at once; their run there isn't counted.

--- a/internal/cwconn/call.go
+++ b/internal/cwconn/call.go
@@ -26,6 +26,10 @@
 	// NeedsNamedResponses is set if the call must not be sent on a connection on which a response
 	// came that named no request: another copy of it can't be told from the response to the call.
 	NeedsNamedResponses bool
+	// Check tells a refusal of the call from one that belongs to no request; nil if that makes no
+	// difference. It is sent after a response that names no request, unless that is the first one on
+	// its connection.
+	Check *Check
 	// ForceNewConn prevents the use of an idle connection.
 	ForceNewConn bool
 	// MaxConns is the largest number of connections to the address; 0 means no limit.
--- /dev/null
+++ b/internal/cwconn/check.go
@@ -0,0 +1,78 @@
+package cwconn
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/clementinewell/clementinewell/internal/cwlimit"
+)
+
+// Check is a request without a body that the peer answers without running anything. A peer answers the
+// requests of a connection in their order: once the check is answered, so are all requests before it.
+type Check struct {
+	// Method is the request method, and Head the request line and all header fields, up to and
+	// including the empty line.
+	Method string
+	Head   []byte
+	// MatchResponse returns whether a response with this status and these fields answers the check.
+	MatchResponse func(status int, field func(name string) string) Match
+}
+
+var errUnconfirmed = errors.New("received more than one response that names no request")
+
+// needsCheck reports whether a response that names no request may belong to none: on a connection on
+// which another response came, a faulty peer may have sent it in addition to that one.
+func (c *conn) needsCheck(call *Call, reused bool) bool {
+	return call.Check != nil && (reused || c.hasSkippedResponse)
+}
+
+// confirm returns the response to the call after one that names no request. That is the refusal if the
+// answer to a check comes next, and otherwise the response that names the call.
+func (c *conn) confirm(call *Call, refusal *http.Response) (*http.Response, error) {
+	body, err := c.readSkippedBody(call, refusal)
+	if err != nil {
+		return nil, err
+	}
+	if _, err = c.Write(call.Check.Head); err != nil {
+		return nil, fmt.Errorf("send check after a response that names no request: %w", err)
+	}
+	for range maxSkippedResponses + 1 {
+		resp, err := c.readFinalHead(&http.Request{Method: call.Method})
+		if err != nil {
+			return nil, fmt.Errorf("await answer to check after a response that names no request: %w", err)
+		}
+		if call.MatchResponse(resp.StatusCode, resp.Header.Get) == MatchByName {
+			c.hasSkippedResponse = true // the answer to the check is still to come
+			return resp, nil
+		}
+		match := call.Check.MatchResponse(resp.StatusCode, resp.Header.Get)
+		// Only one that is named can't be followed by another answer to the check.
+		c.hasSkippedResponse = c.hasSkippedResponse || match != MatchByName
+		if _, err = c.readSkippedBody(call, resp); err != nil {
+			return nil, err
+		}
+		if match != MatchNone {
+			refusal.Body = io.NopCloser(bytes.NewReader(body))
+			return refusal, nil
+		}
+		if call.MatchResponse(resp.StatusCode, resp.Header.Get) == MatchByOrder {
+			return nil, errUnconfirmed
+		}
+	}
+	return nil, errOnlyOthers
+}
+
+// readSkippedBody reads the body of a response that is not forwarded as it arrives.
+func (c *conn) readSkippedBody(call *Call, resp *http.Response) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxSkippedBodyBytes))
+	if err != nil {
+		return nil, fmt.Errorf("skip response to another request: %w", err)
+	}
+	if len(body) == maxSkippedBodyBytes {
+		return nil, &cwlimit.Error{Step: "skip response to another request", Peer: call.Address, LimitBytes: maxSkippedBodyBytes}
+	}
+	return body, nil
+}
--- a/internal/cwconn/conn.go
+++ b/internal/cwconn/conn.go
@@ -35,6 +35,8 @@
 	idleMargin = time.Second
 )
 
+var errOnlyOthers = errors.New("received only responses to other requests")
+
 // conn is a connection. At most one call uses it at a time.
 type conn struct {
 	net.Conn
@@ -121,7 +123,7 @@
 
 // readResponse reads the head of the call's response. The caller ends the call without one.
 func (c *conn) readResponse(ctx context.Context, call *Call, reused bool) (*Response, error) {
-	resp, err := c.readMatchingHead(call)
+	resp, err := c.readMatchingHead(call, reused)
 	if err != nil {
 		return nil, &CallError{Step: "read response from", Peer: call.Address, Sent: true, Reused: reused, Err: withContextCause(ctx, cwlimit.ShortenError(err))}
 	}
@@ -149,8 +151,8 @@
 }
 
 // readMatchingHead reads the head of the call's response and skips responses to other
-// requests.
-func (c *conn) readMatchingHead(call *Call) (*http.Response, error) {
+// requests. A response that names none is the call's only if nothing else can have sent it.
+func (c *conn) readMatchingHead(call *Call, reused bool) (*http.Response, error) {
 	req := &http.Request{Method: call.Method}
 	for range maxSkippedResponses + 1 {
 		resp, err := c.readFinalHead(req)
@@ -161,8 +163,13 @@
 		if call.MatchResponse != nil {
 			match = call.MatchResponse(resp.StatusCode, resp.Header.Get)
 		}
+		if match == MatchByOrder {
+			c.hasUnnamedResponse = true
+			if c.needsCheck(call, reused) {
+				return c.confirm(call, resp)
+			}
+		}
 		if match != MatchNone {
-			c.hasUnnamedResponse = c.hasUnnamedResponse || match == MatchByOrder
 			return resp, nil
 		}
 		c.hasSkippedResponse = true
@@ -174,7 +181,7 @@
 			return nil, &cwlimit.Error{Step: "skip response to another request", Peer: call.Address, LimitBytes: maxSkippedBodyBytes}
 		}
 	}
-	return nil, fmt.Errorf("received only responses to other requests")
+	return nil, errOnlyOthers
 }
 
 // readFinalHead reads a response head and skips informational (1xx) ones. Together they are
--- a/internal/cwgate/attempt.go
+++ b/internal/cwgate/attempt.go
@@ -212,7 +212,10 @@
 	if a.exitDomain == "" {
 		call.MaxConns = a.maxConns(routed.service)
 		call.Admit, call.KeepsPending = a.checkWanted, true
-		call.NeedsNamedResponses = !routed.route.IsIdempotent()
+		if !routed.route.IsIdempotent() {
+			call.NeedsNamedResponses = true
+			call.Check = a.codec.BuildCheck(routed.Request, a.placement.EndpointID, a.healthPath(routed.service))
+		}
 	}
 	call.EncodeHead = func() []byte {
 		if a.onSent != nil {
@@ -284,6 +287,16 @@
 	return max(limit/instances, 1)
 }
 
+// healthPath returns the path of the health checks of the service's endpoints.
+func (g *Gate) healthPath(service string) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p := g.pools[service]; p != nil {
+		return p.Service.HealthPath
+	}
+	return ""
+}
+
 // connLimit returns the service's limit of connections to one endpoint, 0 if there is none. A
 // service that was removed has that of its last configuration.
 func (g *Gate) connLimit(service string) int {
--- a/internal/cwroute/service.go
+++ b/internal/cwroute/service.go
@@ -7,6 +7,8 @@
 	// MaxConns is the maximum number of connections to one endpoint, over all instances; 0
 	// means no limit.
 	MaxConns int
+	// HealthPath is the path of the endpoints' health checks; empty if it is not stated.
+	HealthPath string
 	// ColdRate is the number of requests per second that an endpoint takes while it is
 	// cold after its start; 0 means no limit.
 	ColdRate float64
--- a/internal/cwstandin/worker.go
+++ b/internal/cwstandin/worker.go
@@ -87,6 +87,9 @@
 	// FaultRepeatRefusal acts as FaultReject, and sends the refusal once more when the next request
 	// arrives on the same connection.
 	FaultRepeatRefusal
+	// FaultExtraRefusal runs the request and answers it, and sends a refusal that names no request when
+	// the next request arrives on the same connection.
+	FaultExtraRefusal
 	// FaultEndlessLine sends bytes that are no response, in one line, until the client closes.
 	FaultEndlessLine
 	// FaultEndlessField sends a status line and one field until the client closes.
@@ -299,6 +302,8 @@
 		panic(http.ErrAbortHandler)
 	case FaultExtraResponse:
 		w.writeRaw(rw, formatRawResponse(id, w.ID, w.buildResponseBody(r, text))+formatRawResponse("another", w.ID, "not yours"))
+	case FaultExtraRefusal:
+		w.answerBeforeRefusal(rw, formatRawResponse(id, w.ID, w.buildResponseBody(r, text)))
 	case FaultUnexpectedResponse:
 		w.writeRaw(rw, formatRawResponse("another", w.ID, "not yours")+formatRawResponse(id, w.ID, w.buildResponseBody(r, text)))
 	case FaultHang:
--- a/internal/cwstandin/worker_repeat.go
+++ b/internal/cwstandin/worker_repeat.go
@@ -14,11 +14,17 @@
 // repeatRefusal rejects a request. It writes the refusal once more when the next request arrives on the
 // same connection, which it runs and answers.
 func (w *Worker) repeatRefusal(rw http.ResponseWriter) {
+	w.answerBeforeRefusal(rw, rawRefusal)
+}
+
+// answerBeforeRefusal writes a response. It writes a refusal when the next request arrives on the same
+// connection, which it runs and answers.
+func (w *Worker) answerBeforeRefusal(rw http.ResponseWriter, response string) {
 	conn, buffered, err := http.NewResponseController(rw).Hijack()
 	if err != nil {
 		return
 	}
-	_, _ = io.WriteString(conn, rawRefusal)
+	_, _ = io.WriteString(conn, response)
 	go func() {
 		defer func() { _ = conn.Close() }()
 		w.serveAfterRefusal(conn, buffered.Reader)
