A response without a length is whole only if its endpoint goes on

What was seen: clients got streams with 1 to 19 of 20 events that ended as complete.

Cause: the end of the connection between two events counted as the end of such a stream. The gateway dials the endpoint then, but used the result only for the ledger of requests that end endpoints, and only within a second after the first event. As a class: each response whose end is that of its connection. Plain answers were failed, but not if the endpoint was leaving, was at its limit of connections or did not answer the dial; failures of endpoints were passed on unchecked. Answers of other instances mark their ends.

Change: after such a response the endpoint must accept a connection and keep it open for 50 ms (`cwconn.Pool.Reach`), also beside the limit of connections. Else the response is broken off: a resumable stream goes on at another endpoint, another one is cut. The connection serves the next request.

What it costs: the end of a stream without a length, and a plain answer without one as a whole, comes 50 ms later.

--- a/internal/cwconn/pool.go
+++ b/internal/cwconn/pool.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -129,6 +130,34 @@
 	return nil
 }
 
+// Reach opens a connection that the peer must keep open for a time: one that it accepted right before it
+// ended is closed then. The connection is kept for the next call, unless maxConns are open already: it is
+// then opened beside them, and closed. The error is a *CallError.
+func (p *Pool) Reach(ctx context.Context, address string, maxConns int, timeout, lasting time.Duration) error {
+	pool := p.addressPool(address)
+	c, err := p.open(ctx, pool, &Call{Address: address, MaxConns: maxConns}, timeout)
+	isBeside := errors.Is(err, ErrConnLimit)
+	if isBeside {
+		c, err = p.open(ctx, pool, &Call{Address: address}, timeout)
+	}
+	if err != nil {
+		return &CallError{Step: "connect to", Peer: address, Err: err}
+	}
+	_ = c.SetReadDeadline(time.Now().Add(lasting))
+	_, err = c.reader.Peek(1)
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.finish(false, nil)
+		return &CallError{Step: "keep connection to", Peer: address, Err: err}
+	}
+	if isBeside || err == nil {
+		c.finish(false, nil)
+		return nil
+	}
+	_ = c.SetReadDeadline(time.Time{})
+	c.keepUnused()
+	return nil
+}
+
 // open opens a connection within the limit of the call. The error wraps ErrNoAnswer if the
 // timeout has passed.
 func (p *Pool) open(ctx context.Context, pool *addressPool, call *Call, timeout time.Duration) (*conn, error) {
--- a/internal/cwgate/attempt.go
+++ b/internal/cwgate/attempt.go
@@ -30,7 +30,7 @@
 	errPartialEvent       = errors.New("stream ended within an event")
 	errNoEvent            = errors.New("stream ended without an event")
 	errUnwanted           = errors.New("endpoint takes no new requests since it was chosen")
-	errEndedWithResponse  = errors.New("endpoint ended with a response that has no length")
+	errEndedWithResponse  = errors.New("endpoint can't be reached after a response that has no length")
 )
 
 // result is the result of one attempt.
@@ -353,7 +353,7 @@
 		return a.failBroken(ctx, err)
 	}
 	defer body.Release()
-	if !response.IsDelimited() && a.hasEndedWithResponse(ctx) {
+	if !response.IsDelimited() && !a.outlivesResponse(ctx) {
 		return a.failUnknown(ctx, errEndedWithResponse)
 	}
 	if a.hasRelayMarkers(response) {
--- a/internal/cwgate/attempt_failure.go
+++ b/internal/cwgate/attempt_failure.go
@@ -36,7 +36,7 @@
 	}
 	a.excludePlace()
 	a.closeIdleConns(ctx)
-	a.probeEndpoint(ctx)
+	a.probeEndpoint(ctx, a.preconnect)
 	a.recordEnd(ctx, cwplacement.Failed)
 	if callErr.Pending != nil {
 		a.awaitLateResponse(ctx, callErr.Pending)
@@ -65,7 +65,7 @@
 
 // failBroken handles an attempt whose response was broken off.
 func (a *attempt) failBroken(ctx context.Context, err error) result {
-	a.probeEndpoint(ctx)
+	a.probeEndpoint(ctx, a.preconnect)
 	a.confirmOrigin()
 	r := a.failUnknown(ctx, err)
 	r.isBrokenOff = !errors.Is(err, errStalled)
@@ -86,6 +86,10 @@
 	if err != nil {
 		return a.failBroken(ctx, err)
 	}
+	if !response.IsDelimited() && !a.outlivesResponse(ctx) {
+		body.Release()
+		return a.failUnknown(ctx, errEndedWithResponse)
+	}
 	a.excludePlace()
 	a.recordEnd(ctx, cwplacement.Failed)
 	a.req.releaseErrorResponse()
--- a/internal/cwgate/attempt_stream.go
+++ b/internal/cwgate/attempt_stream.go
@@ -95,21 +95,26 @@
 }
 
 // finishStream handles the end of a stream and checks that it is complete. One that ends between
-// two events is, also if it is not delimited.
+// two events is. If it is not delimited, the endpoint must also have outlived it.
 func (a *attempt) finishStream(ctx context.Context, splitter *cwevent.Splitter, isDelimited bool) result {
 	switch {
 	case len(splitter.TakePartial()) > 0:
 		return a.failBroken(ctx, errPartialEvent)
 	case !a.req.responder.hasBegun:
 		return a.failBroken(ctx, errNoEvent)
+	case !isDelimited:
+		a.confirmOrigin() // before the dial that may tell that the endpoint has ended
+		if !a.outlivesResponse(ctx) {
+			r := a.failUnknown(ctx, errEndedWithResponse)
+			r.isBrokenOff = true
+			return r
+		}
 	}
 	if !a.retainResponse() {
 		return a.failUnknown(ctx, errStalled)
 	}
 	a.recordEnd(ctx, cwplacement.Served)
-	if isDelimited || !a.hasEndedWithResponse(ctx) {
-		a.recordSurvival()
-	}
+	a.recordSurvival()
 	r := result{outcome: cwanswer.Ran, mayHaveRun: true}
 	if r.err = a.req.responder.endStream(); r.err == nil {
 		a.streams.Complete(a.req.streamID())
--- a/internal/cwgate/crash.go
+++ b/internal/cwgate/crash.go
@@ -20,6 +20,10 @@
 	// endNoticeTime is how long an attempt whose response was broken off waits for the dial that
 	// tells whether the endpoint has ended. It covers the round trips within a region.
 	endNoticeTime = 100 * time.Millisecond
+	// outlivingTime is how long a new connection must last after a response that ended with its own: a
+	// process that ends closes its connections some milliseconds before it refuses new ones, and on a
+	// busy machine tens of them.
+	outlivingTime = 50 * time.Millisecond
 	// maxEndsOfRequest is the number of endpoints that may end under one request. It is not sent
 	// to another one then.
 	maxEndsOfRequest = 2
@@ -32,6 +36,10 @@
 // endpoints.
 var errBlocked = errors.New("requests like this one end endpoints")
 
+// errNotDialed means that an endpoint is not dialed because the caller or the deadline ended the
+// attempt.
+var errNotDialed = errors.New("not dialed after the end of the attempt")
+
 // setTraits sets the traits of the request: the parts of its prompt that other requests may
 // share, which are all but the last.
 func (r *routedRequest) setTraits() {
@@ -131,11 +139,14 @@
 // probeEndpoint opens a new connection to an endpoint whose response was interrupted, and
 // marks the endpoint unreachable if that fails. An endpoint that refuses has ended, which is
 // recorded. Nothing is done for a relayed request, or if the caller or the deadline ended the
-// attempt.
-func (a *attempt) probeEndpoint(ctx context.Context) {
+// attempt. The result of the dial is sent on the channel.
+func (a *attempt) probeEndpoint(ctx context.Context, dial func(ctx context.Context, maxConns int) error) <-chan error {
+	dialed := make(chan error, 1)
 	cause := context.Cause(ctx)
 	if a.placement == nil || cause != nil && !errors.Is(cause, errStalled) {
-		return
+		dialed <- errNotDialed
+		close(dialed)
+		return dialed
 	}
 	dialedAt := time.Now()
 	a.mu.Lock()
@@ -147,7 +158,9 @@
 	}
 	a.Go("probeEndpoint", func() {
 		defer close(ended)
-		err := a.conns.Preconnect(context.WithoutCancel(ctx), a.address, a.maxConns(a.req.service), cwconn.DialTimeout)
+		defer close(dialed)
+		err := dial(context.WithoutCancel(ctx), a.maxConns(a.req.service))
+		defer func() { dialed <- err }()
 		if err == nil || errors.Is(err, cwconn.ErrConnLimit) {
 			return
 		}
@@ -159,6 +172,7 @@
 		}
 		ended <- hasEnded
 	})
+	return dialed
 }
 
 // recordLost records that the endpoint could not be reached, and reports whether it has ended
@@ -187,11 +201,23 @@
 	return uint32(xxhash.Sum64String(id))
 }
 
-// hasEndedWithResponse reports whether the endpoint has ended, after a response whose end is that
-// of its connection.
-func (a *attempt) hasEndedWithResponse(ctx context.Context) bool {
-	a.probeEndpoint(ctx)
-	return a.awaitEndCheck(result{})
+// outlivesResponse reports whether the endpoint goes on after a response whose end is that of its
+// connection. Nothing else tells a whole response from one that was cut by the end of the endpoint: one
+// that doesn't answer, or that was asked to leave, may have ended too.
+func (a *attempt) outlivesResponse(ctx context.Context) bool {
+	if a.placement == nil {
+		return true // instances mark the ends of their responses
+	}
+	err := <-a.probeEndpoint(ctx, func(ctx context.Context, maxConns int) error {
+		return a.conns.Reach(ctx, a.address, maxConns, cwconn.DialTimeout, outlivingTime)
+	})
+	a.awaitEndCheck(result{})
+	return err == nil
+}
+
+// preconnect opens a connection to the endpoint for the next request.
+func (a *attempt) preconnect(ctx context.Context, maxConns int) error {
+	return a.conns.Preconnect(ctx, a.address, maxConns, cwconn.DialTimeout)
 }
 
 // awaitEndCheck reports whether an endpoint ended under the attempt that the request may have
--- a/internal/cwstandin/worker.go
+++ b/internal/cwstandin/worker.go
@@ -87,6 +87,8 @@
 	// FaultRepeatRefusal acts as FaultReject, and sends the refusal once more when the next request
 	// arrives on the same connection.
 	FaultRepeatRefusal
+	// FaultUndelimitedStream is no fault: it sends a stream that has neither a length nor chunks.
+	FaultUndelimitedStream
 	// FaultExtraRefusal runs the request and answers it, and sends a refusal that names no request when
 	// the next request arrives on the same connection.
 	FaultExtraRefusal
@@ -331,6 +333,9 @@
 // writeStream sends numbered events, starting after the last event that the client has.
 func (w *Worker) writeStream(rw http.ResponseWriter, r *http.Request, fault WorkerFault) {
 	rw.Header().Set("Content-Type", "text/event-stream")
+	if fault == FaultUndelimitedStream {
+		rw.Header().Set("Transfer-Encoding", "identity")
+	}
 	lastID, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for n := lastID + 1; n <= eventsPerStream; n++ {
 		if fault == FaultTruncateSlowStream && n > lastID+1 {
--- a/internal/cwstandin/worker_crash.go
+++ b/internal/cwstandin/worker_crash.go
@@ -29,6 +29,9 @@
 	PreludeHead
 	// PreludeEvent sends the head and an event.
 	PreludeEvent
+	// PreludeUndelimitedEvent sends the head and an event of a stream that has neither a length nor
+	// chunks.
+	PreludeUndelimitedEvent
 	// PreludeUndelimited sends the head and an event and a half of a stream that has neither
 	// a length nor chunks.
 	PreludeUndelimited
@@ -49,7 +52,7 @@
 	if c == nil || !c.Matches(r, body) {
 		return false
 	}
-	if c.Prelude == PreludeUndelimited {
+	if c.Prelude >= PreludeUndelimitedEvent {
 		rw.Header().Set("Transfer-Encoding", "identity")
 	}
 	if c.Prelude >= PreludeHead {
