The restart of an endpoint is noticed at instances that send it nothing

What was seen: streams of which the client got events of two software versions in one answer.

Cause: the version comes from the entry, which follows a restart late. A restart was suspected only by instances that dialed the endpoint while it was down, or were told so; nobody dials an idle one.

Ruled out: only connections opened before the entry was read as proof. An endpoint is known from its entry, so there are none, and its entry is written once in a life; a connection would have to be as old as the entry may be late, and an instance that has just started could not go on with any stream within the second that TestStreamIsTakenUpAtItsVersion allows. To begin redials at the refusal: after a cut of a whole region 6 of 75 requests were refused (TestCutOffInstancesServeTheirCallers), as all instances then dial in step.

Change: each instance keeps one connection without requests to each endpoint of services with resumable streams. When it ends, the endpoint is dialed at once; if that is refused, the endpoint may have restarted: no stream goes on there until its new entry is read, and other instances are told. No connection is kept where the instance's share of the limit of connections is under 4.

What it costs: one connection for each such endpoint and instance, and a new one each time the endpoint closes it as idle.

--- a/internal/cwconn/pool.go
+++ b/internal/cwconn/pool.go
@@ -158,6 +158,19 @@
 	return nil
 }
 
+// Hold opens a connection and keeps it without a call until the peer closes it or ctx ends. The error is
+// a *CallError.
+func (p *Pool) Hold(ctx context.Context, address string, maxConns int, timeout time.Duration) error {
+	c, err := p.open(ctx, p.addressPool(address), &Call{Address: address, MaxConns: maxConns}, timeout)
+	if err != nil {
+		return &CallError{Step: "connect to", Peer: address, Err: err}
+	}
+	defer context.AfterFunc(ctx, func() { _ = c.Conn.Close() })()
+	_, err = c.reader.Peek(1)
+	c.finish(false, nil)
+	return &CallError{Step: "hold connection to", Peer: address, Sent: true, Err: err}
+}
+
 // open opens a connection within the limit of the call. The error wraps ErrNoAnswer if the
 // timeout has passed.
 func (p *Pool) open(ctx context.Context, pool *addressPool, call *Call, timeout time.Duration) (*conn, error) {
--- a/internal/cwgate/endpoint_sync.go
+++ b/internal/cwgate/endpoint_sync.go
@@ -24,6 +24,7 @@
 	for name, p := range g.pools {
 		p.Retain(func(id string) bool { r := g.view.Endpoints[id]; return r.Service == name && g.isInRegion(r) })
 	}
+	g.syncWatches()
 	for id := range g.coldPeriods {
 		if _, known := g.view.Endpoints[id]; !known {
 			delete(g.coldPeriods, id)
--- /dev/null
+++ b/internal/cwgate/endpoint_watch.go
@@ -0,0 +1,115 @@
+package cwgate
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/clementinewell/clementinewell/internal/cwcommon"
+	"github.com/clementinewell/clementinewell/internal/cwconn"
+	"github.com/clementinewell/clementinewell/internal/cwplacement"
+	"github.com/clementinewell/clementinewell/internal/cwroute"
+)
+
+const (
+	// watchInterval is the interval at which an endpoint is dialed whose watched connection ends at once,
+	// or which does not answer.
+	watchInterval = 250 * time.Millisecond
+	// shortWatch is the time within which a watched connection ends if its endpoint is ending: it is
+	// accepted a moment before the endpoint refuses connections.
+	shortWatch = 50 * time.Millisecond
+	// maxShortWatches is the number of such dials in a row, 50 ms of them: an endpoint with too many
+	// connections closes new ones too.
+	maxShortWatches = 10
+	// minWatchShare is the smallest share of the limit of connections of which one is kept for this.
+	minWatchShare = 4
+	// shortWatchInterval is the interval of dials after such an end.
+	shortWatchInterval = 5 * time.Millisecond
+)
+
+// syncWatches watches the endpoints of services whose streams may go on at another one. The caller
+// holds mu.
+func (g *Gate) syncWatches() {
+	wanted := make(map[*cwplacement.Endpoint]bool)
+	for name, p := range g.pools {
+		if !g.hasResumableStreams(name) {
+			continue
+		}
+		for id := range g.view.Endpoints {
+			if e := p.Endpoint(id); e != nil && !e.HasStartedDraining() {
+				wanted[e] = true
+				g.startWatch(e, name)
+			}
+		}
+	}
+	for e, cancel := range g.watches {
+		if !wanted[e] {
+			cancel()
+			delete(g.watches, e)
+		}
+	}
+}
+
+func (g *Gate) hasResumableStreams(service string) bool {
+	if g.view.Config == nil {
+		return false
+	}
+	for _, r := range g.view.Config.Routes {
+		if r.Kind == cwroute.Stream && r.IsResumable && r.LeadsTo(service) {
+			return true
+		}
+	}
+	return false
+}
+
+func (g *Gate) startWatch(e *cwplacement.Endpoint, service string) {
+	if g.watches[e] != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(g.ended)
+	g.watches[e] = cancel
+	address := e.Address
+	g.Go("watch", func() { defer cancel(); g.watch(ctx, e, address, service) })
+}
+
+// watch keeps a connection to an endpoint, so that its end is noticed also while it serves nothing: until
+// its new entry arrives its software version is uncertain.
+func (g *Gate) watch(ctx context.Context, e *cwplacement.Endpoint, address, service string) {
+	wasHeld, shortWatches := false, 0
+	for ctx.Err() == nil {
+		if share := g.maxConns(service); share > 0 && share < minWatchShare {
+			cwcommon.Sleep(ctx, watchInterval)
+			continue
+		}
+		start := time.Now()
+		err := g.conns.Hold(ctx, address, g.maxConns(service), cwconn.DialTimeout)
+		if ctx.Err() != nil {
+			return
+		}
+		var callErr *cwconn.CallError
+		errors.As(err, &callErr)
+		pause := watchInterval
+		switch {
+		case callErr.Sent && time.Since(start) < shortWatch:
+			if shortWatches++; shortWatches <= maxShortWatches {
+				pause = shortWatchInterval
+			}
+		case callErr.Sent:
+			pause, shortWatches = 0, 0
+		case errors.Is(err, cwconn.ErrConnLimit), errors.Is(err, cwconn.ErrNoAnswer):
+		case wasHeld:
+			g.recordWatchEnd(e, start)
+		}
+		wasHeld = callErr.Sent
+		cwcommon.Sleep(ctx, pause)
+	}
+}
+
+// recordWatchEnd records that an endpoint refused a connection that was begun at a time.
+func (g *Gate) recordWatchEnd(e *cwplacement.Endpoint, dialedAt time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	e.MarkUnreachable(now)
+	g.recordUnreached(e.ID, dialedAt, now)
+}
--- a/internal/cwgate/gate.go
+++ b/internal/cwgate/gate.go
@@ -62,6 +62,8 @@
 	slotMembers []string
 	// reach tells whether this instance is cut off from the endpoints.
 	reach cwplacement.Reachability
+	// watches are the endpoints to which a connection is kept, with what ends that.
+	watches map[*cwplacement.Endpoint]context.CancelFunc
 	// redialing are the endpoints that are being redialed.
 	redialing map[*cwplacement.Endpoint]bool
 	// awaited are the endpoints of which a late response is awaited.
@@ -109,6 +111,7 @@
 		exitAddresses:    make(map[string]string),
 		exitsSilentSince: make(map[string]time.Time),
 		exitsCutOffUntil: make(map[string]time.Time),
+		watches:          make(map[*cwplacement.Endpoint]context.CancelFunc),
 		redialing:        make(map[*cwplacement.Endpoint]bool),
 		awaited:          make(map[*cwplacement.Endpoint]bool),
 		startedAt:        time.Now(),
