--- a/internal/cwgate/attempt.go
+++ b/internal/cwgate/attempt.go
@@ -30,7 +30,7 @@
 	errPartialEvent       = errors.New("stream ended within an event")
 	errNoEvent            = errors.New("stream ended without an event")
 	errUnwanted           = errors.New("endpoint takes no new requests since it was chosen")
-	errEndedWithResponse  = errors.New("endpoint ended with a response that has no length")
+	errEndedWithResponse  = errors.New("endpoint can't be reached after a response that has no length")
 )
 
 // result is the result of one attempt.
@@ -212,7 +212,10 @@
 	if a.exitDomain == "" {
 		call.MaxConns = a.maxConns(routed.service)
 		call.Admit, call.KeepsPending = a.checkWanted, true
-		call.NeedsNamedResponses = !routed.route.IsIdempotent()
+		if !routed.route.IsIdempotent() {
+			call.NeedsNamedResponses = true
+			call.Check = a.codec.BuildCheck(routed.Request, a.placement.EndpointID, a.healthPath(routed.service))
+		}
 	}
 	call.EncodeHead = func() []byte {
 		if a.onSent != nil {
@@ -289,6 +292,16 @@
 	return max(limit/instances, 1)
 }
 
+// healthPath returns the path of the health checks of the service's endpoints.
+func (g *Gate) healthPath(service string) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p := g.pools[service]; p != nil {
+		return p.Service.HealthPath
+	}
+	return ""
+}
+
 // connLimit returns the service's limit of connections to one endpoint, 0 if there is none. A
 // service that was removed has that of its last configuration.
 func (g *Gate) connLimit(service string) int {
@@ -345,7 +358,7 @@
 		return a.failBroken(ctx, err)
 	}
 	defer body.Release()
-	if !response.IsDelimited() && a.hasEndedWithResponse(ctx) {
+	if !response.IsDelimited() && !a.outlivesResponse(ctx) {
 		return a.failUnknown(ctx, errEndedWithResponse)
 	}
 	if a.hasRelayMarkers(response) {
