--- a/internal/cwcommand/explain.go
+++ b/internal/cwcommand/explain.go
@@ -162,7 +162,7 @@
 			continue
 		}
 		fmt.Fprintf(w, "%s\t%s\t%.3f\t%.3f\t%d\t%.1f\t%.3f\t%s\n", c.Domain, c.Region, c.Cost, c.FirstByteSeconds, c.UncachedTokens, c.SummaryAgeSeconds, c.RoundTripSeconds,
-			notes(c.Domain == x.Place, c.IsSimilar, c.Region == x.AffinityRegion, false))
+			notes(c.Domain == x.Place, false, c.Region == x.AffinityRegion, false))
 	}
 	_ = w.Flush()
 	printOthers(out, x.OtherDomains)
--- a/internal/cwgate/exit_addresses.go
+++ b/internal/cwgate/exit_addresses.go
@@ -17,16 +17,12 @@
 // of different instances spread over the domain. The caller holds mu.
 func (g *Gate) syncExitAddresses(now time.Time) {
 	clear(g.exitAddresses)
-	g.relayingInstances = 1
 	best := make(map[string]*cwpolicy.Member)
 	for i := range g.snapshot.Members {
 		m := &g.snapshot.Members[i]
 		if !g.isPossibleExit(m, now) {
 			continue
 		}
-		if m.Region == g.site.Region {
-			g.relayingInstances++
-		}
 		if other := best[m.Domain]; other == nil || g.isPreferredExit(m, other) {
 			best[m.Domain] = m
 		}
--- a/internal/cwgate/gate.go
+++ b/internal/cwgate/gate.go
@@ -53,9 +53,6 @@
 	// exitAddresses are the addresses of the instances to which requests are relayed, by
 	// domain.
 	exitAddresses map[string]string
-	// relayingInstances is the number of usable instances of the region, with this one: they relay
-	// by the same summaries of other regions.
-	relayingInstances int
 	// exitsSilentSince are the times at which dials to exits without an answer began, by the
 	// peer address, from the first one after the latest contact.
 	exitsSilentSince map[string]time.Time
--- a/internal/cwgate/placement.go
+++ b/internal/cwgate/placement.go
@@ -52,7 +52,7 @@
 		WasDomainTried: wasDomainTried,
 	}
 	if !routed.IsRelayed {
-		request.RemoteCapacities, request.RelayingInstances = g.remoteCapacities(routed), g.relayingInstances
+		request.RemoteCapacities = g.remoteCapacities(routed)
 		if request.IsLocalAllowed {
 			request.RemoteCapacities = append(request.RemoteCapacities, g.regionCapacities(p, wasEndpointTried, now)...)
 		}
--- a/internal/cwplacement/decide.go
+++ b/internal/cwplacement/decide.go
@@ -25,10 +25,6 @@
 	// response must be expected to be complete: one that is cut off has used capacity
 	// for nothing.
 	responseTimeoutShare = 0.85
-	// minAffinityGainShare is the share of the round trip to the affinity region that must be
-	// saved by not processing shared parts again: the caller waits for the round trip, and a
-	// response that crosses regions can be cut off with its link.
-	minAffinityGainShare = 0.25
 	// minRetryAfter and maxRetryAfter bound the time after which a refused caller should
 	// retry, before retryAfterJitter is added. Predictions of longer times are too uncertain;
 	// the end of a pause is not, so it has no upper bound.
@@ -57,8 +53,6 @@
 	IsLocalAllowed bool
 	// RemoteCapacities are the capacities of the permitted domains in other regions.
 	RemoteCapacities []cwpolicy.DomainCapacity
-	// RelayingInstances is the number of instances that relay by the same summaries, with this one.
-	RelayingInstances int
 	// IsRelayed is set if another instance relayed the request; it is not relayed again.
 	IsRelayed bool
 	// IsStarting is set while this instance may not have received the capacities of other
@@ -80,12 +74,6 @@
 	cost float64
 }
 
-// savedSeconds returns the time that the endpoint needs for the shared parts that another one may
-// have in its cache.
-func (c *candidate) savedSeconds() float64 {
-	return float64(c.prediction.recomputedTokens) / c.endpoint.promptSpeed.rate
-}
-
 // Decide chooses where a request goes and records its load there. It prefers, in this
 // order: the affinity region of the shared parts, if the request is on time there and
 // relaying pays off; this region, if the request is well on time here; another region,
@@ -235,35 +223,36 @@
 		return candidate{}
 	}
 	remote := p.bestRemote(req, affinityRegion, affinityRegion, now)
-	if remote.remoteCapacity == nil || local.savedSeconds() < minAffinityGainShare*remote.remoteCapacity.RoundTrip.Seconds() || remote.remoteCapacity.FailureRate >= degradedFailureRate || !req.isWithinTargetShare(onTimeTargetShare, remote.prediction.firstByteSeconds) || remote.prediction.firstByteSeconds > local.cost {
+	if remote.remoteCapacity == nil || remote.remoteCapacity.FailureRate >= degradedFailureRate || !req.isWithinTargetShare(onTimeTargetShare, remote.prediction.firstByteSeconds) || remote.prediction.firstByteSeconds > local.cost {
 		return candidate{}
 	}
 	return remote
 }
 
-// bestRemote returns a domain with about the lowest cost, of one region or, if region is
+// bestRemote returns the domain with the lowest cost, of one region or, if region is
 // empty, of all. The candidate is empty if there is none or the request was relayed to
-// this instance. The affinity region is the one that should cache the shared parts. What this
-// instance relayed since the summary counts for each instance that relays by the same summaries.
+// this instance. The affinity region is the one that should cache the shared parts.
 func (p *Pool) bestRemote(req *Request, region, affinityRegion string, now time.Time) candidate {
+	var best candidate
 	if req.IsRelayed {
-		return candidate{}
+		return best
 	}
-	var choice remoteChoice
 	for i := range req.RemoteCapacities {
 		r := &req.RemoteCapacities[i]
 		if region != "" && r.Region != region || !isRemoteUsable(r, now) || req.WasDomainTried(r.Domain) {
 			continue
 		}
-		choice.add(p.remoteCandidate(req, r, affinityRegion, now))
+		if c := p.remoteCandidate(req, r, affinityRegion, now); best.remoteCapacity == nil || c.cost < best.cost {
+			best = c
+		}
 	}
-	return choice.pick(p.rng.Float64())
+	return best
 }
 
 // remoteCandidate returns the domain with the prediction for the request.
 func (p *Pool) remoteCandidate(req *Request, r *cwpolicy.DomainCapacity, affinityRegion string, now time.Time) candidate {
 	tokens := remoteUncachedTokens(&req.Requirements, r.Region == affinityRegion)
-	relayed := p.relayedSince(r).Scale(float64(max(req.RelayingInstances, 1)))
+	relayed := p.relayedSince(r)
 	firstByteSeconds := remoteFirstByteSeconds(r, &req.Requirements, tokens, relayed, now)
 	recomputed := tokens - float64(req.PromptTokens-req.sharedTokens())
 	c := candidate{remoteCapacity: r, cost: firstByteSeconds + recomputeCostFactor*recomputed*r.SecondsPerToken}
--- a/internal/cwplacement/domain_candidate.go
+++ b/internal/cwplacement/domain_candidate.go
@@ -15,8 +15,6 @@
 	UncachedTokens int `json:"uncachedTokens"`
 	// Cost is what the domains are compared by, in weighted seconds.
 	Cost float64 `json:"cost"`
-	// IsSimilar is set if the requests are divided between the cheapest domain and this one.
-	IsSimilar bool `json:"similar"`
 	// SummaryAgeSeconds is the age of the capacity summary, and RoundTripSeconds the measured
 	// round trip, 0 if there is none.
 	SummaryAgeSeconds float64 `json:"summaryAgeSeconds"`
--- a/internal/cwplacement/explain.go
+++ b/internal/cwplacement/explain.go
@@ -65,9 +65,6 @@
 	slices.SortStableFunc(candidates, func(a, b EndpointCandidate) int {
 		return compareCandidates(a.Exclusion, b.Exclusion, a.Cost, b.Cost)
 	})
-	for i := range candidates {
-		candidates[i].IsSimilar = candidates[i].Exclusion == "" && candidates[i].Cost <= candidates[0].Cost*(1+costJitter)
-	}
 	return candidates
 }
 
@@ -122,9 +119,6 @@
 	slices.SortStableFunc(candidates, func(a, b DomainCandidate) int {
 		return compareCandidates(a.Exclusion, b.Exclusion, a.Cost, b.Cost)
 	})
-	for i := range candidates {
-		candidates[i].IsSimilar = candidates[i].Exclusion == "" && candidates[i].Cost <= candidates[0].Cost*(1+similarCostShare)
-	}
 	return candidates
 }
 
--- a/internal/cwplacement/pace.go
+++ b/internal/cwplacement/pace.go
@@ -15,7 +15,10 @@
 	// causedPauseCostSeconds is the cost of a pause that is too long in one running stream of an
 	// endpoint, and ownPauseCostSeconds that of a stream at an endpoint which processes prompts
 	// all the time. A late stream costs its caller about as much as a late first byte.
-	causedPauseCostSeconds, ownPauseCostSeconds = 0.3, 2.5
+	causedPauseCostSeconds, ownPauseCostSeconds = 0.05, 1.0
+	// maxPaceCostSeconds bounds the cost, so that pauses decide between similar endpoints: not
+	// against a cached prompt, a degraded endpoint or a long wait.
+	maxPaceCostSeconds = 0.3
 	// disturbedStreamDuration is the duration from which a stream meets the prompts that an
 	// endpoint processes meanwhile.
 	disturbedStreamDuration = 2 * time.Second
@@ -31,7 +34,7 @@
 	}
 	caused := e.pauseRisk(rs, float64(expected.uncachedTokens)) * float64(e.totalWork(now).InFlight)
 	own := e.promptShare(now) * min(expected.restSeconds/disturbedStreamDuration.Seconds(), 1) * e.pauseRisk(rs, maxEventPromptTokens(e))
-	return causedPauseCostSeconds*caused + ownPauseCostSeconds*own
+	return min(causedPauseCostSeconds*caused+ownPauseCostSeconds*own, maxPaceCostSeconds)
 }
 
 // maxEventPromptTokens returns the largest number of prompt tokens that the endpoint processes
