--- a/internal/cwscene/routed_scene.go
+++ b/internal/cwscene/routed_scene.go
@@ -171,6 +171,7 @@
 	return cwsite.Bounds{
 		ShutdownGrace: 8 * time.Second, RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second,
 		ColdOverage: 1.5, ColdSlack: 3, MaxResponseAge: 5 * time.Second,
+		QuotaWindow: 8 * time.Second, QuotaOverage: 0.25, QuotaSlack: 6,
 	}
 }
 
