Connections that watch endpoints don't take the place of requests

Change: the watch has no part in the count of a pool; while it is there, requests have one connection less of the share, and none is kept where the share is under 4. Measured: TestChangeDuringRequest, UnnoticedRestarts, TestCutOffInstances and Undelimited pass.

--- a/internal/cwconn/pool.go
+++ b/internal/cwconn/pool.go
@@ -158,10 +158,10 @@
 	return nil
 }
 
-// Hold opens a connection and keeps it without a call until the peer closes it or ctx ends. The error is
-// a *CallError.
-func (p *Pool) Hold(ctx context.Context, address string, maxConns int, timeout time.Duration) error {
-	c, err := p.open(ctx, p.addressPool(address), &Call{Address: address, MaxConns: maxConns}, timeout)
+// Hold opens a connection and keeps it without a call until the peer closes it or ctx ends. It does not
+// count against the limits of calls. The error is a *CallError.
+func (p *Pool) Hold(ctx context.Context, address string, timeout time.Duration) error {
+	c, err := p.open(ctx, &addressPool{}, &Call{Address: address}, timeout)
 	if err != nil {
 		return &CallError{Step: "connect to", Peer: address, Err: err}
 	}
--- a/internal/cwgate/endpoint_watch.go
+++ b/internal/cwgate/endpoint_watch.go
@@ -31,14 +31,16 @@
 // holds mu.
 func (g *Gate) syncWatches() {
 	wanted := make(map[*cwplacement.Endpoint]bool)
+	clear(g.watchedServices)
 	for name, p := range g.pools {
-		if !g.hasResumableStreams(name) {
+		if !g.hasResumableStreams(name) || !isWatchAffordable(g.connShare(p.Service.MaxConns)) {
 			continue
 		}
+		g.watchedServices[name] = true
 		for id := range g.view.Endpoints {
 			if e := p.Endpoint(id); e != nil && !e.HasStartedDraining() {
 				wanted[e] = true
-				g.startWatch(e, name)
+				g.startWatch(e)
 			}
 		}
 	}
@@ -50,6 +52,12 @@
 	}
 }
 
+// isWatchAffordable reports whether the share of the limit of connections leaves one for a watch; 0 is
+// no limit.
+func isWatchAffordable(connShare int) bool {
+	return connShare == 0 || connShare >= minWatchShare
+}
+
 func (g *Gate) hasResumableStreams(service string) bool {
 	if g.view.Config == nil {
 		return false
@@ -62,27 +70,23 @@
 	return false
 }
 
-func (g *Gate) startWatch(e *cwplacement.Endpoint, service string) {
+func (g *Gate) startWatch(e *cwplacement.Endpoint) {
 	if g.watches[e] != nil {
 		return
 	}
 	ctx, cancel := context.WithCancel(g.ended)
 	g.watches[e] = cancel
 	address := e.Address
-	g.Go("watch", func() { defer cancel(); g.watch(ctx, e, address, service) })
+	g.Go("watch", func() { defer cancel(); g.watch(ctx, e, address) })
 }
 
 // watch keeps a connection to an endpoint, so that its end is noticed also while it serves nothing: until
 // its new entry arrives its software version is uncertain.
-func (g *Gate) watch(ctx context.Context, e *cwplacement.Endpoint, address, service string) {
+func (g *Gate) watch(ctx context.Context, e *cwplacement.Endpoint, address string) {
 	wasHeld, shortWatches := false, 0
 	for ctx.Err() == nil {
-		if share := g.maxConns(service); share > 0 && share < minWatchShare {
-			cwcommon.Sleep(ctx, watchInterval)
-			continue
-		}
 		start := time.Now()
-		err := g.conns.Hold(ctx, address, g.maxConns(service), cwconn.DialTimeout)
+		err := g.conns.Hold(ctx, address, cwconn.DialTimeout)
 		if ctx.Err() != nil {
 			return
 		}
@@ -96,7 +100,7 @@
 			}
 		case callErr.Sent:
 			pause, shortWatches = 0, 0
-		case errors.Is(err, cwconn.ErrConnLimit), errors.Is(err, cwconn.ErrNoAnswer):
+		case errors.Is(err, cwconn.ErrNoAnswer):
 		case wasHeld:
 			g.recordWatchEnd(e, start)
 		}
--- a/internal/cwgate/gate.go
+++ b/internal/cwgate/gate.go
@@ -67,6 +67,9 @@
 	reach cwplacement.Reachability
 	// watches are the endpoints to which a connection is kept, with what ends that.
 	watches map[*cwplacement.Endpoint]context.CancelFunc
+	// watchedServices are the services to whose endpoints connections are kept. One of the share
+	// of each endpoint's limit of connections is for that.
+	watchedServices map[string]bool
 	// redialing are the endpoints that are being redialed.
 	redialing map[*cwplacement.Endpoint]bool
 	// awaited are the endpoints of which a late response is awaited.
@@ -115,6 +118,7 @@
 		exitsSilentSince: make(map[string]time.Time),
 		exitsCutOffUntil: make(map[string]time.Time),
 		watches:          make(map[*cwplacement.Endpoint]context.CancelFunc),
+		watchedServices:  make(map[string]bool),
 		redialing:        make(map[*cwplacement.Endpoint]bool),
 		awaited:          make(map[*cwplacement.Endpoint]bool),
 		startedAt:        time.Now(),
