--- a/internal/cwgate/attempt.go
+++ b/internal/cwgate/attempt.go
@@ -272,55 +272,6 @@
 	return 0
 }
 
-// maxConns returns this instance's share of the service's limit of connections to one
-// endpoint; 0 means no limit. The instances of the region have equal shares.
-func (g *Gate) maxConns(service string) int {
-	limit, isWatched := g.connLimit(service)
-	share := g.connShare(limit)
-	if isWatched && share >= minWatchShare {
-		return share - 1
-	}
-	return share
-}
-
-// connShare returns the part of a limit of connections that this instance may open, 0 if there is
-// no limit.
-func (g *Gate) connShare(limit int) int {
-	snapshot := g.control.Snapshot()
-	if limit == 0 {
-		return 0
-	}
-	instances := 1
-	for i := range snapshot.Members {
-		if snapshot.Members[i].Region == g.site.Region {
-			instances++
-		}
-	}
-	return max(limit/instances, 1)
-}
-
-// healthPath returns the path of the health checks of the service's endpoints.
-func (g *Gate) healthPath(service string) string {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if p := g.pools[service]; p != nil {
-		return p.Service.HealthPath
-	}
-	return ""
-}
-
-// connLimit returns the service's limit of connections to one endpoint, 0 if there is none, and whether
-// the endpoints are watched. A
-// service that was removed has that of its last configuration.
-func (g *Gate) connLimit(service string) (limit int, isWatched bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if p := g.pools[service]; p != nil {
-		return p.Service.MaxConns, g.watchedServices[service]
-	}
-	return 0, false
-}
-
 // enginePriorities are the priorities at an engine by band. There are gaps, so that other
 // values can be inserted.
 var enginePriorities = map[cwplacement.Band]int{cwplacement.UrgentLight: 2, cwplacement.Urgent: 3, cwplacement.NormalLight: 4, cwplacement.Normal: 5, cwplacement.Late: 8}
@@ -399,3 +350,13 @@
 	defer a.mu.Unlock()
 	a.placement.OnFirstByte(time.Now())
 }
+
+// healthPath returns the path of the health checks of the service's endpoints.
+func (g *Gate) healthPath(service string) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p := g.pools[service]; p != nil {
+		return p.Service.HealthPath
+	}
+	return ""
+}
