--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -36,14 +36,20 @@
 run_schedules() { go test -count=1 ./internal/cwpolicy ./internal/cwpublished ./internal/cwcrash ./internal/cwplacement -run Schedule -rapid.checks=10000 -rapid.seed=1 -rapid.nofailfile; }
 run_tests() {
   local log failing status attempt crashed
+  local raced=./... unraced=""
   log=$(mktemp)
+  if [ "$(uname -m)" = aarch64 ]; then
+    # The runtime of the race detector crashes in this package on arm64, in most runs.
+    unraced=./internal/cwapp
+    raced=$(go list ./... | grep -v '/internal/cwapp$')
+  fi
   # The runtime of the race detector sometimes crashes before any test result. Only
   # a run with such a crash is repeated.
   for attempt in 1 2 3; do
     # With the race detector the scenes of internal/cwapp take over 10 minutes on a busy machine.
-    go test -race -count=1 -timeout 40m ./... 2>&1 | tee "$log"
+    go test -race -count=1 -timeout 40m $raced 2>&1 | tee "$log"
     status=${PIPESTATUS[0]}
-    [ "$status" = 0 ] && return 0
+    [ "$status" = 0 ] && break
     grep -q '^ThreadSanitizer: CHECK failed' "$log" || break
     echo "== race detector crashed in attempt $attempt, no test result"
     if [ "$(uname -m)" = aarch64 ]; then
@@ -55,6 +61,11 @@
       break
     fi
   done
+  if [ -n "$unraced" ]; then
+    echo "== on this machine without the race detector: $unraced"
+    go test -count=1 -timeout 40m $unraced 2>&1 | tee -a "$log"
+    [ "${PIPESTATUS[0]}" = 0 ] || status=1
+  fi
   failing=$(grep -oE '^ *--- FAIL: [^ ]+' "$log" | awk '{print $3}' | sort -u)
   # A build failure, a panic or a data race is not tied to one test, so
   # KNOWN-RED.txt cannot excuse it.
