Placement: a refusal names the region as the reason where it is one

Log lines of refusals counted the endpoints of a region in which the request may not be served as rateLimited.

--- a/internal/cwplacement/exclusions.go
+++ b/internal/cwplacement/exclusions.go
@@ -9,10 +9,10 @@
 // Exclusions are the reasons why a request has no place: the number of places of this region and
 // of others by what excludes them.
 type Exclusions struct {
-	// Tried, Leaving, Ejected, Cold and RateLimited count endpoints, each by its first reason:
-	// tried before by this request, draining or evacuated, not reached by this instance, in a
-	// pause that it asked for, cold, at the limit that it names.
-	Tried, Leaving, Ejected, Paused, Cold, RateLimited int
+	// These count endpoints, each by its first reason: in a region where the request may not be
+	// served, tried before by this request, draining or evacuated, not reached by this instance,
+	// in a pause that it asked for, cold, at the limit that it names.
+	Region, Tried, Leaving, Ejected, Paused, Cold, RateLimited int
 	// Suspected counts the cold ones that are so only because they could not be reached and may
 	// have restarted; SuspectedByPeers those of them that this instance itself did not fail to
 	// reach.
@@ -28,6 +28,7 @@
 		name  string
 		count int
 	}{
+		{"region", x.Region},
 		{"tried", x.Tried},
 		{"leaving", x.Leaving},
 		{"ejected", x.Ejected},
@@ -51,6 +52,8 @@
 	x := &Exclusions{Domains: len(req.RemoteCapacities)}
 	for _, e := range p.sorted {
 		switch {
+		case !req.IsLocalAllowed:
+			x.Region++
 		case req.WasTried(e.ID):
 			x.Tried++
 		case e.HasStartedDraining() || e.IsEvacuated:
