Endpoints that become cold while the store is silent are asked for it

Cause: whether an endpoint is cold was known from its entry only, and for six seconds after a failure to reach it. While the store is silent no entry is written: an endpoint that restarted under its identifier got its full load six seconds later, one that became cold without a restart at once.

Ruled out: that the suspicion of a restart is lost in the silence (it holds for its six seconds), and that the owner's rate is wrong (the bound holds as soon as the endpoint is known to be cold).

Change: while the failure domain can't read the store, the instance that would own an endpoint while it is cold asks it by a health check, once a second and at once after it could not be reached. The answer extends the time for which the endpoint is cold, and passes to the region's instances with the next exchange. A check counts against the cold rate. No check is sent while entries can be read, nor for services without a cold rate or a health path.

The stand-in endpoint has a health check and becomes cold at a moment.

--- a/internal/cwapp/routed_app.go
+++ b/internal/cwapp/routed_app.go
@@ -86,6 +86,7 @@
 		r.Control.Run,
 		r.follower.Run,
 		r.gate.Conns().Run,
+		r.gate.RunColdChecks,
 		r.exchanger.Run,
 		spreader.Run,
 		streamSpreader.Run,
@@ -124,16 +125,10 @@
 	return cwpolicy.SelectDirectoryAddresses(members, query, time.Now()), ttl.Seconds()
 }
 
-// storeReadersPerDomain is the number of instances per domain that watch the store. The
-// store may refuse a third of the instances or not answer them. With three readers at
-// least one is served in nearly all cases; otherwise the domain gets changes from other
-// domains.
-const storeReadersPerDomain = 3
-
 // IsReader reports whether this instance watches the store for its domain.
 func (r *RoutedApp) IsReader() bool {
 	s := r.Control.Snapshot()
-	return cwpolicy.IsReader(s.Self.PeerAddress, s.Self.Domain, s.Members, storeReadersPerDomain, time.Now())
+	return cwpolicy.IsReader(s.Self.PeerAddress, s.Self.Domain, s.Members, cwpolicy.StoreReadersPerDomain, time.Now())
 }
 
 // handleFreeze makes an instance that was frozen confirm its state before it serves again.
--- a/internal/cwcontrol/endpoint_work.go
+++ b/internal/cwcontrol/endpoint_work.go
@@ -29,6 +29,9 @@
 	// StartedAtMillis, in Unix milliseconds.
 	IsLeaving       bool
 	StartedAtMillis int64
+	// ColdUntil is when the endpoint stops being cold, as it told the instance in a health check;
+	// zero if it did not.
+	ColdUntil time.Time
 }
 
 // EndpointRateLimit is what an endpoint stated about its rate limit.
--- a/internal/cwgate/codec.go
+++ b/internal/cwgate/codec.go
@@ -21,6 +21,12 @@
 	// BuildCheck returns a request to the endpoint of an attempt that it answers without running
 	// anything.
 	BuildCheck(r *Request, endpoint, healthPath string) *cwconn.Check
+	// BuildHealthCheck returns a request to an endpoint for its health, which no other endpoint
+	// answers.
+	BuildHealthCheck(endpoint, address, healthPath string) *cwconn.Check
+	// DecodeColdTime returns for how long an endpoint is cold according to the response to its
+	// health check; false if it doesn't say.
+	DecodeColdTime(h http.Header) (time.Duration, bool)
 	// EncodeOrigin sets the fields in the head of a relayed response that name what serves the
 	// stream.
 	EncodeOrigin(h http.Header, o cwstream.Origin)
--- a/internal/cwgate/cold_owner.go
+++ b/internal/cwgate/cold_owner.go
@@ -9,10 +9,12 @@
 )
 
 // coldPeriod is the time until which an endpoint is cold according to one revision of its
-// published entry. A cold endpoint takes only a low rate of requests.
+// published entry, and to what it has stated since. A cold endpoint takes only a low rate of requests.
 type coldPeriod struct {
 	revision cwpublished.Revision
 	until    time.Time
+	// statedUntil is the time that it has stated to this instance; zero if it has not.
+	statedUntil time.Time
 }
 
 // coldUntil returns when the endpoint stops being cold. The remaining time in the entry is
@@ -26,6 +28,18 @@
 	return period.until
 }
 
+// extendColdPeriod records that an endpoint is cold until a time, which its entry doesn't show. It
+// returns false if that was known.
+func (g *Gate) extendColdPeriod(id string, until time.Time) bool {
+	period, isKnown := g.coldPeriods[id]
+	if !isKnown || !until.After(period.until) {
+		return false
+	}
+	period.until = until
+	g.coldPeriods[id] = period
+	return true
+}
+
 // maxColdOwners is the number of instances that may own a cold endpoint at the same time,
 // while their lists of each other differ.
 const maxColdOwners = 2
--- a/internal/cwgate/gate.go
+++ b/internal/cwgate/gate.go
@@ -48,6 +48,8 @@
 	pools       map[string]*cwplacement.Pool
 	budgets     map[string]*cwplacement.RetryBudget
 	coldPeriods map[string]coldPeriod
+	// coldCheckTimes decides which endpoints are asked whether they are cold.
+	coldCheckTimes cwplacement.ColdCheckTimes
 	// peerWorkAt is the time of the latest work report used of each peer, by address.
 	peerWorkAt map[string]time.Time
 	// exitAddresses are the addresses of the instances to which requests are relayed, by
--- a/internal/cwgate/metrics.go
+++ b/internal/cwgate/metrics.go
@@ -26,6 +26,8 @@
 	blocks tally.Counter
 	// cutOffs counts how often this instance was cut off from all endpoints.
 	cutOffs tally.Counter
+	// coldChecks counts the health checks that ask endpoints whether they are cold.
+	coldChecks tally.Counter
 	// quotaRefusals counts the requests refused for their account's quota, and quotaRefunds those
 	// that were charged and have not run.
 	quotaRefusals tally.Counter
@@ -43,6 +45,7 @@
 		limitedSends: root.Counter("routed_limited_sends"),
 		blocks:       root.Counter("crash_blocks"),
 		cutOffs:      root.Counter("endpoint_cut_offs"),
+		coldChecks:   root.Counter("cold_checks"),
 
 		quotaRefusals: root.Counter("quota_refusals"),
 		quotaRefunds:  root.Counter("quota_refunds"),
--- a/internal/cwgate/peer_work.go
+++ b/internal/cwgate/peer_work.go
@@ -18,7 +18,7 @@
 			cutOff[m.PeerAddress] = true
 		}
 	}
-	reporting := 0
+	reporting, hasNewCold := 0, false
 	for address, peer := range g.snapshot.PeerWork {
 		g.mergeRateLimits(&peer, now)
 		g.mergeLeaving(&peer)
@@ -38,6 +38,7 @@
 					cutOffAt = time.Time{}
 				}
 			}
+			hasNewCold = g.extendColdPeriod(w.Endpoint, w.ColdUntil) || hasNewCold
 			if totals[w.Endpoint] == nil {
 				totals[w.Endpoint] = &peerWork{}
 			}
@@ -47,6 +48,9 @@
 			}
 		}
 	}
+	if hasNewCold {
+		g.syncEndpoints(now)
+	}
 	coverage := g.reportCoverage(reporting, now)
 	for _, p := range g.pools {
 		for id, e := range p.Endpoints() {
--- a/internal/cwgate/report.go
+++ b/internal/cwgate/report.go
@@ -58,13 +58,17 @@
 			}
 			promptSpeed, eventRate := e.Measurements(now)
 			rateLimit := reportedRateLimit(e, now)
-			if w.InFlight == 0 && len(parts) == 0 && failureRate < minReportedFailureRate && unreachableAt.IsZero() && rateLimit.ObservedAt.IsZero() && !e.IsLeaving() {
+			coldUntil := g.coldPeriods[id].statedUntil
+			if !now.Before(coldUntil) {
+				coldUntil = time.Time{}
+			}
+			if w.InFlight == 0 && len(parts) == 0 && failureRate < minReportedFailureRate && unreachableAt.IsZero() && rateLimit.ObservedAt.IsZero() && !e.IsLeaving() && coldUntil.IsZero() {
 				continue
 			}
 			work := cwcontrol.EndpointWork{
 				Endpoint: id, QueuedTokens: toQueuedTokens(w), HeldTokens: w.HeldTokens, InFlight: w.InFlight,
 				PromptParts: toControlParts(parts), FailureRate: failureRate, UnreachableAt: unreachableAt,
-				PromptSpeed: cwcontrol.Measurement(promptSpeed), EventRate: cwcontrol.Measurement(eventRate), RateLimit: rateLimit,
+				PromptSpeed: cwcontrol.Measurement(promptSpeed), EventRate: cwcontrol.Measurement(eventRate), RateLimit: rateLimit, ColdUntil: coldUntil,
 			}
 			if e.IsLeaving() {
 				work.IsLeaving, work.StartedAtMillis = true, e.StartedAtMillis
--- a/internal/cwpeer/exchange_message.go
+++ b/internal/cwpeer/exchange_message.go
@@ -1,6 +1,7 @@
 package cwpeer
 
 import (
+	"math"
 	"time"
 
 	"github.com/clementinewell/clementinewell/internal/cwcontrol"
@@ -195,6 +196,9 @@
 		if !w.UnreachableAt.IsZero() {
 			list[i].UnreachableAgeMillis = uint32(max(now.Sub(w.UnreachableAt), 0).Milliseconds()) + 1
 		}
+		if w.ColdUntil.After(now) {
+			list[i].ColdMillis = uint32(min(w.ColdUntil.Sub(now).Milliseconds(), math.MaxUint32))
+		}
 	}
 	return list
 }
@@ -217,6 +221,9 @@
 		if age := w.GetUnreachableAgeMillis(); age > 0 {
 			work[i].UnreachableAt = now.Add(-time.Duration(age-1) * time.Millisecond)
 		}
+		if left := w.GetColdMillis(); left > 0 {
+			work[i].ColdUntil = now.Add(time.Duration(left) * time.Millisecond)
+		}
 	}
 	return work
 }
--- a/internal/cwplacement/cold_limiter.go
+++ b/internal/cwplacement/cold_limiter.go
@@ -21,6 +21,23 @@
 	return true
 }
 
+// charge counts one request that is sent whatever the rate allows. The next one waits for it.
+func (l *coldLimiter) charge(rate float64, now time.Time) {
+	if rate <= 0 {
+		return
+	}
+	if l.nextAt.Before(now) {
+		l.nextAt = now
+	}
+	l.nextAt = l.nextAt.Add(time.Duration(float64(time.Second) / rate))
+}
+
+// ChargeHealthCheck counts a health check of this instance against the rate that the endpoint takes
+// while it is cold.
+func (e *Endpoint) ChargeHealthCheck(now time.Time) {
+	e.coldLimiter.charge(e.coldRate, now)
+}
+
 // canTake reports whether take would succeed.
 func (l *coldLimiter) canTake(rate float64, now time.Time) bool {
 	return rate > 0 && !now.Before(l.nextAt)
--- a/internal/cwpolicy/reader.go
+++ b/internal/cwpolicy/reader.go
@@ -11,6 +11,12 @@
 // fallback interval.
 const PlatformReadersPerDomain = 2
 
+// StoreReadersPerDomain is the number of instances of a failure domain that watch the store of
+// published state. The store may refuse a third of the instances or not answer them. With three
+// readers at least one is served in nearly all cases; otherwise the domain gets changes from other
+// domains.
+const StoreReadersPerDomain = 3
+
 // IsReader reports whether the instance with the peer address self is one of the
 // maxReaders instances of its domain that watch the platform or the store of published
 // state. The members are the other instances. Instances with different views of the
--- a/internal/cwstandin/worker.go
+++ b/internal/cwstandin/worker.go
@@ -36,6 +36,7 @@
 	header http.Header
 	// version is named in each event of a stream; empty to name none.
 	version string
+	coldness
 }
 
 // WorkerRun is a request that the worker ran.
@@ -252,6 +253,10 @@
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if r.URL.Path == HealthPath {
+		w.serveHealth(rw)
+		return
+	}
 	if fault == FaultRejectAtDeadline {
 		remainingMillis, _ := strconv.Atoi(r.Header.Get("Clementinewell-Deadline-Ms"))
 		select {
