Product's platform: probes beside watches notice one that was lost

Cause: a watch of the configuration or of a list that the platform loses, or whose response it loses, was awaited for its whole wait and 3 s more (33 s): its connection stays open, so only the missing response shows the loss. After a long silence the pause between reads had grown to 45 s besides.

Ruled out: a network that holds bytes back during a silence and delivers them afterwards. The same test with such a silence passed on the old code; a platform that loses calls and responses fails it. The stand-in platform can be silent in this way now.

Change: cwwatch runs a call with probes beside it; the followers of both platforms use it. On the product's interface a probe is a read that doesn't wait, every 2 s; a newer version that it returns counts at once, a probe without a response ends the watch. The pause after a read without a response is 3 s at most: such a read takes over a second itself.

Before: TestChangeIsAppliedAfterSilenceOfPlatform failed in all five cases of silences from 50 ms to two minutes, at the first phase of the watch each (the change after the silence was not in force within 5 s). After: all pass, at all 16 phases. Calls of one quiet instance with three watches: 6 a minute before, 96 after (TestCallsToQuietPlatform). TestChangeIsAppliedAfterSilenceOfStore and TestCallsToQuietStore pass unchanged over the shared code.

--- a/internal/cwpublished/follower.go
+++ b/internal/cwpublished/follower.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/clementinewell/clementinewell/internal/cwcommon"
+	"github.com/clementinewell/clementinewell/internal/cwwatch"
 )
 
 const (
@@ -28,10 +29,6 @@
 	// occur in between arrive in one call. It is a small part of the seconds within
 	// which changes must be in force.
 	watchGap = 700 * time.Millisecond
-	// firstProbeDelay is the time from the begin of a watch to its first probe. It is short,
-	// so that hardly any silence of the store loses the watch and not the probe, and longer
-	// than a watch takes that has changes to return.
-	firstProbeDelay = 100 * time.Millisecond
 	// probeInterval is the time from one probe to the next. With callTimeoutMargin it bounds
 	// the detection of a silence, and a change must be in force within 4 s. A probe costs a
 	// tenth of a call.
@@ -170,14 +167,14 @@
 		case <-watchDone:
 		}
 	}()
+	call := func(ctx context.Context) (Changes, error) { return f.store.Watch(ctx, f.state.Revision(), wait) }
+	var changes Changes
+	var err error
 	if wait > 0 {
-		f.Go("probeStore", func() {
-			if err := f.probe(ctx); err != nil {
-				cancel(err)
-			}
-		})
+		changes, err = cwwatch.Do(ctx, f.Common, probeInterval, f.probe, call)
+	} else {
+		changes, err = call(ctx)
 	}
-	changes, err := f.store.Watch(ctx, f.state.Revision(), wait)
 	close(watchDone)
 	<-restartHandled
 	f.Metrics.Counter("store_calls").Inc(1)
@@ -188,33 +185,28 @@
 	return changes, err
 }
 
-// probe probes the store until ctx ends. It returns an error if the watch in progress has to
-// be replaced: the store doesn't respond, so that it may have lost the watch too, or it has
-// changes that the watch doesn't deliver.
+// probe probes the store. It returns an error if the watch in progress has to be replaced: the
+// store doesn't respond, so that it may have lost the watch too, or it has changes that the
+// watch doesn't deliver.
 func (f *Follower) probe(ctx context.Context) error {
-	for delay := firstProbeDelay; ; delay = probeInterval {
-		cwcommon.Sleep(ctx, delay)
-		if ctx.Err() != nil {
-			return nil
-		}
-		if !f.isReader() {
-			continue
-		}
-		callCtx, cancel := context.WithTimeout(ctx, callTimeoutMargin)
-		revision, err := f.store.Probe(callCtx)
-		cancel()
-		f.Metrics.Counter("store_probes").Inc(1)
-		if err != nil {
-			return fmt.Errorf("probe store during a watch: %w", err)
-		}
-		if revision <= f.state.Revision() {
-			continue
-		}
-		cwcommon.Sleep(ctx, deliveryTime)
-		if behind := f.state.Revision(); revision > behind {
-			return fmt.Errorf("watch from revision %d, store at %d: %w", behind.StoreRevision(), revision.StoreRevision(), errWatchBehind)
-		}
+	if !f.isReader() {
+		return nil
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeoutMargin)
+	revision, err := f.store.Probe(callCtx)
+	cancel()
+	f.Metrics.Counter("store_probes").Inc(1)
+	if err != nil {
+		return fmt.Errorf("probe store during a watch: %w", err)
 	}
+	if revision <= f.state.Revision() {
+		return nil
+	}
+	cwcommon.Sleep(ctx, deliveryTime)
+	if behind := f.state.Revision(); revision > behind {
+		return fmt.Errorf("watch from revision %d, store at %d: %w", behind.StoreRevision(), revision.StoreRevision(), errWatchBehind)
+	}
+	return nil
 }
 
 // wait waits for the time, or until a restart is requested.
--- a/internal/cwstandin/platform.go
+++ b/internal/cwstandin/platform.go
@@ -24,6 +24,7 @@
 	revision       uint64
 	isDown         bool
 	isStale        bool
+	isSilent       bool
 	callLimiter    *rate.Limiter
 	calls          int
 }
@@ -95,6 +96,25 @@
 	p.changed = make(chan struct{})
 }
 
+// SetSilent sets whether the platform loses the calls that it receives and the responses that it would
+// send. The connections stay open, and nothing more is sent on them.
+func (p *Platform) SetSilent(silent bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.isSilent = silent
+}
+
+// isLost reports whether a call or its response is lost now. It returns once the client has given up.
+func (p *Platform) isLost(r *http.Request) bool {
+	p.mu.Lock()
+	isSilent := p.isSilent
+	p.mu.Unlock()
+	if isSilent {
+		<-r.Context().Done()
+	}
+	return isSilent
+}
+
 // SetStale sets whether reads return the value before the latest one, if there is one.
 func (p *Platform) SetStale(stale bool) {
 	p.mu.Lock()
@@ -146,9 +166,15 @@
 	p.mu.Lock()
 	p.calls++
 	p.mu.Unlock()
+	if p.isLost(r) {
+		return
+	}
 	for {
 		value, status, changed := p.lookUpValue(r.PathValue("key"), after)
 		if status != http.StatusNotModified {
+			if p.isLost(r) {
+				return
+			}
 			w.Header().Set(cwplatform.RevisionHeader, strconv.FormatUint(value.revision, 10))
 			w.WriteHeader(status)
 			// The client may have disconnected. It reads again.
@@ -158,6 +184,9 @@
 		select {
 		case <-changed:
 		case <-timeout.C:
+			if p.isLost(r) {
+				return
+			}
 			w.WriteHeader(http.StatusNotModified)
 			return
 		case <-r.Context().Done():
--- a/internal/cwsync/config_follower.go
+++ b/internal/cwsync/config_follower.go
@@ -21,10 +21,6 @@
 const (
 	// maxBucketsPerFetch is the maximum number of buckets requested from a peer in one call.
 	maxBucketsPerFetch = 32
-	// minBackoff and maxBackoff bound the pause after a failed read of the platform, before
-	// jitter.
-	minBackoff = 500 * time.Millisecond
-	maxBackoff = 30 * time.Second
 	// readerCheckInterval is how often an instance that is not a platform reader checks
 	// whether it has become one.
 	readerCheckInterval = 2 * time.Second
@@ -43,7 +39,7 @@
 	revision uint64
 	// lastReadAt is when the platform was last read, plus jitter.
 	lastReadAt time.Time
-	backoff    time.Duration
+	backoff    backoff
 	// fetchedBuckets holds the buckets, by hash, of an incomplete fetch. A retry does not
 	// read them again, because the platform limits the rate of calls.
 	fetchedBuckets map[string][]byte
@@ -54,7 +50,7 @@
 
 // NewConfigFollower returns a follower; Run starts it.
 func NewConfigFollower(common *cwcommon.Common, control *cwcontrol.Control, reader *cwplatform.Reader, client *cwpeer.Client, manifests *ManifestStore) *ConfigFollower {
-	return &ConfigFollower{Common: common, control: control, reader: reader, client: client, manifests: manifests, backoff: minBackoff, fetchedBuckets: make(map[string][]byte)}
+	return &ConfigFollower{Common: common, control: control, reader: reader, client: client, manifests: manifests, backoff: newBackoff(), fetchedBuckets: make(map[string][]byte)}
 }
 
 // Run follows the platform until ctx ends. The platform readers of the domain watch it.
@@ -89,7 +85,7 @@
 	err := f.readPlatform(ctx)
 	f.lastReadAt = time.Now().Add(rand.N(f.Settings.FallbackInterval / 4))
 	if err == nil || errors.Is(err, cwplatform.ErrUnchanged) {
-		f.backoff = minBackoff
+		f.backoff.reset()
 		return 0
 	}
 	if ctx.Err() != nil {
@@ -97,11 +93,7 @@
 	}
 	f.Log.Warn("configuration not read", zap.Error(err))
 	f.Metrics.Counter("platform_failures").Inc(1)
-	// The jitter prevents all instances that lost contact with the platform from retrying
-	// at the same time.
-	pause := rand.N(f.backoff) + f.backoff/2
-	f.backoff = min(2*f.backoff, maxBackoff)
-	return pause
+	return f.backoff.pause(err)
 }
 
 // readPlatform reads the manifest and applies it if it has changed. Platform readers wait
@@ -111,7 +103,7 @@
 	if f.revision == 0 || !f.isReader() {
 		wait = 0
 	}
-	value, err := f.reader.Watch(ctx, cwconfig.ManifestKey, f.revision, wait)
+	value, err := watchValue(ctx, f.Common, f.reader, cwconfig.ManifestKey, f.revision, wait)
 	if errors.Is(err, cwplatform.ErrUnchanged) {
 		f.control.Post(ctx, cwcontrol.ConfigConfirmed{Version: f.control.Snapshot().ConfigTracker.Accepted()})
 		return err
--- a/internal/cwsync/list_follower.go
+++ b/internal/cwsync/list_follower.go
@@ -5,8 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"math/rand/v2"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -23,14 +21,14 @@
 	reader   *cwplatform.Reader
 	key      string
 	newEvent func([]T) cwcontrol.Event
-	backoff  time.Duration
+	backoff  backoff
 	revision uint64
 }
 
 // NewListFollower returns a follower of the list with the platform key. newEvent returns
 // the control event for a version of the list.
 func NewListFollower[T any](common *cwcommon.Common, control *cwcontrol.Control, reader *cwplatform.Reader, key string, newEvent func([]T) cwcontrol.Event) *ListFollower[T] {
-	return &ListFollower[T]{Common: common, control: control, reader: reader, key: key, newEvent: newEvent, backoff: minBackoff}
+	return &ListFollower[T]{Common: common, control: control, reader: reader, key: key, newEvent: newEvent, backoff: newBackoff()}
 }
 
 // Run watches the list until ctx ends.
@@ -38,7 +36,7 @@
 	for ctx.Err() == nil {
 		err := f.Step(ctx)
 		if err == nil || errors.Is(err, cwplatform.ErrUnchanged) {
-			f.backoff = minBackoff
+			f.backoff.reset()
 			continue
 		}
 		if ctx.Err() != nil {
@@ -46,8 +44,7 @@
 		}
 		f.Log.Warn("instance list not read", zap.Error(err))
 		f.Metrics.Counter("platform_failures").Inc(1)
-		cwcommon.Sleep(ctx, f.backoff/2+rand.N(f.backoff))
-		f.backoff = min(2*f.backoff, maxBackoff)
+		cwcommon.Sleep(ctx, f.backoff.pause(err))
 	}
 	return nil
 }
@@ -60,7 +57,7 @@
 	if f.revision == 0 {
 		wait = 0
 	}
-	value, err := f.reader.Watch(ctx, f.key, f.revision, wait)
+	value, err := watchValue(ctx, f.Common, f.reader, f.key, f.revision, wait)
 	if err != nil {
 		return err
 	}
