explain shows what is left of the account's quota

Cause: the explanation had no way to ask the ledger without spending, so quota was null always.

Change: Ledger.Explain makes TrySpend's decision on a copy of the account, and Ledger.Spendable finds the largest amount that it would allow. The explanation names level, the part that this instance may spend, the share in contact, the age of the oldest input, and when a request fits; the command prints them, and says refuse where the quota refuses.

Before: TestExplanationShowsQuota did not compile against a quota of any type, and quota was null on every call.

--- a/internal/cwapp/routed_explain_test.go
+++ b/internal/cwapp/routed_explain_test.go
@@ -3,9 +3,11 @@
 import (
 	"encoding/json"
 	"io"
+	"math"
 	"net/http"
 	"net/url"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -151,3 +153,41 @@
 	}
 	return resp.StatusCode, string(body)
 }
+
+// TestExplanationShowsQuota guards against an explanation that uses the quota itself, that differs from
+// what happens to the request, or that omits what is left.
+func TestExplanationShowsQuota(t *testing.T) {
+	inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+		limited := cwstandin.NewPublishedAccount("limited", "secret-a")
+		limited["unit"], limited["rate-per-s"], limited["burst"] = "requests", 0.5, 6
+		s.Accounts = []map[string]any{limited, cwstandin.NewPublishedAccount("free", "secret-b")}
+		i, _ := startOneRegion(s, cwscene.NewRoute("r", "unsafe", nil))
+		time.Sleep(startupTime)
+		is.Equal(explain(t, s, i, "/r/x", "account", "free").Quota, nil)
+		previous, allowed := *explain(t, s, i, "/r/x", "account", "limited").Quota, 0
+		is.Equal(previous.Unit, "requests")
+		is.Equal(previous.PerSecond, 0.5)
+		is.Equal(previous.Amount, 1.0)
+		is.Equal(previous.ShareInContact, 1.0)
+		for {
+			var q cwgate.QuotaExplanation
+			for range 5 {
+				q = *explain(t, s, i, "/r/x", "account", "limited").Quota
+			}
+			is.True(allowed == 0 || q.Level < previous.Level)
+			is.True(q.Spendable <= q.Level)
+			previous = q
+			resp := s.Do(t.Context(), i, withKey("/r/x", "secret-a"))
+			is.Equal(resp.Status == http.StatusOK, q.IsAllowed)
+			if resp.Status != http.StatusOK {
+				is.Equal(resp.Status, http.StatusTooManyRequests)
+				seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+				is.NoErr(err)
+				is.True(q.RetryAfterSeconds > 0 && math.Abs(q.RetryAfterSeconds-seconds) < 0.1)
+				break
+			}
+			allowed++
+		}
+		is.True(allowed >= 6)
+	})
+}
--- a/internal/cwcommand/explain.go
+++ b/internal/cwcommand/explain.go
@@ -93,6 +93,10 @@
 	fmt.Fprintln(out, decisionText(x))
 	fmt.Fprintf(out, "route %s, service %s%s, account %s, priority %d\n", x.Route, x.Service, otherSharesText(x.OtherServices), orDash(x.Account), x.Priority)
 	fmt.Fprintf(out, "regions allowed by the route: %s; by the account: %s\n", orAll(x.RouteHomes), orAll(x.AccountHomes))
+	if q := x.Quota; q != nil {
+		fmt.Fprintf(out, "quota %g %s/s, burst %g: %.1f left, %.1f of it for this instance, the request counts %g; share in contact %.2f, oldest input %.3f s old\n",
+			q.PerSecond, q.Unit, q.Burst, q.Level, q.Spendable, q.Amount, q.ShareInContact, q.InputAgeSeconds)
+	}
 	if x.IsCutOff {
 		fmt.Fprintln(out, "this instance is cut off from the endpoints of its region")
 	}
@@ -109,6 +113,9 @@
 
 func decisionText(x *cwgate.RequestExplanation) string {
 	p := &x.Placement
+	if q := x.Quota; q != nil && !q.IsAllowed {
+		return fmt.Sprintf("refuse: over the quota of the account, retry after %.1f s", q.RetryAfterSeconds)
+	}
 	if x.Block != nil {
 		return "refuse: blocked because such requests end endpoints (" + strings.Join(x.Block.Traits, ", ") + ")"
 	}
--- a/internal/cwcommand/explain_test.go
+++ b/internal/cwcommand/explain_test.go
@@ -85,3 +85,19 @@
 		})
 	}
 }
+
+// TestExplainPrintsQuota guards against a text that names a place for a request that is over its
+// account's quota, or that hides what is left.
+func TestExplainPrintsQuota(t *testing.T) {
+	is := is.New(t)
+	answer := cwgate.RequestExplanation{
+		Account: "acme", Quota: &cwgate.QuotaExplanation{Unit: "tokens", PerSecond: 100, Burst: 400, Amount: 960, Level: 12.5, Spendable: 3, ShareInContact: 0.75, RetryAfterSeconds: 9.5},
+		Placement: cwplacement.Explanation{Action: "send", Place: "e1"},
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(&answer) }))
+	defer server.Close()
+	text, err := runExplain("--admin", server.Listener.Addr().String(), "--host", "h.example", "--path", "/chat/x", "--account", "acme")
+	is.NoErr(err)
+	is.True(strings.HasPrefix(text, "refuse: over the quota of the account, retry after 9.5 s\n"))
+	is.True(strings.Contains(text, "quota 100 tokens/s, burst 400: 12.5 left, 3.0 of it for this instance, the request counts 960; share in contact 0.75"))
+}
--- a/internal/cwgate/explain.go
+++ b/internal/cwgate/explain.go
@@ -36,6 +36,7 @@
 	if routed.account != nil {
 		x.AccountHomes = append(x.AccountHomes, routed.account.Homes...)
 	}
+	x.Quota = g.explainQuota(routed, now)
 	g.explainBlocks(x, routed, now)
 	x.Placement = g.explainPlacement(routed, now)
 	return x, nil
--- a/internal/cwgate/quota.go
+++ b/internal/cwgate/quota.go
@@ -21,16 +21,14 @@
 // chargeQuota charges the request to its account's quota, at the instance that received it from
 // the caller, and refuses it if the quota has no room.
 func (g *Gate) chargeQuota(_ context.Context, routed *routedRequest) *Refusal {
-	account := routed.account
-	if account == nil || !account.Quota.IsLimited() || routed.IsRelayed {
+	charge, limit, isLimited := quotaChargeOf(routed, time.Now())
+	if !isLimited {
 		return nil
 	}
-	charge := quotaCharge{account: cwquota.AccountID(account.Name), amount: quotaAmount(&account.Quota, routed.Prompt), at: time.Now()}
-	limit := cwquota.Limit{PerSecond: account.Quota.PerSecond, Burst: account.Quota.Burst}
 	d := g.quotas.trySpend(&charge, limit)
 	if !d.IsAllowed {
 		g.metrics.quotaRefusals.Inc(1)
-		g.Log.Info("request over the quota", zap.String("request", routed.ID), zap.String("account", account.Name),
+		g.Log.Info("request over the quota", zap.String("request", routed.ID), zap.String("account", routed.account.Name),
 			zap.Float64("amount", charge.amount), zap.Float64("level", d.Level), zap.Float64("share", d.Share),
 			zap.Duration("inputAge", d.InputAge), zap.Duration("retryAfter", d.RetryAfter))
 		return &Refusal{Status: http.StatusTooManyRequests, Reason: "quota", RetryAfter: d.RetryAfter}
@@ -39,6 +37,17 @@
 	return nil
 }
 
+// quotaChargeOf returns what a request counts against its account's quota at a time; false if it
+// counts nothing at this instance.
+func quotaChargeOf(routed *routedRequest, now time.Time) (quotaCharge, cwquota.Limit, bool) {
+	account := routed.account
+	if account == nil || !account.Quota.IsLimited() || routed.IsRelayed {
+		return quotaCharge{}, cwquota.Limit{}, false
+	}
+	charge := quotaCharge{account: cwquota.AccountID(account.Name), amount: quotaAmount(&account.Quota, routed.Prompt), at: now}
+	return charge, cwquota.Limit{PerSecond: account.Quota.PerSecond, Burst: account.Quota.Burst}, true
+}
+
 // quotaAmount returns what a request counts; the prompt is nil if it states none.
 func quotaAmount(q *cwroute.Quota, prompt *Prompt) float64 {
 	switch {
--- a/internal/cwgate/quotas.go
+++ b/internal/cwgate/quotas.go
@@ -61,6 +61,13 @@
 	return q.ledger.TrySpend(charge.account, limit, charge.amount, charge.at)
 }
 
+// explain returns the decision about a charge, and the largest amount that would be allowed.
+func (q *Quotas) explain(charge *quotaCharge, limit cwquota.Limit) (d cwquota.Decision, spendable float64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.ledger.Explain(charge.account, limit, charge.amount, charge.at), q.ledger.Spendable(charge.account, limit, charge.at)
+}
+
 func (q *Quotas) refund(charge *quotaCharge) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/internal/cwgate/request_explanation.go
+++ b/internal/cwgate/request_explanation.go
@@ -14,8 +14,8 @@
 	OtherServices map[string]float64 `json:"otherServices"`
 	// Account is the name of the client account; empty if there is none.
 	Account string `json:"account"`
-	// Quota is the state of the account's quota; null while it is not counted.
-	Quota any `json:"quota"`
+	// Quota is the state of the account's quota; null if it has none.
+	Quota *QuotaExplanation `json:"quota"`
 	// RouteHomes and AccountHomes are the regions that bound the request; empty allows all.
 	RouteHomes   []string `json:"routeHomes"`
 	AccountHomes []string `json:"accountHomes"`
--- a/internal/cwroute/quota.go
+++ b/internal/cwroute/quota.go
@@ -10,6 +10,14 @@
 	Tokens
 )
 
+// String returns the unit as operators read it.
+func (u QuotaUnit) String() string {
+	if u == Tokens {
+		return "tokens"
+	}
+	return "requests"
+}
+
 // Quota is the rate that a client account may use, over all instances together.
 type Quota struct {
 	// Unit is the unit of the other fields.
