Tests and the stand-in worker: three long files are split by concern

Change: keys at an exit, withdrawn keys and their secrecy, resumed streams and refusals that name no request have test files of their own; the worker's faults, runs and streams too. No line is changed: the sorted lines of the files before and after are the same, but for imports.

change_scene_test.go, half_closing_net_test.go and limit_change_test.go were said to sleep on the real clock. They don't: all of their callers run inside a synctest bubble. Their comments say so now.

--- a/internal/cwapp/change_scene_test.go
+++ b/internal/cwapp/change_scene_test.go
@@ -16,7 +16,8 @@
 
 // changeScene is a routed scene whose configuration, entries and settings change while a
 // request is in progress: two endpoints of the service "app" and one of "other" in one
-// domain, and an instance there. A relayed request enters at an instance in another region.
+// domain, and an instance there. A relayed request enters at an instance in another region. It is
+// used inside a synctest bubble, so its waits take no time.
 type changeScene struct {
 	*cwscene.RoutedScene
 	*hold
--- a/internal/cwapp/half_closing_net_test.go
+++ b/internal/cwapp/half_closing_net_test.go
@@ -15,7 +15,7 @@
 const halfCloseAfter = 300 * time.Millisecond
 
 // halfClosingNet is a network on which callers close the writing side of their connections some
-// time after they have sent a body that ends with "order".
+// time after they have sent a body that ends with "order". It is used inside a synctest bubble.
 type halfClosingNet struct {
 	cwnet.Net
 }
--- a/internal/cwserver/limit_change_test.go
+++ b/internal/cwserver/limit_change_test.go
@@ -9,7 +9,8 @@
 	"github.com/clementinewell/clementinewell/internal/cwserver"
 )
 
-// withTimes runs a test against a server whose peers may be idle for a time that changes.
+// withTimes runs a test, inside a synctest bubble, against a server whose peers may be idle for a time
+// that changes.
 func withTimes(t *testing.T, idleLimit *atomic.Int64, run func(s *testServer)) {
 	t.Helper()
 	times := func() (header, idle time.Duration) { return 0, time.Duration(idleLimit.Load()) }
--- a/internal/cwstandin/worker.go
+++ b/internal/cwstandin/worker.go
@@ -39,114 +39,11 @@
 	coldness
 }
 
-// WorkerRun is a request that the worker ran.
-type WorkerRun struct {
-	// RequestID is the request's identifier, and Header holds all its fields.
-	RequestID string
-	Header    http.Header
-	// Method, Path and Body are those of the request. Path includes the query.
-	Method, Path, Body string
-	// ReceivedAt is the time at which the worker received the request.
-	ReceivedAt time.Time
-}
-
-// WorkerFault is the fault that a worker injects into its response to a request.
-type WorkerFault int
-
-const (
-	// FaultNone sends a correct response.
-	FaultNone WorkerFault = iota
-	// FaultReject doesn't run the request and responds that it has not run.
-	FaultReject
-	// FaultServerError runs the request and responds with status 500.
-	FaultServerError
-	// FaultLoseResponse runs the request and closes the connection without a response.
-	FaultLoseResponse
-	// FaultTruncateResponse sends half of the response and closes the connection.
-	FaultTruncateResponse
-	// FaultExtraResponse sends a response to another request directly after its own.
-	FaultExtraResponse
-	// FaultUnexpectedResponse sends a response to another request before its own.
-	FaultUnexpectedResponse
-	// FaultOmitSignature sends a response without a signature.
-	FaultOmitSignature
-	// FaultHang runs the request and never responds.
-	FaultHang
-	// FaultTruncateStream closes the connection within the third event that it sends of
-	// a stream.
-	FaultTruncateStream
-	// FaultTruncateSlowStream sends an event every SlowStreamInterval and closes the
-	// connection within the last event of a stream.
-	FaultTruncateSlowStream
-	// FaultPauseStream pauses for StreamPause before the third event that it sends of a
-	// stream.
-	FaultPauseStream
-	// FaultRejectAtDeadline acts as FaultReject when the request's deadline expires.
-	FaultRejectAtDeadline
-	// FaultSlowResponse runs the request and responds after SlowResponseTime.
-	FaultSlowResponse
-	// FaultRepeatRefusal acts as FaultReject, and sends the refusal once more when the next request
-	// arrives on the same connection.
-	FaultRepeatRefusal
-	// FaultUndelimitedStream is no fault: it sends a stream that has neither a length nor chunks.
-	FaultUndelimitedStream
-	// FaultExtraRefusal runs the request and answers it, and sends a refusal that names no request when
-	// the next request arrives on the same connection.
-	FaultExtraRefusal
-	// FaultEndlessLine sends bytes that are no response, in one line, until the client closes.
-	FaultEndlessLine
-	// FaultEndlessField sends a status line and one field until the client closes.
-	FaultEndlessField
-	// FaultEndlessHead sends a status line and fields until the client closes.
-	FaultEndlessHead
-	// FaultEndlessInterim sends interim responses until the client closes.
-	FaultEndlessInterim
-	// FaultEndlessBody sends the body of a response until the client closes.
-	FaultEndlessBody
-	// FaultEndlessEvent sends the head of a stream and one event until the client closes.
-	FaultEndlessEvent
-)
-
-// SlowStreamInterval is the time between two events with FaultTruncateSlowStream.
-const SlowStreamInterval = time.Second
-
-// SlowResponseTime is the time until the response with FaultSlowResponse.
-const SlowResponseTime = 1300 * time.Millisecond
-
-// StreamPause is the pause within a stream with FaultPauseStream.
-const StreamPause = 3 * time.Second
-
 // NewWorker returns a worker that injects no faults.
 func NewWorker(id string) *Worker {
 	return &Worker{ID: id}
 }
 
-// QueueFaults queues faults for the next requests, one for each request.
-func (w *Worker) QueueFaults(faults ...WorkerFault) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.nextFaults = append(w.nextFaults, faults...)
-}
-
-// SetDefaultFault sets the fault of requests for which QueueFaults queued none.
-func (w *Worker) SetDefaultFault(fault WorkerFault) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.defaultFault = fault
-}
-
-// SetFirstRequestFault sets the fault of one request: the first that reaches any of the
-// workers.
-func SetFirstRequestFault(workers []*Worker, fault WorkerFault) {
-	shared := make(chan WorkerFault, 1)
-	shared <- fault
-	for _, w := range workers {
-		w.mu.Lock()
-		w.sharedFault = shared
-		w.mu.Unlock()
-	}
-}
-
 // Runs returns the requests that the worker ran.
 func (w *Worker) Runs() []WorkerRun {
 	w.mu.Lock()
@@ -162,24 +59,6 @@
 	return w.abortedRequests
 }
 
-// takeFault returns the fault of the next request: that of SetFirstRequestFault, of
-// QueueFaults or the default, in this order.
-func (w *Worker) takeFault() WorkerFault {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	select {
-	case fault := <-w.sharedFault:
-		return fault
-	default:
-	}
-	if len(w.nextFaults) == 0 {
-		return w.defaultFault
-	}
-	fault := w.nextFaults[0]
-	w.nextFaults = w.nextFaults[1:]
-	return fault
-}
-
 // SetServiceTime sets how long the worker takes before it responds to a request.
 func (w *Worker) SetServiceTime(d time.Duration) {
 	w.mu.Lock()
@@ -240,9 +119,6 @@
 	return w.serviceTime
 }
 
-// eventsPerStream is the number of events in a complete stream.
-const eventsPerStream = 6
-
 // ServeHTTP serves a request with the worker's next fault.
 func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
@@ -335,56 +211,6 @@
 	panic(http.ErrAbortHandler)
 }
 
-// writeStream sends numbered events, starting after the last event that the client has.
-func (w *Worker) writeStream(rw http.ResponseWriter, r *http.Request, fault WorkerFault) {
-	rw.Header().Set("Content-Type", "text/event-stream")
-	if fault == FaultUndelimitedStream {
-		rw.Header().Set("Transfer-Encoding", "identity")
-	}
-	lastID, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	for n := lastID + 1; n <= eventsPerStream; n++ {
-		if fault == FaultTruncateSlowStream && n > lastID+1 {
-			time.Sleep(SlowStreamInterval)
-		}
-		if fault == FaultTruncateStream && n == lastID+3 || fault == FaultTruncateSlowStream && n == eventsPerStream {
-			_, _ = fmt.Fprintf(rw, "id: %d\nda", n)
-			_ = http.NewResponseController(rw).Flush()
-			panic(http.ErrAbortHandler)
-		}
-		if fault == FaultPauseStream && n == lastID+3 {
-			time.Sleep(StreamPause)
-		}
-		if n > lastID+1 {
-			w.waitForNextPart(rw)
-		}
-		_, _ = io.WriteString(rw, w.formatEvent(n))
-		_ = http.NewResponseController(rw).Flush()
-	}
-}
-
-func (w *Worker) formatEvent(n int) string {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.version != "" {
-		return fmt.Sprintf("id: %d\nversion: %s\ndata: piece %d\n\n", n, w.version, n)
-	}
-	return fmt.Sprintf("id: %d\ndata: piece %d\n\n", n, n)
-}
-
-// buildResponseBody returns the body of a response that is sent in one piece: all events
-// if the request expects a stream, or else the text.
-func (w *Worker) buildResponseBody(r *http.Request, text string) string {
-	if r.Header.Get("Clementinewell-Token-Count") == "" {
-		return text
-	}
-	lastID, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	events := ""
-	for n := lastID + 1; n <= eventsPerStream; n++ {
-		events += w.formatEvent(n)
-	}
-	return events
-}
-
 // writeRaw writes bytes to the connection without net/http, which would send only one
 // response per request. Like a faulty endpoint, it keeps the connection open
 // afterwards, until the client closes it.
