Health checks in a silence are sent only where a request may be

Cause: an endpoint serves a health check as a request: it takes a slot, counts against a limit, and may be turned away. The checks for cold endpoints asked paused, rate-limited and brittle endpoints too; a brittle one may end from turning a check away.

Change: Pool.MayCheckHealth decides, CountHealthCheck counts a check against the cold rate and a named limit. Whether the store is silent is read from the control state, so that the loop does nothing else in calm.

--- a/internal/cwgate/cold_check.go
+++ b/internal/cwgate/cold_check.go
@@ -42,25 +42,22 @@
 // takeColdChecks returns the checks that are due. Of the instances that may send requests to an
 // endpoint only the one checks it that owns it while it is cold.
 func (g *Gate) takeColdChecks(now time.Time) []coldCheck {
+	isSilent := isStoreSilent(g.control.Snapshot(), now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.sync(now)
-	if !g.isStoreSilent(now) {
+	if !isSilent {
 		g.coldCheckTimes.Reset()
 		return nil
 	}
+	g.sync(now)
 	var checks []coldCheck
 	for name, p := range g.pools {
-		if p.Service.ColdRate <= 0 || p.Service.HealthPath == "" {
+		if p.Service.HealthPath == "" {
 			continue
 		}
 		for id, e := range p.Endpoints() {
-			isKnownCold := now.Before(e.ColdUntil)
-			if isKnownCold || e.HasStartedDraining() || e.IsEvacuated || e.IsEjected(now) || !g.ownsCold(id, e.Domain, now) {
-				continue
-			}
-			if g.coldCheckTimes.Take(id, e.UnreachableAt(), now) {
-				e.ChargeHealthCheck(now)
+			if p.MayCheckHealth(e, now) && g.ownsCold(id, e.Domain, now) && g.coldCheckTimes.Take(id, e.UnreachableAt(), now) {
+				e.CountHealthCheck(now)
 				checks = append(checks, coldCheck{endpoint: e, id: id, address: e.Address, service: name, healthPath: p.Service.HealthPath})
 			}
 		}
--- a/internal/cwplacement/cold_limiter.go
+++ b/internal/cwplacement/cold_limiter.go
@@ -32,12 +32,6 @@
 	l.nextAt = l.nextAt.Add(time.Duration(float64(time.Second) / rate))
 }
 
-// ChargeHealthCheck counts a health check of this instance against the rate that the endpoint takes
-// while it is cold.
-func (e *Endpoint) ChargeHealthCheck(now time.Time) {
-	e.coldLimiter.charge(e.coldRate, now)
-}
-
 // canTake reports whether take would succeed.
 func (l *coldLimiter) canTake(rate float64, now time.Time) bool {
 	return rate > 0 && !now.Before(l.nextAt)
