--- a/internal/cwplacement/cold_limiter.go
+++ b/internal/cwplacement/cold_limiter.go
@@ -21,6 +21,17 @@
 	return true
 }
 
+// charge counts one request that is sent whatever the rate allows. The next one waits for it.
+func (l *coldLimiter) charge(rate float64, now time.Time) {
+	if rate <= 0 {
+		return
+	}
+	if l.nextAt.Before(now) {
+		l.nextAt = now
+	}
+	l.nextAt = l.nextAt.Add(time.Duration(float64(time.Second) / rate))
+}
+
 // canTake reports whether take would succeed.
 func (l *coldLimiter) canTake(rate float64, now time.Time) bool {
 	return rate > 0 && !now.Before(l.nextAt)
