Scarcity: predictions at engines know slots, memory and what isn't reported yet

In a crowd, engines preempted requests, turned others away, and some waited in their queues until callers gave up. predict() took memory beyond the engine's for processing time (9,000 tokens: 0.2 s), the wait for a slot for a service time that each instance learns from its own few requests (80 ms at first), and the work of others as it was at their latest report, so that all instances chose the same engine until the next one. Requests of a lower rank were told the wait without the more urgent ones that would come after them. Nothing held back what was predicted to end after its deadline, if its first byte was in time.

Change. - engine_mix.go: from the mix of the service's requests and the pace of an engine follows how fast its slots and memory become free, and how much of its time goes to more urgent requests to come. - engine_memory.go: the memory that lacks when a request would run; it costs the requests that would be preempted, and late work isn't sent where it lacks. Long prompts of the other ranks leave a tenth. - recent_work.go: the others are taken to have placed since their reports what this instance has. - An engine that turned a request away counts as full until the next report. - What isn't predicted to end before its deadline isn't sent. choose() has one more condition for it. - A prompt is as light under load as without: measured speeds include waits. - The failure rate of an endpoint is computed once a decision; the mean speed reads no map. Plain services are decided as before. Engines with at most half of their slots and memory taken have the same predictions as before, unless they have just turned a request away; there only what can't end in time is decided otherwise, and a prompt's band if measured speeds have fallen. Existing tests are unchanged and pass.

Refusing all late work at full slots: a scene of explain sends it. Adding the waits for slots and for prompts: they overlap.

--- a/internal/cwplacement/band.go
+++ b/internal/cwplacement/band.go
@@ -1,5 +1,10 @@
 package cwplacement
 
+import (
+	"math"
+	"time"
+)
+
 // Band is the scheduling priority of work at an engine. Work of a lower band goes first.
 type Band int
 
@@ -40,11 +45,31 @@
 	return Normal
 }
 
+// unloadedSpeedTimeConstant is the time constant with which the highest mean speed of the endpoints is
+// forgotten. It is longer than most crowds.
+const unloadedSpeedTimeConstant = 2 * time.Minute
+
+// unloadedSpeed is the highest recent mean speed of the endpoints, in prompt tokens per second.
+// Under load measured speeds include the time that prompts wait for each other; a prompt is no less
+// light then.
+type unloadedSpeed struct {
+	rate float64
+	at   time.Time
+}
+
+// record records the mean speed.
+func (s *unloadedSpeed) record(mean float64, now time.Time) {
+	if s.rate > 0 {
+		s.rate *= math.Exp(-now.Sub(s.at).Seconds() / unloadedSpeedTimeConstant.Seconds())
+	}
+	s.rate, s.at = max(s.rate, mean), now
+}
+
 // targetShare returns the share of the target that the prompt of the request takes at the mean speed
-// of the endpoints.
+// of the endpoints without load.
 func (p *Pool) targetShare(rs *Requirements) float64 {
 	if rs.FirstByteTarget <= 0 {
 		return 0
 	}
-	return float64(rs.PromptTokens) / p.meanPromptSpeed() / rs.FirstByteTarget.Seconds()
+	return float64(rs.PromptTokens) / max(p.meanPromptSpeed(), p.unloadedSpeed.rate) / rs.FirstByteTarget.Seconds()
 }
--- a/internal/cwplacement/decide.go
+++ b/internal/cwplacement/decide.go
@@ -74,6 +74,11 @@
 	cost float64
 }
 
+// endsInTime reports whether the response of an engine is expected to end before the deadline.
+func (c *candidate) endsInTime(req *Request) bool {
+	return c.endpoint.engine == nil || req.ResponseTimeout == 0 || c.prediction.firstByteSeconds+c.prediction.restSeconds <= req.ResponseTimeout.Seconds()
+}
+
 // Decide chooses where a request goes and records its load there. It prefers, in this
 // order: the affinity region of the shared parts, if the request is on time there and
 // relaying pays off; this region, if the request is well on time here; another region,
@@ -101,7 +106,7 @@
 		d.RemoteFirstByte = durationOfSeconds(cached.prediction.firstByteSeconds)
 		return planRelay(d, cached, "held")
 	}
-	if local.endpoint != nil && req.isWithinTargetShare(stayLocalTargetShare, local.prediction.firstByteSeconds) && !local.endpoint.isDegraded(now) {
+	if local.endpoint != nil && req.isWithinTargetShare(stayLocalTargetShare, local.prediction.firstByteSeconds) && local.endsInTime(req) && !local.endpoint.isDegraded(now) {
 		return planSend(d, local, "local")
 	}
 	remote = p.bestRemote(req, "", affinityRegion, now)
@@ -173,19 +178,30 @@
 }
 
 // planLocalOrRefusal plans to send a request to a local endpoint. If it can't be on time there, it
-// is sent in the band Late, or refused if even a late response is of no use.
+// is sent in the band Late, or refused if even a late response is of no use or the memory of the engine
+// is full.
 func (p *Pool) planLocalOrRefusal(d Decision, req *Request, local candidate, now time.Time) plan {
-	if req.isWithinTargetShare(onTimeTargetShare, local.prediction.firstByteSeconds) {
+	if req.isWithinTargetShare(onTimeTargetShare, local.prediction.firstByteSeconds) && local.endsInTime(req) {
 		return planSend(d, local, "local")
 	}
+	if local.prediction.shortageTokens > 0 {
+		// Late work would be the first to be preempted.
+		return planOverload(d, req, local)
+	}
 	late := p.bestLocal(req, Late, now)
-	if !req.isUsefulLate(late.prediction) {
-		return refuse(d, durationOfSeconds(local.prediction.firstByteSeconds)-req.FirstByteTarget/2, "overload")
+	if late.prediction.shortageTokens > 0 || !req.isUsefulLate(late.prediction) {
+		return planOverload(d, req, local)
 	}
 	d.LocalFirstByte = durationOfSeconds(late.prediction.firstByteSeconds)
 	return planSend(d, late, "late")
 }
 
+// planOverload returns the refusal of a request for which there is no room, with the time after which
+// there is.
+func planOverload(d Decision, req *Request, local candidate) plan {
+	return refuse(d, durationOfSeconds(local.prediction.firstByteSeconds)-req.FirstByteTarget/2, "overload")
+}
+
 // bestLocal returns the best endpoint of this region for a request in the band. The
 // candidate is empty if none is usable.
 func (p *Pool) bestLocal(req *Request, band Band, now time.Time) candidate {
--- a/internal/cwplacement/endpoint.go
+++ b/internal/cwplacement/endpoint.go
@@ -86,11 +86,18 @@
 	promptSpeed, eventRate meter
 	// serviceTimeSeconds is the mean time that a request occupies its slot.
 	serviceTimeSeconds float64
+	// unreported is the work that this instance placed lately.
+	unreported recentWork
+	// isTurningAwayUntil is until when it counts as full, since it turned a request of this instance
+	// away.
+	isTurningAwayUntil time.Time
+	// mix is that of the pool.
+	mix *engineMix
 }
 
 // newEndpoint returns an endpoint without measurements, with an initial prompt speed.
-func newEndpoint(entry cwroute.Endpoint, service cwroute.Service, promptSpeed float64) *Endpoint {
-	e := &Endpoint{Endpoint: entry, idHash: xxhash.Sum64String(entry.ID), promptSpeed: newMeter(promptSpeed, promptSpeedBaselineSeconds), eventRate: newMeter(initialEventsPerSecond, eventRateBaselineSeconds), serviceTimeSeconds: initialServiceTime.Seconds()}
+func newEndpoint(entry cwroute.Endpoint, service cwroute.Service, mix *engineMix, promptSpeed float64) *Endpoint {
+	e := &Endpoint{Endpoint: entry, mix: mix, idHash: xxhash.Sum64String(entry.ID), promptSpeed: newMeter(promptSpeed, promptSpeedBaselineSeconds), eventRate: newMeter(initialEventsPerSecond, eventRateBaselineSeconds), serviceTimeSeconds: initialServiceTime.Seconds()}
 	e.setService(service)
 	return e
 }
@@ -302,6 +309,8 @@
 	uncachedTokens, recomputedTokens int
 	// restSeconds is the time from the first byte to the last.
 	restSeconds float64
+	// shortageTokens is the memory that lacks when the request would run.
+	shortageTokens float64
 	// isFull is set if the slots or the memory are exhausted.
 	isFull bool
 }
@@ -309,23 +318,36 @@
 // predict returns the expected processing of a request in the band.
 func (e *Endpoint) predict(rs *Requirements, band Band, now time.Time) prediction {
 	w := e.totalWork(now)
+	if e.engine != nil {
+		e.addUnreported(&w, now)
+	}
 	excess := w.InFlight + 1 - e.slots()
 	p := prediction{isFull: excess > 0}
-	if excess > 0 {
-		p.waitSeconds = float64(excess) / float64(e.slots()) * e.serviceTimeSeconds
-	}
 	if e.engine == nil {
+		if excess > 0 {
+			p.waitSeconds = float64(excess) / float64(e.slots()) * e.serviceTimeSeconds
+		}
 		p.firstByteSeconds = p.waitSeconds + e.serviceTimeSeconds
 		return p
 	}
 	cached := e.cache.cachedTokens(rs.PromptParts)
 	p.uncachedTokens = max(rs.PromptTokens-cached, 0)
 	p.recomputedTokens = max(rs.sharedTokens()-cached, 0)
-	p.waitSeconds += w.tokensAhead(band) / e.promptSpeed.rate
-	if held := w.HeldTokens + float64(rs.PromptTokens+rs.OutputTokens); held > float64(e.engine.MemoryTokens) {
-		// Requests that exceed the memory are processed a second time later.
-		p.waitSeconds += (held - float64(e.engine.MemoryTokens)) / e.promptSpeed.rate
-		p.isFull = true
+	if excess > 0 {
+		ahead := max(float64(excess)-e.mix.requestsBehind(&w, band), 1)
+		p.waitSeconds = ahead / float64(e.slots()) * e.mix.slotSeconds(e.eventRate.rate)
+	}
+	if now.Before(e.isTurningAwayUntil) {
+		p.waitSeconds = max(p.waitSeconds, e.mix.slotSeconds(e.eventRate.rate))
+	}
+	p.waitSeconds = max(p.waitSeconds, w.tokensAhead(band)/e.promptSpeed.rate)
+	if tokens, seconds := e.memoryShortage(rs, &w, band, p.waitSeconds); tokens > 0 {
+		p.waitSeconds += seconds
+		p.shortageTokens, p.isFull = tokens, true
+	}
+	if p.waitSeconds > 0 && !e.hasSpare(&w) {
+		// What comes later and is more urgent goes first too.
+		p.waitSeconds /= 1 - min(e.promptShare(now)*e.mix.ahead[band], maxShareAhead)
 	}
 	p.firstByteSeconds = p.waitSeconds + float64(p.uncachedTokens)/e.promptSpeed.rate + firstTokenOverhead.Seconds()
 	p.restSeconds = float64(rs.OutputTokens) / float64(max(e.engine.EventTokens, 1)) / e.eventRate.rate
--- a/internal/cwplacement/placement.go
+++ b/internal/cwplacement/placement.go
@@ -40,6 +40,9 @@
 		e.recent.add(rs.PromptParts, now)
 	}
 	e.ownWork = e.ownWork.Add(p.work)
+	if e.engine != nil {
+		e.unreported.add(&p.work, now)
+	}
 	if e.IsCold(now) {
 		e.coldLimiter.take(e.coldRate, now)
 	}
@@ -142,6 +145,7 @@
 		}
 	case Rejected:
 		e.consecutiveUnanswered = 0
+		e.isTurningAwayUntil = now.Add(reportLag)
 	case Abandoned:
 		if p.firstByteAt.IsZero() && !p.hasOverdueFailure && now.Sub(p.startedAt) >= p.PredictedFirstByte {
 			e.recordUnanswered(now)
--- a/internal/cwplacement/plan.go
+++ b/internal/cwplacement/plan.go
@@ -40,6 +40,9 @@
 	switch d.Action {
 	case ActionSend:
 		c := chosen.chosen
+		if c.endpoint.engine != nil {
+			p.recordMix(&c, &req.Requirements, now)
+		}
 		d.Placement = c.endpoint.place(&req.Requirements, c.band, c.prediction, now)
 	case ActionRelay:
 		p.recordRelay(chosen.chosen)
--- a/internal/cwplacement/pool.go
+++ b/internal/cwplacement/pool.go
@@ -52,6 +52,10 @@
 	statements statementStore
 	// arrivals is the rate of requests to be placed at this instance.
 	arrivals cwpolicy.ArrivalRate
+	// mix is what the requests of the service are like.
+	mix engineMix
+	// unloadedSpeed is that of the endpoints.
+	unloadedSpeed unloadedSpeed
 	// limitedReturnAt is the time for which the latest caller was told to return that was
 	// refused because of rate limits.
 	limitedReturnAt time.Time
@@ -103,7 +107,7 @@
 				delete(p.statements, lifeOf(&e.Endpoint))
 			}
 		}
-		e = newEndpoint(entry, p.Service, p.meanPromptSpeed())
+		e = newEndpoint(entry, p.Service, &p.mix, p.meanPromptSpeed())
 		e.statements = p.statements.list(&entry, readAt)
 		p.endpoints[entry.ID] = e
 		p.rebuildSorted()
@@ -139,15 +143,14 @@
 // meanPromptSpeed returns the mean speed of the endpoints in prompt tokens per second, or
 // initialPromptTokensPerSecond if there are none.
 func (p *Pool) meanPromptSpeed() float64 {
-	total, n := 0.0, 0
-	for _, e := range p.endpoints {
-		total += e.promptSpeed.rate
-		n++
-	}
-	if n == 0 {
+	if len(p.sorted) == 0 {
 		return initialPromptTokensPerSecond
 	}
-	return total / float64(n)
+	total := 0.0
+	for _, e := range p.sorted {
+		total += e.promptSpeed.rate
+	}
+	return total / float64(len(p.sorted))
 }
 
 // bestEndpoint returns the usable endpoint with the lowest cost that was not tried
@@ -173,7 +176,7 @@
 // requestCost returns the cost of a request at an endpoint, with that of pauses and of a missed
 // deadline, in weighted seconds.
 func (p *Pool) requestCost(e *Endpoint, rs *Requirements, expected prediction, isAffinity bool, now time.Time) float64 {
-	cost := p.cost(e, expected, isAffinity, now) + e.paceCost(rs, expected, now)
+	cost := p.cost(e, expected, isAffinity, now) + e.paceCost(rs, expected, now) + recomputeCostFactor*expected.shortageTokens/e.promptSpeed.rate
 	if excess := expected.firstByteSeconds + expected.restSeconds - rs.ResponseTimeout.Seconds(); rs.ResponseTimeout > 0 && excess > 0 {
 		cost += deadlineMissCostFactor * excess
 	}
@@ -186,8 +189,9 @@
 	if isAffinity {
 		recompute *= 1 - affinityDiscount
 	}
-	cost := expected.firstByteSeconds + recompute + restCostFactor*expected.restSeconds + failureRateCostSeconds*e.worstFailureRate(now)
-	if e.isDegraded(now) {
+	failureRate := e.worstFailureRate(now)
+	cost := expected.firstByteSeconds + recompute + restCostFactor*expected.restSeconds + failureRateCostSeconds*failureRate
+	if failureRate > degradedFailureRate {
 		cost += degradedCostSeconds
 	}
 	if e.Domain != p.Domain {
