Soak: accounts, and keys that are added and withdrawn

Cause: the soak's configurations had no accounts, so nothing checked keys with real processes. Change: all configurations have accounts. Callers use keys of two of them; callers with kept connections to each instance use unknown, withdrawn and new keys, some on a public route. During the announcements one key is withdrawn and one added at a time: in calm, while the store turns some instances away or doesn't answer them, and right after a silence of it in which the instances begin their watches; once more while no instance starts. Each instance reaches the store by a proxy of its own. Checked: no key reaches a worker, the account there is that of the key's holder whatever the caller sends, a key that no configuration held gets 401 or 503 and does not run, 401 on no public route and with no key that all configurations have, and config-apply-ms after the acknowledgement an instance in touch serves no withdrawn key and refuses no added one. Ruled out: a silence that holds the bytes back, or begins after the watches, doesn't make an instance deaf; nor does one beside instances that start and tell the others. Both let a mutant without probes pass, therefore the order above. No mutant was made for the configuration from peers alone.

--- a/internal/cwsoak/caller_test.go
+++ b/internal/cwsoak/caller_test.go
@@ -126,6 +126,7 @@
 	req.Host = routeHost
 	req.Header.Set(headerRequestID, id)
 	req.Header.Set("Clementinewell-Deadline-Ms", "4000")
+	s.setKey(req, id, k.key)
 	if k.tokens != "" {
 		req.Header.Set("Clementinewell-Token-Count", k.tokens)
 	}
--- a/internal/cwsoak/config_variant_test.go
+++ b/internal/cwsoak/config_variant_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 )
@@ -58,8 +59,8 @@
 
 // build returns the configuration of a version. Beside the routes of all requests it has one
 // named after the version, by which waitUntilServing detects it.
-func (v configVariant) build(version int64) map[string]any {
-	kinds := append([]requestKind{{route: fmt.Sprint("v", version)}}, append(shortKinds, longKinds...)...)
+func (v configVariant) build(version int64, accounts []map[string]any) map[string]any {
+	kinds := slices.Concat([]requestKind{{route: fmt.Sprint("v", version)}}, shortKinds, longKinds, accountKinds)
 	var routes []map[string]any
 	for _, k := range kinds {
 		if k.route != "gone" || !v.isGoneRemoved {
@@ -74,7 +75,7 @@
 		app["engine"] = map[string]any{"slots": 64, "kv-capacity": 1000000, "stride": 6}
 	}
 	return map[string]any{
-		"version": version, "routes": routes,
+		"version": version, "routes": routes, "tenants": accounts,
 		"services": []map[string]any{app, {"name": "aux", "max-connections": 400}},
 		"limits":   map[string]any{"max-header-bytes": 16384, "max-body-bytes": 1 << 20, "header-timeout-ms": 3000, "idle-timeout-ms": v.idleTimeout().Milliseconds()},
 	}
@@ -97,6 +98,7 @@
 	route := map[string]any{
 		"name": k.route, "host": routeHost, "path-prefix": "/" + k.route + "/", "type": routeType, "timeout-ms": timeout.Milliseconds(),
 		"target-latency-ms": target.Milliseconds(), "service": "app", "max-attempts": 2, "gap-aim-ms": 300, "resumable": k.tokens != "" && !k.isUnsafe,
+		"public": k.route == publicRoute,
 	}
 	switch {
 	case k.route != "move" || v.auxShare == 0:
--- a/internal/cwsoak/crashing_requests_test.go
+++ b/internal/cwsoak/crashing_requests_test.go
@@ -104,6 +104,8 @@
 		<-time.After(time.Duration(500+rng.IntN(1000)) * time.Millisecond)
 	}
 	disturbedUntil := time.Now()
+	// No instance that starts may tell the others of the change.
+	s.changeKeys(rand.New(rand.NewPCG(s.seed, 21)), silentStore, nil)
 	wg.Wait()
 	<-time.After(workerReturn)
 	for _, w := range s.workers {
--- a/internal/cwsoak/gateway_process_test.go
+++ b/internal/cwsoak/gateway_process_test.go
@@ -44,7 +44,7 @@
 }
 
 // formatSettings returns a settings file in the format of the users' platform.
-func formatSettings(ip, domain string, seedPeers []string) string {
+func formatSettings(ip, domain, storeAddress string, seedPeers []string) string {
 	return fmt.Sprintf(`node-name=%[1]s
 ip=%[1]s
 zone=%[2]s
@@ -69,13 +69,13 @@
 bounds.cold-slack=3
 bounds.ttl_max_s=5
 provider.address=%[5]s
-`, ip, domain, strings.TrimSuffix(domain, "-a"), strings.Join(seedPeers, ","), storeAddress())
+`, ip, domain, strings.TrimSuffix(domain, "-a"), strings.Join(seedPeers, ","), storeAddress)
 }
 
-func newGatewayProcess(t *testing.T, programs []string, ip, domain string, seedPeers []string) *gatewayProcess {
+func newGatewayProcess(t *testing.T, programs []string, ip, domain, storeAddress string, seedPeers []string) *gatewayProcess {
 	dir := t.TempDir()
 	p := &gatewayProcess{t: t, programs: programs, settingsPath: filepath.Join(dir, "node.conf"), logPath: filepath.Join(dir, "log"), ip: ip, domain: domain}
-	if err := os.WriteFile(p.settingsPath, []byte(formatSettings(ip, domain, seedPeers)), 0o600); err != nil {
+	if err := os.WriteFile(p.settingsPath, []byte(formatSettings(ip, domain, storeAddress, seedPeers)), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	p.start()
--- a/internal/cwsoak/published_test.go
+++ b/internal/cwsoak/published_test.go
@@ -32,9 +32,9 @@
 // writeConfig writes the current configuration version to the store.
 func (s *soakRun) writeConfig() {
 	s.mu.Lock()
-	variant := s.variant
+	variant, accounts := s.variant, s.buildAccounts()
 	s.mu.Unlock()
-	s.store.PutJSON("op/config", variant.build(s.configVersion.Load()))
+	s.store.PutJSON("op/config", variant.build(s.configVersion.Load(), accounts))
 }
 
 // changeConfig publishes a configuration with a random change.
@@ -61,10 +61,10 @@
 		s.publishConfig()
 		<-time.After(time.Duration(rng.IntN(400)) * time.Millisecond)
 	}
-	s.storeProxy.setMode(modeReset)
+	s.setStoreMode(modeReset)
 	<-time.After(time.Duration(rng.IntN(400)) * time.Millisecond)
 	s.store.Restore(copied)
-	s.storeProxy.setMode(modePass)
+	s.setStoreMode(modePass)
 	<-time.After(time.Duration(rng.IntN(1000)) * time.Millisecond)
 	s.registerWorkers()
 	s.writeConfig()
--- a/internal/cwsoak/request_kind_test.go
+++ b/internal/cwsoak/request_kind_test.go
@@ -10,6 +10,8 @@
 	isUnsafe bool
 	// isLong is set if workers take seconds for the response.
 	isLong bool
+	// key is sent with the request; without one, a key that every configuration has.
+	key string
 }
 
 // shortKinds are answered fast. longKinds are long under way when the instance stops or the
@@ -25,4 +27,6 @@
 		{route: "gone", isLong: true, isUnsafe: true},
 		{route: "time", isLong: true},
 	}
+	// accountKinds are those of requests with keys of their own.
+	accountKinds = []requestKind{{route: publicRoute}}
 )
--- a/internal/cwsoak/silence_test.go
+++ b/internal/cwsoak/silence_test.go
@@ -144,7 +144,7 @@
 		proxies := slices.Concat(s.workerProxies, s.auxProxies)
 		switch n := rng.IntN(len(proxies)); rng.IntN(4) {
 		case 0:
-			s.storeProxy.silence(d, holdsConns)
+			s.silenceAll(s.storeProxies, d, holdsConns)
 		case 1:
 			s.silenceAll(proxies, d, holdsConns)
 		default:
--- a/internal/cwsoak/soak_test.go
+++ b/internal/cwsoak/soak_test.go
@@ -66,8 +66,8 @@
 // carries the whole response to its own request, an unsafe request runs at most
 // once, a refused one not at all, an instance drops no request that it has read because
 // of planned work, workers get no more than the rate limits that they name and none once they are leaving or in a pause, requests that
-// end workers are kept from them while sound ones are served, and all instances recover in
-// time.
+// end workers are kept from them while sound ones are served, keys of accounts bind at all
+// instances, and all instances recover in time.
 func TestSoak(t *testing.T) {
 	programs := buildPrograms(t, *previous)
 	runSeeds := slices.Clone(regressionSeeds)
@@ -84,11 +84,12 @@
 
 // soakRun is the state of one run.
 type soakRun struct {
-	t             *testing.T
-	seed          uint64
-	rng           *rand.Rand
-	store         *cwstandin.Store
-	storeProxy    *proxy
+	t     *testing.T
+	seed  uint64
+	rng   *rand.Rand
+	store *cwstandin.Store
+	// storeProxies are those between each instance and the store.
+	storeProxies  []*proxy
 	workers       []*cwstandin.Worker
 	observers     []*workerObserver
 	workerProxies []*proxy
@@ -114,14 +115,21 @@
 	// then complete.
 	takenUp, goneOn int
 	silences        []silence
+	// sentKeys are the keys that were sent, by request, and keys those of the account whose keys
+	// change. keyUses are the requests with one of these, and storeFaults the times in which the
+	// store was silent for all while keys changed.
+	sentKeys    map[string]string
+	keys        []keyLife
+	keyUses     []response
+	storeFaults []span
 }
 
 func newSoakRun(t *testing.T, programs []string, seed uint64) *soakRun {
 	s := &soakRun{
 		t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 7)), store: cwstandin.NewStore(),
-		refusedIDs: make(map[string]bool), unsafeIDs: make(map[string]bool),
+		refusedIDs: make(map[string]bool), unsafeIDs: make(map[string]bool), sentKeys: make(map[string]string),
+		keys: []keyLife{{key: "secret-changing-0"}, {key: "secret-changing-1"}},
 	}
-	s.storeProxy = newProxy(t, storeAddress(), startServer(t, s.store.Handler()))
 	for n, domain := range []string{"north-a", "north-a", "south-a", "south-a"} {
 		w, p := s.startWorker(n, domain)
 		s.workers, s.workerProxies = append(s.workers, w), append(s.workerProxies, p)
@@ -133,8 +141,11 @@
 	s.registerWorkers()
 	s.publishConfig()
 	seedAddresses := []string{loopbackIP(23, 1) + ":8003", loopbackIP(23, 3) + ":8003"}
+	storeServer := startServer(t, s.store.Handler())
 	for n, domain := range []string{"north-a", "north-a", "south-a", "south-a"} {
-		s.instances = append(s.instances, newGatewayProcess(t, programs, loopbackIP(23, n+1), domain, seedAddresses))
+		p := newProxy(t, loopbackIP(21, n+1)+":8010", storeServer)
+		s.storeProxies = append(s.storeProxies, p)
+		s.instances = append(s.instances, newGatewayProcess(t, programs, loopbackIP(23, n+1), domain, p.listenAddress, seedAddresses))
 	}
 	return s
 }
@@ -144,8 +155,11 @@
 	return fmt.Sprintf("127.%d.%d.%d", *network, third, fourth)
 }
 
-func storeAddress() string {
-	return loopbackIP(21, 1) + ":8010"
+// setStoreMode sets how all instances reach the store.
+func (s *soakRun) setStoreMode(mode proxyMode) {
+	for _, p := range s.storeProxies {
+		p.setMode(mode)
+	}
 }
 
 func startServer(t *testing.T, handler http.Handler) string {
@@ -182,11 +196,17 @@
 		c := &caller{s: s, kinds: shortKinds, rng: rand.New(rand.NewPCG(s.seed, uint64(100+n))), isSlow: true}
 		wg.Go(func() { c.run(ctx, n) })
 	}
+	for n, p := range s.instances {
+		c := &caller{s: s, rng: rand.New(rand.NewPCG(s.seed, uint64(200+n))), conns: make(map[*gatewayProcess][]*callerConn)}
+		wg.Go(func() { c.runWithKeys(ctx, p) })
+	}
 	s.runPlannedWork(rand.New(rand.NewPCG(s.seed, 8)))
 	s.runSilence(rand.New(rand.NewPCG(s.seed, 11)))
 	s.runEndlessBytes(rand.New(rand.NewPCG(s.seed, 12)))
 	s.runRateLimits(rand.New(rand.NewPCG(s.seed, 9)))
+	endKeyChanges := s.startKeyChanges(rand.New(rand.NewPCG(s.seed, 18)))
 	s.runAnnouncements(rand.New(rand.NewPCG(s.seed, 15)))
+	endKeyChanges()
 	s.runCrashingRequests(rand.New(rand.NewPCG(s.seed, 13)))
 	s.runTakeUps(rand.New(rand.NewPCG(s.seed, 14)))
 	restoreRNG := rand.New(rand.NewPCG(s.seed, 10))
@@ -204,6 +224,7 @@
 	s.checkRuns()
 	s.checkCuts()
 	s.checkSilences()
+	s.checkAccounts()
 	if s.t.Failed() {
 		for _, p := range s.instances {
 			log, err := os.ReadFile(p.logPath)
@@ -221,10 +242,10 @@
 	case 0, 1:
 		workerProxy.setMode(proxyMode(s.rng.IntN(5)))
 	case 2:
-		s.storeProxy.setMode(proxyMode(s.rng.IntN(5)))
+		s.setStoreMode(proxyMode(s.rng.IntN(5)))
 	case 3:
 		workerProxy.setMode(modePass)
-		s.storeProxy.setMode(modePass)
+		s.setStoreMode(modePass)
 	case 4:
 		p.stop(syscall.SIGKILL)
 		p.start()
@@ -245,7 +266,7 @@
 	for _, workerProxy := range s.workerProxies {
 		workerProxy.setMode(modePass)
 	}
-	s.storeProxy.setMode(modePass)
+	s.setStoreMode(modePass)
 	for _, p := range s.instances {
 		p.signal(syscall.SIGCONT)
 	}
@@ -297,6 +318,8 @@
 		}
 	case slices.Contains(refusalStatuses, resp.status):
 		s.refusedIDs[resp.requestID] = true
+	case resp.status == http.StatusUnauthorized && k.key == "":
+		s.t.Errorf("%s: got 401 with a key that every configuration has", resp.requestID)
 	case resp.status == http.StatusNotFound && k.route != "gone":
 		s.t.Errorf("%s: got 404 on a route that every configuration has", resp.requestID)
 	}
