Soak: quotas over all instances, and a stop beside brittle workers

Another account uses nine tenths of its quota evenly, for a window and two seconds with no fault in force, and fewer than 1 of 1,000 requests of the two seconds may be refused for it. Red, a fault of the product: windows in which instances are killed one after the other.

--- a/internal/cwsoak/gateway_process_test.go
+++ b/internal/cwsoak/gateway_process_test.go
@@ -68,6 +68,9 @@
 bounds.cold-overage=1.5
 bounds.cold-slack=3
 bounds.ttl_max_s=5
+bounds.quota-window-s=8
+bounds.quota-overage=0.25
+bounds.quota-slack=110000
 provider.address=%[5]s
 `, ip, domain, strings.TrimSuffix(domain, "-a"), strings.Join(seedPeers, ","), storeAddress)
 }
--- a/internal/cwsoak/worker_observer_test.go
+++ b/internal/cwsoak/worker_observer_test.go
@@ -30,6 +30,8 @@
 	// born is the start that the worker's entry names. mu guards it.
 	born int64
 	work map[string]work
+	// running is the number of requests that the worker is at work on. mu guards it too.
+	running int
 	// isSlow delays a quarter of the requests by up to workDelay. mu guards it too.
 	isSlow bool
 	// proxy passes the worker's bytes. mu guards it too.
@@ -65,6 +67,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.work[id] = work{}
+	o.running++
 	if n := hashID(id); o.isSlow && n%4 == 0 {
 		return time.Duration(n/4) % workDelay
 	}
@@ -97,6 +100,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.work[id] = work{endedAt: time.Now(), brokeOff: brokeOff}
+	o.running--
 }
 
 // restarted gives the worker a new start.
