--- a/internal/cwsoak/cut_check_test.go
+++ b/internal/cwsoak/cut_check_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -83,6 +84,9 @@
 	case s.reachedFault(resp.requestID):
 		// A proxy to a worker dropped bytes or reset the connection with this request on it.
 		return "worker connection"
+	case s.reachedEnd(resp):
+		// A worker ended as it had sent the whole stream. Without a length nothing tells that.
+		return "worker end"
 	case o != nil && o.domain != resp.instance.domain && s.hadExitFault(o.domain, resp):
 		// Another domain served the request, and an instance there was killed or paused.
 		return "exit fault"
@@ -128,6 +132,15 @@
 	return slices.ContainsFunc(s.workerProxies, func(p *proxy) bool { return p.hasDisturbed(id) })
 }
 
+// reachedEnd reports whether a worker with the request of a stream ended meanwhile, and the caller has
+// all events.
+func (s *soakRun) reachedEnd(resp response) bool {
+	return strings.Count(resp.body, "\n\n") == 6 && slices.ContainsFunc(s.observers, func(o *workerObserver) bool {
+		_, ok := o.find(resp.requestID)
+		return ok && o.findProxy().hadEnd(resp.sentAt, resp.endedAt)
+	})
+}
+
 func (s *soakRun) hadExitFault(domain string, resp response) bool {
 	return slices.ContainsFunc(s.instances, func(p *gatewayProcess) bool {
 		return p.domain == domain && p.hadFault(resp.sentAt.Add(-calmTime), resp.endedAt)
--- a/internal/cwsoak/proxy_test.go
+++ b/internal/cwsoak/proxy_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"regexp"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -45,6 +46,8 @@
 	silenceEnd chan struct{}
 	// hasEnded is set while no connection is accepted. mu guards it and listener.
 	hasEnded bool
+	// ends are the times at which the server ended. mu guards it too.
+	ends []time.Time
 }
 
 // requestIDPattern matches the request ID in the header of a request.
@@ -88,6 +91,7 @@
 		return false
 	}
 	p.hasEnded = true
+	p.ends = append(p.ends, time.Now())
 	_ = p.listener.Close()
 	for c, id := range p.conns {
 		p.disturbedIDs[id] = true
@@ -96,6 +100,13 @@
 	return true
 }
 
+// hadEnd reports whether the server ended between two times.
+func (p *proxy) hadEnd(from, to time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.ends, func(at time.Time) bool { return !at.Before(from) && !at.After(to) })
+}
+
 // setMode sets the mode. With modeReset it also resets the open connections of clients.
 func (p *proxy) setMode(mode proxyMode) {
 	p.mode.Store(int32(mode))
--- a/internal/cwsoak/soak_test.go
+++ b/internal/cwsoak/soak_test.go
@@ -206,6 +206,7 @@
 	wg.Go(func() { s.runJumps(ctx, jumpRNG) })
 	if !slices.Contains(regressionSeeds, s.seed) {
 		s.runCalm(rand.New(rand.NewPCG(s.seed, 17)))
+		s.runUndelimitedEnds(rand.New(rand.NewPCG(s.seed, 20)))
 	}
 	s.runPlannedWork(rand.New(rand.NewPCG(s.seed, 8)))
 	s.runSilence(rand.New(rand.NewPCG(s.seed, 11)))
@@ -222,6 +223,9 @@
 			s.restoreStore(restoreRNG)
 		}
 		s.injectFault()
+		for _, w := range s.workers {
+			w.QueueFaults(cwstandin.FaultExtraRefusal)
+		}
 		<-time.After(time.Duration(50+s.rng.IntN(300)) * time.Millisecond)
 	}
 	s.clearFaults()
