--- a/internal/cwsoak/config_variant_test.go
+++ b/internal/cwsoak/config_variant_test.go
@@ -1,8 +1,10 @@
 package cwsoak_test
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 )
@@ -30,6 +32,8 @@
 	hasShortTimeout, hasShortIdle bool
 	// isLarge fills the configuration with routes up to the size that is allowed.
 	isLarge bool
+	// engineSlots is the number of slots of an engine; 0 for the usual one.
+	engineSlots int
 }
 
 // change changes one random property.
@@ -58,8 +62,8 @@
 
 // build returns the configuration of a version. Beside the routes of all requests it has one
 // named after the version, by which waitUntilServing detects it.
-func (v configVariant) build(version int64) map[string]any {
-	kinds := append([]requestKind{{route: fmt.Sprint("v", version)}}, append(shortKinds, longKinds...)...)
+func (v configVariant) build(version int64, accounts []map[string]any) map[string]any {
+	kinds := slices.Concat([]requestKind{{route: fmt.Sprint("v", version)}}, shortKinds, longKinds, accountKinds)
 	var routes []map[string]any
 	for _, k := range kinds {
 		if k.route != "gone" || !v.isGoneRemoved {
@@ -71,10 +75,10 @@
 	}
 	app := map[string]any{"name": "app", "max-connections": 400}
 	if !v.isEngineRemoved {
-		app["engine"] = map[string]any{"slots": 64, "kv-capacity": 1000000, "stride": 6}
+		app["engine"] = map[string]any{"slots": cmp.Or(v.engineSlots, 64), "kv-capacity": 1000000, "stride": 6}
 	}
 	return map[string]any{
-		"version": version, "routes": routes,
+		"version": version, "routes": routes, "tenants": accounts,
 		"services": []map[string]any{app, {"name": "aux", "max-connections": 400}},
 		"limits":   map[string]any{"max-header-bytes": 16384, "max-body-bytes": 1 << 20, "header-timeout-ms": 3000, "idle-timeout-ms": v.idleTimeout().Milliseconds()},
 	}
@@ -97,8 +101,11 @@
 	route := map[string]any{
 		"name": k.route, "host": routeHost, "path-prefix": "/" + k.route + "/", "type": routeType, "timeout-ms": timeout.Milliseconds(),
 		"target-latency-ms": target.Milliseconds(), "service": "app", "max-attempts": 2, "gap-aim-ms": 300, "resumable": k.tokens != "" && !k.isUnsafe,
+		"public": k.route == publicRoute,
 	}
 	switch {
+	case k.route == quotaRoute:
+		route["service"] = "aux"
 	case k.route != "move" || v.auxShare == 0:
 	case v.auxShare == 4:
 		route["service"] = "aux"
