Scarcity: callers who come back are no longer told from others

Callers were told to come back after a quarter of their time at the earliest, also where room was in sight sooner.

--- a/internal/cwplacement/decide.go
+++ b/internal/cwplacement/decide.go
@@ -87,7 +87,6 @@
 // late response is of no use.
 func (p *Pool) Decide(req *Request, now time.Time) Decision {
 	p.arrivals.Count(now)
-	p.usual.record(&req.Requirements)
 	return p.record(p.choose(req, now), req, now)
 }
 
@@ -182,29 +181,25 @@
 // is sent in the band Late, or refused if even a late response is of no use or the memory of the engine
 // is full.
 func (p *Pool) planLocalOrRefusal(d Decision, req *Request, local candidate, now time.Time) plan {
-	if req.isWithinTargetShare(p.onTimeShare(req, local.endpoint), local.prediction.firstByteSeconds) && local.endsInTime(req) {
+	if req.isWithinTargetShare(onTimeTargetShare, local.prediction.firstByteSeconds) && local.endsInTime(req) {
 		return planSend(d, local, "local")
 	}
 	if local.prediction.shortageTokens > 0 {
 		// Late work would be the first to be preempted.
-		return p.planOverload(d, req, local)
+		return planOverload(d, req, local)
 	}
 	late := p.bestLocal(req, Late, now)
 	if late.prediction.shortageTokens > 0 || !req.isUsefulLate(late.prediction) {
-		return p.planOverload(d, req, local)
+		return planOverload(d, req, local)
 	}
 	d.LocalFirstByte = durationOfSeconds(late.prediction.firstByteSeconds)
 	return planSend(d, late, "late")
 }
 
 // planOverload returns the refusal of a request for which there is no room, with the time after which
-// there is. At engines the caller comes back after part of its time at the earliest.
-func (p *Pool) planOverload(d Decision, req *Request, local candidate) plan {
-	room := durationOfSeconds(local.prediction.firstByteSeconds) - req.FirstByteTarget/2
-	if local.endpoint.engine != nil {
-		room = req.returnAfter(room)
-	}
-	return refuse(d, room, "overload")
+// there is.
+func planOverload(d Decision, req *Request, local candidate) plan {
+	return refuse(d, durationOfSeconds(local.prediction.firstByteSeconds)-req.FirstByteTarget/2, "overload")
 }
 
 // bestLocal returns the best endpoint of this region for a request in the band. The
--- a/internal/cwplacement/pool.go
+++ b/internal/cwplacement/pool.go
@@ -54,8 +54,6 @@
 	arrivals cwpolicy.ArrivalRate
 	// mix is what the requests of the service are like.
 	mix engineMix
-	// usual are the usual times of callers.
-	usual usualTimes
 	// unloadedSpeed is that of the endpoints.
 	unloadedSpeed unloadedSpeed
 	// limitedReturnAt is the time for which the latest caller was told to return that was
@@ -79,7 +77,7 @@
 
 // NewPool returns a pool without endpoints.
 func NewPool(service cwroute.Service, domain string, rng *rand.Rand) *Pool {
-	return &Pool{Service: service, Domain: domain, endpoints: make(map[string]*Endpoint), relayed: make(map[string]relayedWork), statements: make(statementStore), usual: make(usualTimes), rng: rng}
+	return &Pool{Service: service, Domain: domain, endpoints: make(map[string]*Endpoint), relayed: make(map[string]relayedWork), statements: make(statementStore), rng: rng}
 }
 
 // Endpoints returns the endpoints by identifier. The caller must not change the map.
