--- a/internal/cwplacement/scarcity_test.go
+++ b/internal/cwplacement/scarcity_test.go
@@ -83,6 +83,15 @@
 	}
 }
 
+// TestPreemptionsInCrowd guards against engines that spend their time on what they preempt: of twice
+// the load that they can serve, one request in twenty may be preempted.
+func TestPreemptionsInCrowd(t *testing.T) {
+	for _, longShare := range []float64{0.4, 0.75} {
+		crowd := playMixedSizes(t, "crowd", crowdPerSecond, longShare)
+		is.NewRelaxed(t).True(crowd.preempted <= crowd.sum(nil, -1).callers/20)
+	}
+}
+
 // rankNoise is the difference by which the shares of two ranks with equal chances may differ.
 const rankNoise = 0.05
 
