--- a/internal/cwgate/quotas.go
+++ b/internal/cwgate/quotas.go
@@ -35,7 +35,7 @@
 	if window <= 0 {
 		window = defaultQuotaWindow
 	}
-	return cwquota.Bounds{Window: window, Slack: b.QuotaSlack}
+	return cwquota.Bounds{Window: window, Overage: b.QuotaOverage, Slack: b.QuotaSlack}
 }
 
 // MessageTo returns what to tell another instance; nil if no account has a quota.
--- a/internal/cwquota/account.go
+++ b/internal/cwquota/account.go
@@ -23,10 +23,22 @@
 	instances, domains rates
 	// spendings is the number of requests that this instance has allowed.
 	spendings int
+	// meanAsked is the mean size of the requests that came to this instance lately, and refusedAt
+	// when it refused one last.
+	meanAsked float64
+	refusedAt time.Time
 	// returnAt is when the last refused caller was told to return.
 	returnAt time.Time
 }
 
+// addAsked adds an attempt to spend the amount to the mean.
+func (a *account) addAsked(amount float64) {
+	if a.meanAsked == 0 {
+		a.meanAsked = amount
+	}
+	a.meanAsked += (amount - a.meanAsked) / meanCount
+}
+
 // extrapolated returns the spending of the others that is not stated yet. It goes on at their
 // last rates. If spending has jumped in the own domain, which is known sooner, it is taken to
 // have jumped in the others too.
@@ -39,6 +51,8 @@
 }
 
 const (
+	// meanCount is the number of requests over which the mean size is taken.
+	meanCount = 16
 	// olderSlots is the number of slots before the recent ones from which the usual rate is taken.
 	olderSlots = 8
 	// maxJump bounds the factor by which spending is taken to have jumped elsewhere.
--- a/internal/cwquota/contact.go
+++ b/internal/cwquota/contact.go
@@ -9,8 +9,10 @@
 	// maxReleasedShare is the largest part of the instances, all beyond silenceLimit together,
 	// whose shares are released.
 	maxReleasedShare = 0.25
-	// evenShareFraction is the part of a reserved share that does not depend on recent spending.
+	// evenShareFraction is the least part of a reserved share that does not depend on recent spending.
 	evenShareFraction = 0.25
+	// settledSlots is the age in slots from which on spending is known to all in contact.
+	settledSlots = 2
 	// negligible is the spending below which differences of sums are rounding errors.
 	negligible = 1e-3
 )
@@ -62,9 +64,10 @@
 // lose reserves shares for a source that is out of contact, by its part of the spending known at
 // the last contact. The other side of a partition reserves the rest, so that both add up.
 func (l *Ledger) lose(s *source) {
-	// As of the last contact, which both sides of a partition know.
-	last, slots := slotOf(s.at), l.windowSlots()
-	even := float64(s.instances) / max(float64(l.instances)*l.shareInContactByCount(), 1)
+	// What both sides of a partition knew at the last contact. Each knows its own latest spending
+	// better than that of the other.
+	last, slots := slotOf(s.at)-settledSlots, l.windowSlots()-settledSlots
+	even := float64(s.instances) / l.inContact()
 	shares := make(map[uint64]float64, len(l.accounts))
 	for id, a := range l.accounts {
 		part, spent := even, 0.0
@@ -72,7 +75,9 @@
 			spent = e.spent.sum(last, slots)
 		}
 		if total := a.own.sum(last, slots) + a.others.sum(last, slots); total > 0 {
-			part = evenShareFraction*even + (1-evenShareFraction)*min(spent/total, 1)
+			// Of few requests the sides of a partition may have seen different ones.
+			weight := max(evenShareFraction, l.bounds.Slack/(l.bounds.Slack+total))
+			part = weight*even + (1-weight)*min(spent/total, 1)
 		}
 		shares[id] = min(part, 1) * l.shareInContact(id)
 	}
@@ -127,6 +132,11 @@
 	return 1 - float64(lost)/float64(l.instances)
 }
 
+// inContact returns the number of instances in contact, this one included.
+func (l *Ledger) inContact() float64 {
+	return max(float64(l.instances)*l.shareInContactByCount(), 1)
+}
+
 // forget drops what no longer matters: sources that have ended, and accounts without spending in
 // the window.
 func (l *Ledger) forget(now time.Time) {
--- a/internal/cwquota/fleet_test.go
+++ b/internal/cwquota/fleet_test.go
@@ -78,7 +78,7 @@
 func (f *fleet) newInstance(n int, life uint64) *instance {
 	i := &instance{number: n, offset: f.draw(time.Second), told: map[int]time.Time{}, toldDomain: map[string]time.Time{}}
 	i.Source = cwquota.Source{Address: fmt.Sprintf("10.0.0.%d", n), Life: life, Domain: fmt.Sprintf("d%d", n%f.domains)}
-	i.ledger = cwquota.NewLedger(i.Source, cwquota.Bounds{Window: window, Slack: slack}, f.now)
+	i.ledger = cwquota.NewLedger(i.Source, cwquota.Bounds{Window: window, Overage: overage, Slack: slack}, f.now)
 	return i
 }
 
--- a/internal/cwquota/ledger.go
+++ b/internal/cwquota/ledger.go
@@ -16,8 +16,14 @@
 type Bounds struct {
 	// Window is the length of the windows for which a quota holds.
 	Window time.Duration
-	// Slack is the amount that is tolerated beyond the quota in a window.
-	Slack float64
+	// Overage is the fraction of the quota, and Slack the amount, that is tolerated beyond it in a
+	// window.
+	Overage, Slack float64
+}
+
+// tolerated returns what may be spent in a window.
+func (b Bounds) tolerated(limit Limit) float64 {
+	return (limit.PerSecond*b.Window.Seconds()+limit.Burst)*(1+b.Overage) + b.Slack
 }
 
 // scale returns the spending below which a rate is uncertain, since it is that of few requests.
@@ -27,11 +33,15 @@
 
 // burstSlack returns the part of the slack that is added to the burst, so that requests within the
 // quota are not refused because other instances' spending is overestimated. The rest is for
-// spending that is not stated yet, for about a second. The larger the rate, the more that is.
+// spending that is not stated yet, for about a second. The larger the rate, the more that is. Also
+// at a small rate it may be a whole request.
 func (b Bounds) burstSlack(perSecond float64) float64 {
-	return b.Slack * b.Slack / max(b.Slack+perSecond, 1)
+	return b.Slack * min(b.Slack/max(b.Slack+perSecond, 1), maxBurstSlack)
 }
 
+// maxBurstSlack is the largest fraction of the slack that is added to the burst.
+const maxBurstSlack = 0.8
+
 // Limit is the quota of an account.
 type Limit struct {
 	// PerSecond is the rate, and Burst what may be spent at once beyond it.
@@ -95,20 +105,20 @@
 }
 
 // TrySpend spends the amount on the account if the quota has room for it. An amount larger than
-// the whole burst is spent once the burst is full.
+// what the bucket may hold is spent once that is full.
 func (l *Ledger) TrySpend(id uint64, limit Limit, amount float64, now time.Time) Decision {
 	a := l.account(id)
 	a.limit = limit
-	share := l.shareInContact(id)
-	rate := limit.PerSecond * share
-	burst := (limit.Burst + l.bounds.burstSlack(limit.PerSecond)) * share
-	d := Decision{Level: l.level(a, rate, burst, now), Share: share, InputAge: l.inputAge(now)}
-	missing := min(amount, burst) - d.Level
-	if missing <= 0 && d.Level < lowLevel*burst && !l.isWithinPart(id, a, rate, burst, amount, now) {
+	a.addAsked(amount)
+	b := l.bucket(limit, l.shareInContact(id), now)
+	d := Decision{Level: l.level(a, &b, now), Share: b.share, InputAge: l.inputAge(now)}
+	missing := min(amount, b.full) - d.Level
+	if missing <= 0 && d.Level < lowLevel*b.burst && !l.isWithinPart(id, a, &b, amount, now) {
 		missing = amount
 	}
 	if missing > 0 {
-		d.RetryAfter = l.reserveReturn(a, missing, amount, rate, now)
+		a.refusedAt = now
+		d.RetryAfter = l.reserveReturn(a, missing, amount, b.rate, now)
 		return d
 	}
 	a.own.add(slotOf(now), amount)
@@ -124,26 +134,6 @@
 	}
 }
 
-// level returns what is left of the quota: the lowest level of a bucket that was full at the
-// beginning of the window and from which all known spending was taken. So within a window no
-// more than the burst and the rate is spent, as far as the spending is known.
-func (l *Ledger) level(a *account, rate, burst float64, now time.Time) float64 {
-	last := slotOf(now)
-	level := burst
-	perSlot := rate * slotDuration.Seconds()
-	passed := float64(slotPassed(now)) / float64(slotDuration)
-	count := int64(l.windowSlots())
-	for slot := last - count + 1; slot <= last; slot++ {
-		refill := perSlot
-		if slot == last {
-			refill *= passed
-			level -= a.extrapolated(l.bounds.scale(), l.sinceEpoch(now), now)
-		}
-		level = min(level+refill-a.own.at(slot)-a.others.at(slot), burst)
-	}
-	return level
-}
-
 // maxReturn is the longest time after which a refused caller is told to return.
 const maxReturn = 30 * time.Second
 
@@ -158,8 +148,7 @@
 		a.returnAt = first
 	}
 	at := a.returnAt
-	inContact := max(float64(l.instances)*l.shareInContactByCount(), 1)
-	a.returnAt = at.Add(secondsToDuration(amount * inContact / rate))
+	a.returnAt = at.Add(secondsToDuration(amount * l.inContact() / rate))
 	if limit := now.Add(maxReturn); a.returnAt.After(limit) {
 		a.returnAt = limit
 	}
--- a/internal/cwquota/merge.go
+++ b/internal/cwquota/merge.go
@@ -51,6 +51,10 @@
 		if e := s.entries[statement.Account]; e != nil {
 			before = &e.spent
 		}
+		if s.isDomain() && s.instances == 1 {
+			// If it has started again, nobody there knows what it spent before.
+			statement.keepOlder(before, at, l.windowSlots())
+		}
 		s.entries[statement.Account] = &entry{
 			Statement: statement, at: at, spent: statement.timeline(before, at, l.windowSlots()),
 			perSecond: statement.perSecond(told.SlotPassed, l.windowSlots(), l.bounds.scale()), olderPerSecond: statement.olderPerSecond(l.windowSlots()),
--- a/internal/cwquota/statement.go
+++ b/internal/cwquota/statement.go
@@ -47,6 +47,11 @@
 	return t
 }
 
+// keepOlder raises the older spending to what is known of it already.
+func (s *Statement) keepOlder(before *timeline, at time.Time, windowSlots int) {
+	s.Older = max(s.Older, before.sum(slotOf(at)-recentSlots, windowSlots-recentSlots))
+}
+
 // total returns the spending in the statement.
 func (s *Statement) total() float64 {
 	total := s.Older
