--- a/internal/cwquota/ledger.go
+++ b/internal/cwquota/ledger.go
@@ -72,6 +72,7 @@
 	toldAt map[string]time.Time
 	// fullInterval is the time between two messages to an instance that state all accounts.
 	fullInterval time.Duration
+	budget       statementBudget
 	// instances is the number of instances that share the quotas.
 	instances int
 }
--- a/internal/cwquota/tell.go
+++ b/internal/cwquota/tell.go
@@ -23,16 +23,20 @@
 	last := l.toldAt[peer.Address]
 	m := &Message{}
 	m.SlotPassed = slotPassed(now)
-	m.IsPartial = now.Sub(last) < l.fullInterval
+	l.budget.refill(now)
+	m.IsPartial = now.Sub(last) < l.fullInterval || l.budget.left <= 0
 	if !m.IsPartial {
 		l.toldAt[peer.Address] = now
 	}
 	if peer.Domain != l.self.Domain {
-		m.Statements = l.domainStatements(m.IsPartial, now)
+		m.Statements = l.budget.take(l.domainStatements(m.IsPartial, now), m.IsPartial)
 		return m
 	}
-	m.Statements = l.ownStatements(m.IsPartial, now)
+	m.Statements = l.budget.take(l.ownStatements(m.IsPartial, now), m.IsPartial)
 	m.Relayed = l.relayed(m.IsPartial, now)
+	for i := range m.Relayed {
+		m.Relayed[i].Statements = l.budget.take(m.Relayed[i].Statements, m.IsPartial)
+	}
 	return m
 }
 
