--- a/internal/cwquota/account.go
+++ b/internal/cwquota/account.go
@@ -26,10 +26,24 @@
 	// asked is the number of requests at this instance, and demand what they ask for, by size.
 	asked  uint64
 	demand sizes
+	// meanAsked is the mean size of the requests that came to this instance lately, and refusedAt
+	// when it refused one last.
+	meanAsked float64
+	refusedAt time.Time
 	// returnAt is when the last refused caller was told to return.
 	returnAt time.Time
 }
 
+// addAsked counts an attempt to spend the amount.
+func (a *account) addAsked(amount float64) {
+	if a.meanAsked == 0 {
+		a.meanAsked = amount
+	}
+	a.meanAsked += (amount - a.meanAsked) / meanCount
+	a.asked++
+	a.demand.add(amount)
+}
+
 // extrapolated returns the spending of the others that is not stated yet. It goes on at their
 // last rates. If spending has jumped in the own domain, which is known sooner, it is taken to
 // have jumped in the others too.
@@ -42,6 +56,8 @@
 }
 
 const (
+	// meanCount is the number of requests over which the mean size is taken.
+	meanCount = 16
 	// olderSlots is the number of slots before the recent ones from which the usual rate is taken.
 	olderSlots = 8
 	// maxJump bounds the factor by which spending is taken to have jumped elsewhere.
--- a/internal/cwquota/light.go
+++ b/internal/cwquota/light.go
@@ -16,11 +16,11 @@
 const lightReserve = 0.5
 
 // keptForLight returns what a request leaves to light ones.
-func (l *Ledger) keptForLight(a *account, rate, burst, amount float64, now time.Time) float64 {
-	if !a.demand.hasLight() || a.demand.isLight(amount) || !l.isBusy(l.used(a, now), rate) {
+func (l *Ledger) keptForLight(a *account, b *bucket, amount float64, now time.Time) float64 {
+	if !a.demand.hasLight() || a.demand.isLight(amount) || !l.isBusy(l.used(a, now), b) {
 		return 0
 	}
-	return lightReserve * burst
+	return lightReserve * b.burst
 }
 
 // used returns what is known to be spent in the window.
@@ -32,11 +32,11 @@
 // mayUseWindow reports whether a request that exceeds the bucket may use what is left of the quota in
 // the window. Light requests may: refusing a heavy one leaves room for many of them, and as a small
 // part of the demand they can't use up the window at once.
-func (l *Ledger) mayUseWindow(id uint64, a *account, rate, burst, amount float64, now time.Time) bool {
+func (l *Ledger) mayUseWindow(id uint64, a *account, b *bucket, amount float64, now time.Time) bool {
 	if !a.demand.hasLight() || !a.demand.isLight(amount) && l.draw(id, a) >= heavyShare {
 		return false
 	}
-	return l.used(a, now)+amount <= rate*l.bounds.Window.Seconds()+burst
+	return l.used(a, now)+amount <= b.rate*l.bounds.Window.Seconds()+b.burst
 }
 
 // draw returns a number in [0, 1) that differs between instances, accounts and requests.
