Quotas: light requests leave what a former life may have spent

An instance that starts knows nothing of what it spent before. Light requests now go up to the rate of the window, less the burst's part of one instance, and not beyond what the bucket may have held at the start.

--- a/internal/cwquota/light.go
+++ b/internal/cwquota/light.go
@@ -29,14 +29,17 @@
 	return a.own.sum(last, slots) + a.others.sum(last, slots) + a.extrapolated(l.bounds.scale(), l.sinceEpoch(now), now)
 }
 
-// mayUseWindow reports whether a request that exceeds the bucket may use what is left of the quota in
+// mayUseWindow reports whether a request that exceeds the bucket may use what is left of the rate in
 // the window. Light requests may: refusing a heavy one leaves room for many of them, and as a small
 // part of the demand they can't use up the window at once.
 func (l *Ledger) mayUseWindow(id uint64, a *account, b *bucket, amount float64, now time.Time) bool {
 	if !a.demand.hasLight() || !a.demand.isLight(amount) && l.draw(id, a) >= heavyShare {
 		return false
 	}
-	return l.used(a, now)+amount <= b.rate*l.bounds.Window.Seconds()+b.burst
+	// What this instance spent in a former life, or will have spent if it starts again, is known to
+	// nobody if it is alone.
+	limit := min(b.rate*l.bounds.Window.Seconds()-b.burst/l.inContact(), b.atStart+b.rate*l.sinceEpoch(now))
+	return l.used(a, now)+amount <= limit
 }
 
 // draw returns a number in [0, 1) that differs between instances, accounts and requests.
