Quotas: what ended instances spent is told to those that start

What was known of an instance out of contact was dropped for good when it ended.

Change: the last statement of an ended instance is relayed within its domain while it is in the window; an instance that has just started makes no statements for its domain before it has heard the others of it, for a second at most; when a source out of contact ends, its spending counts again.

--- a/internal/cwpeer/quota_message.go
+++ b/internal/cwpeer/quota_message.go
@@ -26,9 +26,9 @@
 	if m == nil {
 		return nil
 	}
-	report := &cwproto.QuotaReport{Told: protoStatements("", &m.Told)}
+	report := &cwproto.QuotaReport{Told: protoStatements(&cwquota.Source{}, &m.Told)}
 	for i := range m.Relayed {
-		report.Relayed = append(report.Relayed, protoStatements(m.Relayed[i].Domain, &m.Relayed[i].Told))
+		report.Relayed = append(report.Relayed, protoStatements(&m.Relayed[i].Source, &m.Relayed[i].Told))
 	}
 	return report
 }
@@ -41,15 +41,17 @@
 	}
 	m := &cwquota.Message{Told: toldOf(report.GetTold())}
 	for _, r := range report.GetRelayed() {
-		m.Relayed = append(m.Relayed, cwquota.Relayed{Domain: r.GetDomain(), Told: toldOf(r)})
+		m.Relayed = append(m.Relayed, cwquota.Relayed{
+			Source: cwquota.Source{Address: r.GetAddress(), Life: r.GetLife(), Domain: r.GetDomain()}, Told: toldOf(r),
+		})
 	}
 	self := message.GetSelf()
 	ledger.Receive(cwquota.Source{Address: self.GetPeerAddress(), Life: self.GetIncarnation(), Domain: self.GetDomain()}, m, now)
 }
 
-func protoStatements(domain string, told *cwquota.Told) *cwproto.QuotaStatements {
+func protoStatements(from *cwquota.Source, told *cwquota.Told) *cwproto.QuotaStatements {
 	p := &cwproto.QuotaStatements{
-		Domain: domain, AgeMillis: uint32(max(told.Age, 0).Milliseconds()),
+		Domain: from.Domain, Address: from.Address, Life: from.Life, AgeMillis: uint32(max(told.Age, 0).Milliseconds()),
 		SlotMillis: uint32(told.SlotPassed.Milliseconds()), Partial: told.IsPartial,
 	}
 	for _, s := range told.Statements {
--- a/internal/cwquota/contact.go
+++ b/internal/cwquota/contact.go
@@ -91,16 +91,14 @@
 	}
 }
 
-// stop ends the extrapolation of a source that has ended. Its spending stays until it is older
-// than the window.
+// stop ends the extrapolation of a source that has ended, or the reserve for it. Its spending stays
+// until it is older than the window.
 func (l *Ledger) stop(s *source) {
-	if s.isLost {
-		return
-	}
 	l.remove(s)
 	for _, e := range s.entries {
-		e.perSecond, e.olderPerSecond = 0, 0
+		e.perSecond, e.olderPerSecond, e.lostShare = 0, 0, 0
 	}
+	s.isLost = false
 	l.add(s)
 }
 
--- a/internal/cwquota/merge.go
+++ b/internal/cwquota/merge.go
@@ -19,8 +19,9 @@
 		return
 	}
 	for i := range m.Relayed {
-		if r := &m.Relayed[i]; r.Domain != l.self.Domain {
-			l.merge(Source{Domain: r.Domain}, &r.Told, false, now)
+		r := &m.Relayed[i]
+		if r.Source != l.self && (r.Domain != l.self.Domain || !r.isDomain()) {
+			l.merge(r.Source, &r.Told, false, now)
 		}
 	}
 }
--- a/internal/cwquota/message.go
+++ b/internal/cwquota/message.go
@@ -6,7 +6,8 @@
 type Message struct {
 	// Told is the spending of the sender, or of its domain if the receiver is in another one.
 	Told
-	// Relayed is what other domains told the sender, for an instance of its own domain.
+	// Relayed is what other domains told the sender, and what ended instances of its domain told it
+	// last, for an instance of its own domain.
 	Relayed []Relayed
 }
 
@@ -23,8 +24,8 @@
 	Statements []Statement
 }
 
-// Relayed is what another domain told.
+// Relayed is what another source told.
 type Relayed struct {
-	Domain string
+	Source
 	Told
 }
--- a/internal/cwquota/tell.go
+++ b/internal/cwquota/tell.go
@@ -30,6 +30,10 @@
 	}
 	if peer.Domain != l.self.Domain {
 		m.Statements = l.budget.take(l.domainStatements(m.IsPartial, now), m.IsPartial)
+		if l.isStarting(now) {
+			// The spending of the other instances of the domain is not known yet.
+			m.IsPartial, m.Statements = true, nil
+		}
 		return m
 	}
 	m.Statements = l.budget.take(l.ownStatements(m.IsPartial, now), m.IsPartial)
@@ -103,16 +107,43 @@
 	}
 }
 
-// relayed returns what other domains told this instance itself, while others may not know it.
+// isStarting reports whether this instance has just started and has not heard all others of its domain
+// yet.
+func (l *Ledger) isStarting(now time.Time) bool {
+	if now.Sub(l.epoch) >= minFullInterval {
+		return false
+	}
+	for _, s := range l.sources {
+		if !s.isDomain() && s.instances > 0 && s.isLost {
+			return true
+		}
+	}
+	return false
+}
+
+// isRelayed reports whether the source's statements are told to the other instances of the domain:
+// those of another domain that came to this instance itself, while the others may not know them, and
+// the last ones of an instance that has ended, for those that have started since.
+func (l *Ledger) isRelayed(s *source, isPartial bool, now time.Time) bool {
+	switch {
+	case s.isLost:
+		return false
+	case s.isDomain():
+		return !s.at.After(s.relayAt) && now.Sub(s.at) <= l.fullInterval
+	}
+	return s.instances == 0 && !isPartial && now.Sub(s.at) < l.bounds.Window
+}
+
+// relayed returns the statements of other sources for an instance of the domain.
 func (l *Ledger) relayed(isPartial bool, now time.Time) []Relayed {
 	var list []Relayed
 	for _, s := range l.sources {
-		if !s.isDomain() || s.isLost || s.at.After(s.relayAt) || now.Sub(s.at) > l.fullInterval {
+		if !l.isRelayed(s, isPartial, now) {
 			continue
 		}
-		r := Relayed{Domain: s.Domain, Told: Told{Age: now.Sub(s.at), SlotPassed: s.slotPassed, IsPartial: isPartial}}
+		r := Relayed{Source: s.Source, Told: Told{Age: now.Sub(s.at), SlotPassed: s.slotPassed, IsPartial: isPartial}}
 		for id, e := range s.entries {
-			if a := l.accounts[id]; a != nil && (!isPartial || l.isHot(id, a, now)) && e.at.Equal(s.at) {
+			if a := l.accounts[id]; a != nil && (!isPartial || l.isHot(id, a, now)) && (e.at.Equal(s.at) || !s.isDomain()) {
 				r.Statements = append(r.Statements, e.Statement)
 			}
 		}
@@ -121,7 +152,9 @@
 			list = append(list, r)
 		}
 	}
-	slices.SortFunc(list, func(a, b Relayed) int { return cmp.Compare(a.Domain, b.Domain) })
+	slices.SortFunc(list, func(a, b Relayed) int {
+		return cmp.Or(cmp.Compare(a.Domain, b.Domain), cmp.Compare(a.Address, b.Address), cmp.Compare(a.Life, b.Life))
+	})
 	return list
 }
 
