--- a/internal/cwplacement/endpoint.go
+++ b/internal/cwplacement/endpoint.go
@@ -88,9 +88,9 @@
 	serviceTimeSeconds float64
 	// unreported is the work that this instance placed lately.
 	unreported recentWork
-	// isTurningAwayUntil is until when it counts as full, since it turned a request of this instance
+	// turningAwayUntil is until when it counts as full, since it turned a request of this instance
 	// away.
-	isTurningAwayUntil time.Time
+	turningAwayUntil time.Time
 	// mix is that of the pool.
 	mix *engineMix
 }
@@ -318,29 +318,14 @@
 // predict returns the expected processing of a request in the band.
 func (e *Endpoint) predict(rs *Requirements, band Band, now time.Time) prediction {
 	w := e.totalWork(now)
-	if e.engine != nil {
-		e.addUnreported(&w, now)
-	}
-	excess := w.InFlight + 1 - e.slots()
-	p := prediction{isFull: excess > 0}
 	if e.engine == nil {
-		if excess > 0 {
-			p.waitSeconds = float64(excess) / float64(e.slots()) * e.serviceTimeSeconds
-		}
-		p.firstByteSeconds = p.waitSeconds + e.serviceTimeSeconds
-		return p
+		return e.predictPlain(&w)
 	}
+	e.addUnreported(&w, now)
 	cached := e.cache.cachedTokens(rs.PromptParts)
-	p.uncachedTokens = max(rs.PromptTokens-cached, 0)
-	p.recomputedTokens = max(rs.sharedTokens()-cached, 0)
-	if excess > 0 {
-		ahead := max(float64(excess)-e.mix.requestsBehind(&w, band), 1)
-		p.waitSeconds = ahead / float64(e.slots()) * e.mix.slotSeconds(e.eventRate.rate)
-	}
-	if now.Before(e.isTurningAwayUntil) {
-		p.waitSeconds = max(p.waitSeconds, e.mix.slotSeconds(e.eventRate.rate))
-	}
-	p.waitSeconds = max(p.waitSeconds, w.tokensAhead(band)/e.promptSpeed.rate)
+	p := prediction{uncachedTokens: max(rs.PromptTokens-cached, 0), recomputedTokens: max(rs.sharedTokens()-cached, 0)}
+	p.isFull = w.InFlight >= e.slots()
+	p.waitSeconds = max(e.slotWaitSeconds(&w, band, now), w.tokensAhead(band)/e.promptSpeed.rate)
 	if tokens, seconds := e.memoryShortage(rs, &w, band, p.waitSeconds); tokens > 0 {
 		p.waitSeconds += seconds
 		p.shortageTokens, p.isFull = tokens, true
@@ -353,3 +338,27 @@
 	p.restSeconds = float64(rs.OutputTokens) / float64(max(e.engine.EventTokens, 1)) / e.eventRate.rate
 	return p
 }
+
+// predictPlain returns the expected processing of a request at an endpoint that is no model engine.
+func (e *Endpoint) predictPlain(w *Work) prediction {
+	p := prediction{}
+	if excess := w.InFlight + 1 - e.slots(); excess > 0 {
+		p.isFull = true
+		p.waitSeconds = float64(excess) / float64(e.slots()) * e.serviceTimeSeconds
+	}
+	p.firstByteSeconds = p.waitSeconds + e.serviceTimeSeconds
+	return p
+}
+
+// slotWaitSeconds returns the time until an engine has a slot for a request in the band.
+func (e *Endpoint) slotWaitSeconds(w *Work, band Band, now time.Time) float64 {
+	wait := 0.0
+	if excess := w.InFlight + 1 - e.slots(); excess > 0 {
+		ahead := max(float64(excess)-e.mix.requestsBehind(w, band), 1)
+		wait = ahead / float64(e.slots()) * e.mix.slotSeconds(e.eventRate.rate)
+	}
+	if now.Before(e.turningAwayUntil) {
+		wait = max(wait, e.mix.slotSeconds(e.eventRate.rate))
+	}
+	return wait
+}
--- a/internal/cwplacement/placement.go
+++ b/internal/cwplacement/placement.go
@@ -145,7 +145,7 @@
 		}
 	case Rejected:
 		e.consecutiveUnanswered = 0
-		e.isTurningAwayUntil = now.Add(reportLag)
+		e.turningAwayUntil = now.Add(reportLag)
 	case Abandoned:
 		if p.firstByteAt.IsZero() && !p.hasOverdueFailure && now.Sub(p.startedAt) >= p.PredictedFirstByte {
 			e.recordUnanswered(now)
