Bodies in memory: the test waits until the instance has given the memory back

Trace: callers have their whole answer before the handler returns and releases the last bytes; the check came between.

--- a/internal/cwapp/routed_body_memory_test.go
+++ b/internal/cwapp/routed_body_memory_test.go
@@ -6,6 +6,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 
 	"github.com/matryer/is"
 
@@ -51,6 +52,7 @@
 			}
 		})
 		wg.Wait()
+		synctest.Wait() // callers have their answers before the instance has given back the memory
 		is.Equal(served.Load(), int64(fittingCount))
 		is.Equal(refused.Load(), int64(senderCount-fittingCount))
 		is.Equal(len(w.Runs()), fittingCount+1) // none of the refused ones has run
