Responses to other requests are counted and logged

A response that a connection skips because it belongs to another request left no trace, and neither did the refusal without an identifier that a check shows to be a surplus one. With the record of the users nobody can tell whether an endpoint sent a copy, which identifier it bore, or whether a call ended because only such responses came: all three forms of REFUSED look the same.

The line "response belongs to another request" has the request under way, the place, its address, the status and the identifier in the response, at most three lines an attempt. `responses_skipped` counts all of them by whether they name a request, and `calls_unmatched` the calls that ended because no response was certainly their own; their error was in the line "attempt" already.

No logic changes.

--- a/internal/cwconn/call.go
+++ b/internal/cwconn/call.go
@@ -23,6 +23,8 @@
 	// request. Other responses are skipped: endpoints may send a second, late response to an
 	// earlier request. If it is nil, every response belongs to the request.
 	MatchResponse func(status int, field func(name string) string) Match
+	// OnSkip is called with the status and the fields of each response that is skipped; it may be nil.
+	OnSkip func(status int, field func(name string) string)
 	// NeedsNamedResponses is set if the call must not be sent on a connection on which a response
 	// came that named no request: another copy of it can't be told from the response to the call.
 	NeedsNamedResponses bool
--- a/internal/cwconn/check.go
+++ b/internal/cwconn/check.go
@@ -21,7 +21,8 @@
 	MatchResponse func(status int, field func(name string) string) Match
 }
 
-var errUnconfirmed = errors.New("received more than one response that names no request")
+// ErrUnconfirmed means that a call ended because it is not certain which response is its own.
+var ErrUnconfirmed = errors.New("received more than one response that names no request")
 
 // needsCheck reports whether a response that names no request may belong to none: on a connection on
 // which another response came, a faulty peer may have sent it in addition to that one.
@@ -45,7 +46,7 @@
 			return nil, fmt.Errorf("await answer to check after a response that names no request: %w", err)
 		}
 		if call.MatchResponse(resp.StatusCode, resp.Header.Get) == MatchByName {
-			c.hasSkippedResponse = true // the answer to the check is still to come
+			c.recordSkipped(call, refusal) // and the answer to the check is still to come
 			return resp, nil
 		}
 		match := call.Check.MatchResponse(resp.StatusCode, resp.Header.Get)
@@ -59,10 +60,11 @@
 			return refusal, nil
 		}
 		if call.MatchResponse(resp.StatusCode, resp.Header.Get) == MatchByOrder {
-			return nil, errUnconfirmed
+			return nil, ErrUnconfirmed
 		}
+		c.recordSkipped(call, resp)
 	}
-	return nil, errOnlyOthers
+	return nil, ErrOnlyOthers
 }
 
 // readSkippedBody reads the body of a response that is not forwarded as it arrives.
--- a/internal/cwconn/conn.go
+++ b/internal/cwconn/conn.go
@@ -35,7 +35,8 @@
 	idleMargin = time.Second
 )
 
-var errOnlyOthers = errors.New("received only responses to other requests")
+// ErrOnlyOthers means that a call ended because only responses to other requests came.
+var ErrOnlyOthers = errors.New("received only responses to other requests")
 
 // conn is a connection. At most one call uses it at a time.
 type conn struct {
@@ -172,7 +173,7 @@
 		if match != MatchNone {
 			return resp, nil
 		}
-		c.hasSkippedResponse = true
+		c.recordSkipped(call, resp)
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBodyBytes))
 		if err != nil {
 			return nil, fmt.Errorf("skip response to another request: %w", err)
@@ -181,7 +182,15 @@
 			return nil, &cwlimit.Error{Step: "skip response to another request", Peer: call.Address, LimitBytes: maxSkippedBodyBytes}
 		}
 	}
-	return nil, errOnlyOthers
+	return nil, ErrOnlyOthers
+}
+
+// recordSkipped records that a response belongs to another request.
+func (c *conn) recordSkipped(call *Call, resp *http.Response) {
+	c.hasSkippedResponse = true
+	if call.OnSkip != nil {
+		call.OnSkip(resp.StatusCode, resp.Header.Get)
+	}
 }
 
 // readFinalHead reads a response head and skips informational (1xx) ones. Together they are
--- a/internal/cwgate/attempt.go
+++ b/internal/cwgate/attempt.go
@@ -72,6 +72,8 @@
 	origin      cwstream.Origin
 	// opened receives the opening of an attempt that began beside an overdue one; nil for others.
 	opened chan opening
+	// skippedResponses is the number of responses to other requests that came in the attempt.
+	skippedResponses int
 	// onSent is called right before the request is sent; it may be nil.
 	onSent func()
 	// endCheck gets whether the endpoint has ended; nil if that is not checked. hasEndedPlace is
@@ -223,6 +225,7 @@
 		}
 		return a.codec.EncodeHead(routed.Request, a.buildParams())
 	}
+	call.OnSkip = a.recordSkipped
 	call.MatchResponse = func(status int, field func(string) string) cwconn.Match {
 		return a.codec.MatchResponse(routed.Request, status, field)
 	}
--- a/internal/cwgate/attempt_failure.go
+++ b/internal/cwgate/attempt_failure.go
@@ -34,6 +34,9 @@
 		}
 		return result{notSent: true, notRun: true, outcome: cwanswer.NotRun, err: err}
 	}
+	if errors.Is(err, cwconn.ErrOnlyOthers) || errors.Is(err, cwconn.ErrUnconfirmed) {
+		a.metrics.unmatchedCalls.Inc(1)
+	}
 	a.excludePlace()
 	a.closeIdleConns(ctx)
 	a.probeEndpoint(ctx, a.preconnect)
--- a/internal/cwgate/codec.go
+++ b/internal/cwgate/codec.go
@@ -18,6 +18,9 @@
 	// MatchResponse returns whether a response with this status and these fields belongs to the
 	// request and not to an earlier one on the same connection.
 	MatchResponse(r *Request, status int, field func(name string) string) cwconn.Match
+	// DecodeResponseID returns the identifier of the request that a response names; empty if it names
+	// none.
+	DecodeResponseID(field func(name string) string) string
 	// BuildCheck returns a request to the endpoint of an attempt that it answers without running
 	// anything.
 	BuildCheck(r *Request, endpoint, healthPath string) *cwconn.Check
--- a/internal/cwgate/metrics.go
+++ b/internal/cwgate/metrics.go
@@ -1,6 +1,7 @@
 package cwgate
 
 import (
+	"strconv"
 	"sync"
 	"time"
 
@@ -16,10 +17,12 @@
 	// announcements counts by kind what endpoints newly state about themselves.
 	announcements sync.Map
 	takenUp       sync.Map
-	firstByte     tally.Histogram
-	total         tally.Histogram
-	retries       tally.Counter
-	relays        tally.Counter
+	// skipped counts the responses to other requests by whether they name one.
+	skipped   sync.Map
+	firstByte tally.Histogram
+	total     tally.Histogram
+	retries   tally.Counter
+	relays    tally.Counter
 	// limitedSends counts the requests sent to endpoints that name a rate limit.
 	limitedSends tally.Counter
 	// blocks counts the blocks of requests that end endpoints.
@@ -28,6 +31,8 @@
 	cutOffs tally.Counter
 	// coldChecks counts the health checks that ask endpoints whether they are cold.
 	coldChecks tally.Counter
+	// unmatchedCalls counts the calls that ended since no response was certainly their own.
+	unmatchedCalls tally.Counter
 	// quotaRefusals counts the requests refused for their account's quota, and quotaRefunds those
 	// that were charged and have not run.
 	quotaRefusals tally.Counter
@@ -47,6 +52,8 @@
 		cutOffs:      root.Counter("endpoint_cut_offs"),
 		coldChecks:   root.Counter("cold_checks"),
 
+		unmatchedCalls: root.Counter("calls_unmatched"),
+
 		quotaRefusals: root.Counter("quota_refusals"),
 		quotaRefunds:  root.Counter("quota_refunds"),
 	}
@@ -61,6 +68,11 @@
 	m.taggedCounter(&m.takenUp, "streams_taken_up", "origin", source).Inc(1)
 }
 
+// countSkipped counts a response that belongs to another request.
+func (m *metrics) countSkipped(isNamed bool) {
+	m.taggedCounter(&m.skipped, "responses_skipped", "named", strconv.FormatBool(isNamed)).Inc(1)
+}
+
 // countAnnouncement counts that an endpoint newly states that it is leaving or wants a pause.
 func (m *metrics) countAnnouncement(kind string) {
 	m.taggedCounter(&m.announcements, "endpoint_announcements", "kind", kind).Inc(1)
