A connection carries the identifier of a request once

A response that names its request was taken for its answer, whatever else the connection had carried. An endpoint that has taken the address of another one answers 421, the request follows under the new identifier on the same connection, the copied 421 comes first and is believed while the request runs.

Each connection now remembers hashes of the identifiers it has carried, of requests and of checks, and a request never goes out twice on one. So a response with the identifier of the request under way can't be the copy of one that came before, on whatever way the request came back. A connection that has carried the identifier is closed and not passed over: otherwise it would take up the room of the new one at an endpoint that limits connections. An identifier of a check may be that of a request whose caller chose it; a check that would be ambiguous isn't sent, and the call ends without a promise.

What it costs: a connection is closed after 256 calls with an identifier (2 KB of hashes), that is one more handshake in 256 calls. While endpoints refuse new connections and old ones live on, the old ones go sooner.

Relays carry no identifier: an exit is an instance of ours, which sends one response to a request.

--- a/internal/cwconn/address_pool.go
+++ b/internal/cwconn/address_pool.go
@@ -26,7 +26,7 @@
 	for len(p.idle) > 0 {
 		c := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
-		if c.isReusable(now) && !(c.hasUnnamedResponse && call.NeedsNamedResponses) {
+		if c.isReusable(now) && c.mayCarry(call) {
 			return c
 		}
 		_ = c.Conn.Close()
--- a/internal/cwconn/call.go
+++ b/internal/cwconn/call.go
@@ -4,6 +4,10 @@
 type Call struct {
 	// Address is the peer's host and port.
 	Address string
+	// ID identifies the request in its responses. A connection carries an identifier once: the copy of a
+	// refusal can't be told from the response to the same request sent again. Empty if responses
+	// name no request.
+	ID string
 	// Method is the request method. The head contains it too.
 	Method string
 	// EncodeHead returns the request line and all header fields, up to and including the
--- a/internal/cwconn/check.go
+++ b/internal/cwconn/check.go
@@ -13,6 +13,8 @@
 // Check is a request without a body that the peer answers without running anything. A peer answers the
 // requests of a connection in their order: once the check is answered, so are all requests before it.
 type Check struct {
+	// ID identifies the check in its answer.
+	ID string
 	// Method is the request method, and Head the request line and all header fields, up to and
 	// including the empty line.
 	Method string
@@ -37,6 +39,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if c.carried.has(call.Check.ID) {
+		return nil, ErrUnconfirmed
+	}
+	c.carried.add(call.Check.ID)
 	if _, err = c.Write(call.Check.Head); err != nil {
 		return nil, fmt.Errorf("send check after a response that names no request: %w", err)
 	}
--- a/internal/cwconn/check_test.go
+++ b/internal/cwconn/check_test.go
@@ -115,6 +115,32 @@
 	}
 }
 
+// TestCheckIsNotAnsweredByCopy guards against a caller that has chosen the identifier of a check for its own
+// request: the copy of that one's refusal would answer the check.
+func TestCheckIsNotAnsweredByCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := cwmemnet.NewNetwork()
+		defer n.Close()
+		l, err := n.Host("10.0.0.1").Listen(context.Background(), "10.0.0.1:80")
+		is.NoErr(err)
+		defer func() { _ = l.Close() }()
+		server := &scriptedServer{answers: []string{checkAnswer, bareRefusal + checkAnswer + ownAnswer}}
+		go server.accept(l)
+		pool := cwconn.NewPool(n.Host("10.0.0.2"))
+		defer pool.CloseIdle("10.0.0.1:80")
+		first, err := pool.Do(t.Context(), newNamedCall("10.0.0.1:80", checkID))
+		is.NoErr(err)
+		_, err = io.ReadAll(first)
+		is.NoErr(err)
+		synctest.Wait()
+		call := newCheckedCall("10.0.0.1:80")
+		call.Check.ID = checkID
+		_, err = pool.Do(t.Context(), call)
+		is.True(errors.Is(err, cwconn.ErrUnconfirmed))
+	})
+}
+
 // scriptedServer answers the requests of one connection after the other. synctest.Wait orders its
 // fields.
 type scriptedServer struct {
--- a/internal/cwconn/conn.go
+++ b/internal/cwconn/conn.go
@@ -33,6 +33,10 @@
 	// idleMargin is subtracted from the timeout that the peer states, so that no request
 	// is sent while the peer closes the connection.
 	idleMargin = time.Second
+	// MaxCallsPerConn is the number of calls with an identifier after which a connection is closed. It
+	// bounds the identifiers that it remembers, 8 bytes each; one new connection in so many calls
+	// costs little.
+	MaxCallsPerConn = 256
 )
 
 // ErrOnlyOthers means that a call ended because only responses to other requests came.
@@ -47,6 +51,8 @@
 	reader     *bufio.Reader
 	// used is set after the first call.
 	used bool
+	// carried are the identifiers of the calls so far.
+	carried carriedIDs
 	// cancelCloseHook cancels the closing of the connection at the end of the call's
 	// context. It returns false if the context has already ended.
 	cancelCloseHook func() bool
@@ -67,12 +73,18 @@
 	return now.Before(c.idleUntil) && c.reader.Buffered() == 0 && cwnet.IsIdleConnUsable(c.Conn)
 }
 
+// mayCarry reports whether a response to the call can be told from all others on the connection.
+func (c *conn) mayCarry(call *Call) bool {
+	return !(c.hasUnnamedResponse && call.NeedsNamedResponses) && !c.carried.has(call.ID)
+}
+
 // do sends a call and reads the head of its response. The connection is closed when ctx
 // ends, which also ends the reading of the body. A call that keeps its connection is only
 // interrupted while it waits for the response to begin.
 func (c *conn) do(ctx context.Context, call *Call) (*Response, error) {
 	reused := c.used
 	c.used = true
+	c.carried.add(call.ID)
 	c.cancelCloseHook = context.AfterFunc(ctx, c.interrupt)
 	isKept := false
 	defer func() {
@@ -210,11 +222,12 @@
 }
 
 // finish ends a call. The connection is closed unless keep is set, and also if it has
-// skipped a response, has unread bytes or was closed by the end of the context.
+// skipped a response, has unread bytes, has carried MaxCallsPerConn calls or was closed by the end
+// of the context.
 func (c *conn) finish(keep bool, header http.Header) {
 	stopped := c.cancelCloseHook == nil || c.cancelCloseHook()
 	c.cancelCloseHook = nil
-	if keep && stopped && !c.hasSkippedResponse && c.reader.Buffered() == 0 {
+	if keep && stopped && !c.hasSkippedResponse && !c.carried.isFull() && c.reader.Buffered() == 0 {
 		if c.hasReadDeadline {
 			_ = c.SetReadDeadline(time.Time{})
 			c.hasReadDeadline = false
--- a/internal/cwgate/attempt.go
+++ b/internal/cwgate/attempt.go
@@ -212,6 +212,7 @@
 	routed := a.req
 	call := &cwconn.Call{Address: a.address, Method: routed.Method, Body: routed.body}
 	if a.exitDomain == "" {
+		call.ID = routed.ID
 		call.MaxConns = a.maxConns(routed.service)
 		call.Admit, call.KeepsPending = a.checkWanted, true
 		if !routed.route.IsIdempotent() {
