Three responses too many no longer end a request that is under way

A call ended after it had skipped three responses to other requests, though its own response came next: the caller of a request that must not be repeated got 502 while the request ran at the endpoint, and others were sent to a second endpoint for nothing. An endpoint that sends copies of refusals may have one for each request that it refused on the connection.

Nothing more is believed than before: a refusal without an identifier that comes after a skipped response still needs a check, and a connection that has skipped one is closed after the call.

--- a/internal/cwconn/check.go
+++ b/internal/cwconn/check.go
@@ -46,7 +46,7 @@
 	if _, err = c.Write(call.Check.Head); err != nil {
 		return nil, fmt.Errorf("send check after a response that names no request: %w", err)
 	}
-	for range maxSkippedResponses + 1 {
+	for {
 		resp, err := c.readFinalHead(&http.Request{Method: call.Method})
 		if err != nil {
 			return nil, fmt.Errorf("await answer to check after a response that names no request: %w", err)
@@ -58,19 +58,20 @@
 		match := call.Check.MatchResponse(resp.StatusCode, resp.Header.Get)
 		// Only one that is named can't be followed by another answer to the check.
 		c.hasSkippedResponse = c.hasSkippedResponse || match != MatchByName
-		if _, err = c.readSkippedBody(call, resp); err != nil {
-			return nil, err
-		}
 		if match != MatchNone {
+			if _, err = c.readSkippedBody(call, resp); err != nil {
+				return nil, err
+			}
 			refusal.Body = io.NopCloser(bytes.NewReader(body))
 			return refusal, nil
 		}
 		if call.MatchResponse(resp.StatusCode, resp.Header.Get) == MatchByOrder {
 			return nil, ErrUnconfirmed
 		}
-		c.recordSkipped(call, resp)
+		if err = c.skip(call, resp); err != nil {
+			return nil, err
+		}
 	}
-	return nil, ErrOnlyOthers
 }
 
 // readSkippedBody reads the body of a response that is not forwarded as it arrives.
