The product's endpoints: a response names the attempt it belongs to

An endpoint gets the identifier of the attempt and may now repeat it. A response with another one is no response of this attempt: the call fails, its request may have run, and the idle connections are closed, since a response without a body leaves the connection idle while the own response is still due. The stand-in engine repeats the identifier.

--- a/internal/cwendpoint/client.go
+++ b/internal/cwendpoint/client.go
@@ -19,7 +19,8 @@
 )
 
 const (
-	// AttemptHeader carries the attempt's identifier to the endpoint.
+	// AttemptHeader carries the attempt's identifier to the endpoint, which should repeat it in its response.
+	// Only then can its response be told from one too many to an earlier attempt.
 	AttemptHeader = "Clementinewell-Attempt"
 	// PriorityHeader carries the service's priority class to the endpoint.
 	PriorityHeader = "Clementinewell-Priority"
@@ -40,6 +41,8 @@
 	maxLoadBytes = 8 << 10
 )
 
+var errOtherAttempt = errors.New("response to another attempt")
+
 // Client sends requests to endpoints.
 type Client struct {
 	pooled *http.Client
@@ -108,6 +111,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("send request to %s: %w", r.Address, cwlimit.ShortenError(withoutURL(err)))
 	}
+	if named := resp.Header.Get(AttemptHeader); named != "" && named != r.Header.Get(AttemptHeader) {
+		_ = resp.Body.Close()
+		// A response without a body has made its connection idle, and the own response is still to come.
+		c.CloseIdle()
+		return nil, fmt.Errorf("read response of %s: %w", r.Address, errOtherAttempt)
+	}
 	return resp, nil
 }
 
--- a/internal/cwstandin/engine.go
+++ b/internal/cwstandin/engine.go
@@ -121,7 +121,9 @@
 	prompt := string(req.Messages) + req.Prompt
 	load := e.Load()
 	w.Header().Set(cwendpoint.LoadHeader, load.HeaderValue())
-	stream := e.startGeneration(r.Header.Get(cwendpoint.AttemptHeader), prompt, req.MaxTokens)
+	attempt := r.Header.Get(cwendpoint.AttemptHeader)
+	w.Header().Set(cwendpoint.AttemptHeader, attempt)
+	stream := e.startGeneration(attempt, prompt, req.MaxTokens)
 	if req.Stream {
 		e.serveStream(w, r, stream, 0)
 		return
