Gate: a refusal promises "not run" only while no attempt may have run

A caller was told 503 of a request that ran. While the dial of one endpoint was overdue, the request was sent to another one beside it; at the deadline only the dial was recorded, of which nothing had been sent, and the attempt beside it was dropped without a trace in the outcome. This is limited to requests that may be repeated (others are not sent beside an overdue attempt), so it is no form of the users' REFUSED, but the same class: a place that writes a promise judges by a record that may lack an attempt.

Each request now has a ledger: an attempt counts from right before it is sent until its end proves that it has not run. `isNotRun` asks it, so the deadline gives 504 here, and `Gate.writeRefusal` is the only place that writes a refusal: a 4xx or 503 of a request with an unproved attempt becomes 502, with an error line and `refusals_unproved`. The same function decides what the instance that relayed a request takes for "not run", so that both sides agree. A signed 408, 429 or 503 of an endpoint without the proof that it has not run was passed on unchanged; it is 502 now, unsigned, since the signature vouches for the endpoint's status.

The refusals of cwserver (late head, heads in memory, too many connections) are written before a handler has the request; they stay.

Not closed: an attempt beside another one that is dropped while it dials can still send right after the refusal, if the end of its context and the end of the dial cross; requests that must not be repeated have none.

--- a/internal/cwgate/attempt.go
+++ b/internal/cwgate/attempt.go
@@ -74,6 +74,8 @@
 	opened chan opening
 	// skippedResponses is the number of responses to other requests that came in the attempt.
 	skippedResponses int
+	// isSent is set right before the request is sent.
+	isSent bool
 	// onSent is called right before the request is sent; it may be nil.
 	onSent func()
 	// endCheck gets whether the endpoint has ended; nil if that is not checked. hasEndedPlace is
@@ -196,13 +198,6 @@
 	a.recordReached(time.Now())
 }
 
-// isPeerRefusal reports whether another instance's own response has a status which means
-// that the request was not run. Statuses 400 to 499 are possible if that instance has an
-// older configuration.
-func isPeerRefusal(status int) bool {
-	return status == http.StatusServiceUnavailable || status >= http.StatusBadRequest && status < http.StatusInternalServerError
-}
-
 func isEventStream(h http.Header) bool {
 	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
 }
@@ -221,6 +216,8 @@
 		}
 	}
 	call.EncodeHead = func() []byte {
+		a.isSent = true
+		routed.responder.sends.recordSent()
 		if a.onSent != nil {
 			a.onSent()
 		}
--- a/internal/cwgate/attempt_failure.go
+++ b/internal/cwgate/attempt_failure.go
@@ -85,6 +85,10 @@
 	return result{err: err, outcome: cwanswer.Unknown, mayHaveRun: true}
 }
 
+// errUnprovedRefusal means that a response has a status by which callers would take the request for not run,
+// and does not state that.
+var errUnprovedRefusal = errors.New("refusal without the proof that the request was not run")
+
 // handleErrorResponse keeps an endpoint's error response, to be forwarded if no later
 // attempt succeeds.
 func (a *attempt) handleErrorResponse(ctx context.Context, response *cwconn.Response) result {
@@ -96,6 +100,10 @@
 		body.Release()
 		return a.failUnknown(ctx, errEndedWithResponse)
 	}
+	if isPromiseOfEndpoint(response.StatusCode) {
+		body.Release()
+		return a.failUnknown(ctx, fmt.Errorf("status %d from %s: %w", response.StatusCode, a.address, errUnprovedRefusal))
+	}
 	a.excludePlace()
 	a.recordEnd(ctx, cwplacement.Failed)
 	a.req.releaseErrorResponse()
--- a/internal/cwgate/crash.go
+++ b/internal/cwgate/crash.go
@@ -116,7 +116,7 @@
 		return
 	}
 	g.metrics.countRefusal(reasonBlocked)
-	routed.responder.writeRefusal(newNotRunRefusal(reasonBlocked, blockedRetryAfter))
+	g.writeRefusal(routed.Request, routed.responder, newNotRunRefusal(reasonBlocked, blockedRetryAfter))
 	g.Log.Info("request refused", zap.String("request", routed.ID), zap.String("route", routed.route.Name), zap.String("service", routed.service),
 		zap.String("reason", reasonBlocked), zap.Strings("traits", b.Names), routed.accountField(), zap.Int("attempts", routed.attempts), zap.Bool("relayed", routed.IsRelayed))
 }
--- a/internal/cwgate/metrics.go
+++ b/internal/cwgate/metrics.go
@@ -33,6 +33,9 @@
 	coldChecks tally.Counter
 	// unmatchedCalls counts the calls that ended since no response was certainly their own.
 	unmatchedCalls tally.Counter
+	// unprovedRefusals counts the refusals that would have promised of a request that may have run that
+	// it has not.
+	unprovedRefusals tally.Counter
 	// quotaRefusals counts the requests refused for their account's quota, and quotaRefunds those
 	// that were charged and have not run.
 	quotaRefusals tally.Counter
@@ -52,7 +55,8 @@
 		cutOffs:      root.Counter("endpoint_cut_offs"),
 		coldChecks:   root.Counter("cold_checks"),
 
-		unmatchedCalls: root.Counter("calls_unmatched"),
+		unprovedRefusals: root.Counter("refusals_unproved"),
+		unmatchedCalls:   root.Counter("calls_unmatched"),
 
 		quotaRefusals: root.Counter("quota_refusals"),
 		quotaRefunds:  root.Counter("quota_refunds"),
--- a/internal/cwgate/opening.go
+++ b/internal/cwgate/opening.go
@@ -31,9 +31,19 @@
 	return head
 }
 
-// open sends the request and reads the head of the response. A response which states that the
-// request was not run, or which is not the endpoint's, is a failure.
+// open sends the request and reads the head of the response, and records whether that proves that the
+// request was not run.
 func (a *attempt) open(ctx context.Context) opening {
+	o := a.exchange(ctx)
+	if a.isSent && o.failure != nil && o.failure.notRun {
+		a.req.responder.sends.recordNotRun()
+	}
+	return o
+}
+
+// exchange sends the request and reads the head of the response. A response which states that the
+// request was not run, or which is not the endpoint's, is a failure.
+func (a *attempt) exchange(ctx context.Context) opening {
 	sentAt := time.Now()
 	response, err := a.conns.Do(ctx, a.buildCall())
 	if err != nil {
@@ -43,7 +53,7 @@
 	a.recordResponse()
 	head := a.recordHead(response, sentAt)
 	switch {
-	case head.IsNotRun || a.exitDomain != "" && !head.IsSigned && isPeerRefusal(response.StatusCode):
+	case head.IsNotRun || a.exitDomain != "" && !head.IsSigned && promisesNotRun(response.StatusCode):
 		r := a.handleRejection(ctx, response, head)
 		response.Close()
 		return opening{failure: &r}
--- a/internal/cwgate/refusal.go
+++ b/internal/cwgate/refusal.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"go.uber.org/zap"
 )
 
 // Refusal is a response that the gateway itself creates.
@@ -22,6 +24,36 @@
 	return Refusal{Status: http.StatusServiceUnavailable, Reason: reason, RetryAfter: retryAfter}
 }
 
+// promisesNotRun reports whether an instance's own response with this status promises that the request has
+// not run and will not. Callers rely on 408, 421, 429 and 503, and the instance that relayed the request
+// also on the statuses 400 to 499 of an older configuration.
+func promisesNotRun(status int) bool {
+	return status == http.StatusServiceUnavailable || status >= http.StatusBadRequest && status < http.StatusInternalServerError
+}
+
+// isPromiseOfEndpoint reports whether callers take a failure that an endpoint created for the promise that
+// the request has not run.
+func isPromiseOfEndpoint(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// writeRefusal writes a refusal as the response to the request. It is the only place that does: a promise
+// that an attempt may belie becomes status 502.
+func (g *Gate) writeRefusal(r *Request, resp *responder, refusal Refusal) {
+	if promisesNotRun(refusal.Status) && resp.sends.mayHaveRun() {
+		g.metrics.unprovedRefusals.Inc(1)
+		g.Log.Error("refusal would promise that a request has not run which may have", zap.String("request", r.ID),
+			zap.String("reason", refusal.Reason), zap.Int("status", refusal.Status))
+		refusal = Refusal{Status: http.StatusBadGateway, Reason: refusal.Reason}
+	}
+	resp.hasBegun, resp.status = true, refusal.Status
+	refusal.write(resp.ResponseWriter)
+}
+
 // write sends the refusal.
 func (r Refusal) write(w http.ResponseWriter) {
 	h := w.Header()
--- a/internal/cwgate/responder.go
+++ b/internal/cwgate/responder.go
@@ -31,6 +31,8 @@
 	// relay numbers the chunks of a stream for the instance that relayed the request. It
 	// is nil if the request came from a caller.
 	relay *cwevent.RelayWriter
+	// sends counts the attempts that may have run.
+	sends sendLedger
 }
 
 func newResponder(w http.ResponseWriter) *responder {
@@ -95,9 +97,3 @@
 	_, err := r.Write(r.relay.EncodeEnd())
 	return err
 }
-
-// writeRefusal writes a refusal as the response.
-func (r *responder) writeRefusal(refusal Refusal) {
-	r.hasBegun, r.status = true, refusal.Status
-	refusal.write(r.ResponseWriter)
-}
--- a/internal/cwgate/routed_request.go
+++ b/internal/cwgate/routed_request.go
@@ -179,5 +179,5 @@
 
 // isNotRun reports whether the request was certainly not run.
 func (r *routedRequest) isNotRun() bool {
-	return r.outcome == "" || r.outcome == cwanswer.NotRun
+	return (r.outcome == "" || r.outcome == cwanswer.NotRun) && !r.responder.sends.mayHaveRun()
 }
--- a/internal/cwgate/serve.go
+++ b/internal/cwgate/serve.go
@@ -272,7 +272,7 @@
 
 // refuseUnrouted refuses a request before it is assigned to a service.
 func (g *Gate) refuseUnrouted(r *Request, resp *responder, refusal Refusal, fields ...zap.Field) {
-	resp.writeRefusal(refusal)
+	g.writeRefusal(r, resp, refusal)
 	g.metrics.countRefusal(refusal.Reason)
 	g.Log.Info("request turned away", append(fields, zap.String("request", r.ID), zap.String("reason", refusal.Reason), zap.Int("status", refusal.Status))...)
 }
@@ -298,7 +298,7 @@
 		g.codec.EncodeCutOff(routed.responder.Header())
 	}
 	g.metrics.countRefusal(d.Reason)
-	routed.responder.writeRefusal(newNotRunRefusal(d.Reason, d.RetryAfter))
+	g.writeRefusal(routed.Request, routed.responder, newNotRunRefusal(d.Reason, d.RetryAfter))
 	g.logRefused(routed, d)
 }
 
@@ -312,16 +312,16 @@
 	case routed.errorResponse != nil:
 		g.forwardErrorResponse(routed)
 	case routed.isNotRun():
-		routed.responder.writeRefusal(newNotRunRefusal("noRoom", cwplacement.RetryAfter(0, g.randomFloat())))
+		g.writeRefusal(routed.Request, routed.responder, newNotRunRefusal("noRoom", cwplacement.RetryAfter(0, g.randomFloat())))
 		g.logEnd(routed, "noRoom", r.err)
 	case errors.Is(context.Cause(ctx), errEnded):
-		routed.responder.writeRefusal(Refusal{Status: http.StatusBadGateway, Reason: "leaving"})
+		g.writeRefusal(routed.Request, routed.responder, Refusal{Status: http.StatusBadGateway, Reason: "leaving"})
 		g.logEnd(routed, "attemptFailed", errors.Join(errEnded, r.err))
 	case ctx.Err() != nil:
-		routed.responder.writeRefusal(Refusal{Status: http.StatusGatewayTimeout, Reason: "deadline"})
+		g.writeRefusal(routed.Request, routed.responder, Refusal{Status: http.StatusGatewayTimeout, Reason: "deadline"})
 		g.logEnd(routed, "deadline", r.err)
 	default:
-		routed.responder.writeRefusal(Refusal{Status: http.StatusBadGateway, Reason: "attemptFailed"})
+		g.writeRefusal(routed.Request, routed.responder, Refusal{Status: http.StatusBadGateway, Reason: "attemptFailed"})
 		g.logEnd(routed, "attemptFailed", r.err)
 	}
 }
@@ -340,7 +340,7 @@
 	if routed.isNotRun() {
 		refusal = newNotRunRefusal("cancelled", cwplacement.RetryAfter(0, g.randomFloat()))
 	}
-	routed.responder.writeRefusal(refusal)
+	g.writeRefusal(routed.Request, routed.responder, refusal)
 	g.logEnd(routed, "callerGone", r.err)
 }
 
