Schedules of refusals: copies at any time, a promise only if nothing ran

Random schedules of requests that must not run twice against two servers: named and unnamed refusals, copies of earlier responses before, after and within others and on idle connections, an extra refusal without an identifier, callers that leave. A request runs at most once over all its attempts, and not at all if the last one was taken for "not run".

Not in the schedules: two refusals too many in a row that name no request, of which the second has status 421.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -33,7 +33,7 @@
 check_models() { [ ! -x spec/check.sh ] || spec/check.sh; }
 check_examples() { bin/clementinewell check examples/prairie-linepaint && bin/clementinewell check examples/myrtle-gully; }
 # Property tests on random fault schedules. The fixed seed makes a failure repeatable.
-run_schedules() { go test -count=1 ./internal/cwpolicy ./internal/cwpublished ./internal/cwcrash ./internal/cwplacement -run Schedule -rapid.checks=10000 -rapid.seed=1 -rapid.nofailfile; }
+run_schedules() { go test -count=1 ./internal/cwpolicy ./internal/cwpublished ./internal/cwcrash ./internal/cwplacement ./internal/cwconn -run Schedule -rapid.checks=10000 -rapid.seed=1 -rapid.nofailfile; }
 run_tests() {
   local log failing status attempt crashed
   local raced=./... unraced=""
