--- a/internal/cwconn/call.go
+++ b/internal/cwconn/call.go
@@ -4,6 +4,10 @@
 type Call struct {
 	// Address is the peer's host and port.
 	Address string
+	// ID identifies the request in its responses. A connection carries an identifier once: the copy of a
+	// refusal can't be told from the response to the same request sent again. Empty if responses
+	// name no request.
+	ID string
 	// Method is the request method. The head contains it too.
 	Method string
 	// EncodeHead returns the request line and all header fields, up to and including the
@@ -23,6 +27,8 @@
 	// request. Other responses are skipped: endpoints may send a second, late response to an
 	// earlier request. If it is nil, every response belongs to the request.
 	MatchResponse func(status int, field func(name string) string) Match
+	// OnSkip is called with the status and the fields of each response that is skipped; it may be nil.
+	OnSkip func(status int, field func(name string) string)
 	// NeedsNamedResponses is set if the call must not be sent on a connection on which a response
 	// came that named no request: another copy of it can't be told from the response to the call.
 	NeedsNamedResponses bool
--- a/internal/cwconn/conn.go
+++ b/internal/cwconn/conn.go
@@ -24,18 +24,26 @@
 	// maxSkippedBodyBytes is the limit for the body of a response to another request. A
 	// body of this size or more fails the call.
 	maxSkippedBodyBytes = 256 << 10
-	// maxSkippedResponses is the largest number of responses to other requests that one
-	// call skips.
-	maxSkippedResponses = 2
+	// maxSkippedBytes is the limit for the bodies of all responses to other requests within a call: some
+	// of the largest.
+	maxSkippedBytes = 4 * maxSkippedBodyBytes
+	// maxSkippedResponses is the largest number of responses to other requests that one call skips: a
+	// copy of each response before it on the connection. The call's deadline ends it sooner.
+	maxSkippedResponses = MaxCallsPerConn
 	// defaultIdleTimeout is how long an idle connection is kept if the peer states no
 	// timeout.
 	defaultIdleTimeout = 4 * time.Second
 	// idleMargin is subtracted from the timeout that the peer states, so that no request
 	// is sent while the peer closes the connection.
 	idleMargin = time.Second
+	// MaxCallsPerConn is the number of calls with an identifier after which a connection is closed. It
+	// bounds the identifiers that it remembers, 8 bytes each; one new connection in so many calls
+	// costs little.
+	MaxCallsPerConn = 256
 )
 
-var errOnlyOthers = errors.New("received only responses to other requests")
+// ErrOnlyOthers means that a call ended because only responses to other requests came.
+var ErrOnlyOthers = errors.New("received only responses to other requests")
 
 // conn is a connection. At most one call uses it at a time.
 type conn struct {
@@ -46,6 +54,8 @@
 	reader     *bufio.Reader
 	// used is set after the first call.
 	used bool
+	// carried are the identifiers of the calls so far.
+	carried carriedIDs
 	// cancelCloseHook cancels the closing of the connection at the end of the call's
 	// context. It returns false if the context has already ended.
 	cancelCloseHook func() bool
@@ -53,6 +63,9 @@
 	isAwaitingHead atomic.Bool
 	// hasSkippedResponse is set after a response to another request.
 	hasSkippedResponse bool
+	// skippedResponses and skippedBytes are those skipped in the present call, which ends the connection.
+	skippedResponses int
+	skippedBytes     int64
 	// hasUnnamedResponse is set after a response that named no request.
 	hasUnnamedResponse bool
 	// hasReadDeadline is set if a time limit for reading must be removed before the next call.
@@ -66,12 +79,18 @@
 	return now.Before(c.idleUntil) && c.reader.Buffered() == 0 && cwnet.IsIdleConnUsable(c.Conn)
 }
 
+// mayCarry reports whether a response to the call can be told from all others on the connection.
+func (c *conn) mayCarry(call *Call) bool {
+	return !(c.hasUnnamedResponse && call.NeedsNamedResponses) && !c.carried.has(call.ID)
+}
+
 // do sends a call and reads the head of its response. The connection is closed when ctx
 // ends, which also ends the reading of the body. A call that keeps its connection is only
 // interrupted while it waits for the response to begin.
 func (c *conn) do(ctx context.Context, call *Call) (*Response, error) {
 	reused := c.used
 	c.used = true
+	c.carried.add(call.ID)
 	c.cancelCloseHook = context.AfterFunc(ctx, c.interrupt)
 	isKept := false
 	defer func() {
@@ -154,7 +173,7 @@
 // requests. A response that names none is the call's only if nothing else can have sent it.
 func (c *conn) readMatchingHead(call *Call, reused bool) (*http.Response, error) {
 	req := &http.Request{Method: call.Method}
-	for range maxSkippedResponses + 1 {
+	for {
 		resp, err := c.readFinalHead(req)
 		if err != nil {
 			return nil, err
@@ -172,16 +191,39 @@
 		if match != MatchNone {
 			return resp, nil
 		}
-		c.hasSkippedResponse = true
-		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBodyBytes))
-		if err != nil {
-			return nil, fmt.Errorf("skip response to another request: %w", err)
-		}
-		if n == maxSkippedBodyBytes {
-			return nil, &cwlimit.Error{Step: "skip response to another request", Peer: call.Address, LimitBytes: maxSkippedBodyBytes}
+		if err = c.skip(call, resp); err != nil {
+			return nil, err
 		}
 	}
-	return nil, errOnlyOthers
+}
+
+// skip reads a response to another request to its end, within the limits for the call.
+func (c *conn) skip(call *Call, resp *http.Response) error {
+	c.recordSkipped(call, resp)
+	c.skippedResponses++
+	if c.skippedResponses > maxSkippedResponses {
+		return ErrOnlyOthers
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBodyBytes))
+	if err != nil {
+		return fmt.Errorf("skip response to another request: %w", err)
+	}
+	if n == maxSkippedBodyBytes {
+		return &cwlimit.Error{Step: "skip response to another request", Peer: call.Address, LimitBytes: maxSkippedBodyBytes}
+	}
+	c.skippedBytes += n
+	if c.skippedBytes > maxSkippedBytes {
+		return &cwlimit.Error{Step: "skip responses to other requests", Peer: call.Address, LimitBytes: maxSkippedBytes}
+	}
+	return nil
+}
+
+// recordSkipped records that a response belongs to another request.
+func (c *conn) recordSkipped(call *Call, resp *http.Response) {
+	c.hasSkippedResponse = true
+	if call.OnSkip != nil {
+		call.OnSkip(resp.StatusCode, resp.Header.Get)
+	}
 }
 
 // readFinalHead reads a response head and skips informational (1xx) ones. Together they are
@@ -201,11 +243,12 @@
 }
 
 // finish ends a call. The connection is closed unless keep is set, and also if it has
-// skipped a response, has unread bytes or was closed by the end of the context.
+// skipped a response, has unread bytes, has carried MaxCallsPerConn calls or was closed by the end
+// of the context.
 func (c *conn) finish(keep bool, header http.Header) {
 	stopped := c.cancelCloseHook == nil || c.cancelCloseHook()
 	c.cancelCloseHook = nil
-	if keep && stopped && !c.hasSkippedResponse && c.reader.Buffered() == 0 {
+	if keep && stopped && !c.hasSkippedResponse && !c.carried.isFull() && c.reader.Buffered() == 0 {
 		if c.hasReadDeadline {
 			_ = c.SetReadDeadline(time.Time{})
 			c.hasReadDeadline = false
--- a/internal/cwgate/attempt.go
+++ b/internal/cwgate/attempt.go
@@ -72,6 +72,10 @@
 	origin      cwstream.Origin
 	// opened receives the opening of an attempt that began beside an overdue one; nil for others.
 	opened chan opening
+	// skippedResponses is the number of responses to other requests that came in the attempt.
+	skippedResponses int
+	// isSent is set right before the request is sent.
+	isSent bool
 	// onSent is called right before the request is sent; it may be nil.
 	onSent func()
 	// endCheck gets whether the endpoint has ended; nil if that is not checked. hasEndedPlace is
@@ -194,13 +198,6 @@
 	a.recordReached(time.Now())
 }
 
-// isPeerRefusal reports whether another instance's own response has a status which means
-// that the request was not run. Statuses 400 to 499 are possible if that instance has an
-// older configuration.
-func isPeerRefusal(status int) bool {
-	return status == http.StatusServiceUnavailable || status >= http.StatusBadRequest && status < http.StatusInternalServerError
-}
-
 func isEventStream(h http.Header) bool {
 	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
 }
@@ -210,6 +207,7 @@
 	routed := a.req
 	call := &cwconn.Call{Address: a.address, Method: routed.Method, Body: routed.body}
 	if a.exitDomain == "" {
+		call.ID = routed.ID
 		call.MaxConns = a.maxConns(routed.service)
 		call.Admit, call.KeepsPending = a.checkWanted, true
 		if !routed.route.IsIdempotent() {
@@ -218,11 +216,14 @@
 		}
 	}
 	call.EncodeHead = func() []byte {
+		a.isSent = true
+		routed.responder.sends.recordSent()
 		if a.onSent != nil {
 			a.onSent()
 		}
 		return a.codec.EncodeHead(routed.Request, a.buildParams())
 	}
+	call.OnSkip = a.recordSkipped
 	call.MatchResponse = func(status int, field func(string) string) cwconn.Match {
 		return a.codec.MatchResponse(routed.Request, status, field)
 	}
