Late configuration: an instance logs that it is behind, and a 404 names its configuration

What callers saw: two of three instances of one failure domain answered 404 for a route that had been acknowledged more than 4 s before, and logged nothing about it.

An instance now records the revisions that probes of the store and exchanges with peers offer. If it lacks one for a second, it logs who offered it, what it holds and how long ago the store answered; it logs what it does about it and when it is up to date again. The lines of a 404 or 401 name the version that decided and the age of the contacts with the store and with peers that reach it.

A second is more than the ordinary delay (the gap between two watches and a slow call), so a sound instance logs none of this. One line per episode bounds the volume.

--- a/internal/cwgate/log.go
+++ b/internal/cwgate/log.go
@@ -114,6 +114,24 @@
 	return zap.String("account", r.account.Name)
 }
 
+// refusalFields returns the fields of a request that is turned away before its first attempt.
+func (g *Gate) refusalFields(routed *routedRequest, refusal *Refusal) []zap.Field {
+	fields := routed.accountFields()
+	if !refusal.dependsOnConfig() {
+		return fields
+	}
+	if !routed.config.HasAccounts() {
+		fields = append(fields, zap.Uint64("config", routed.config.Version))
+	}
+	lag := g.state.Lag()
+	fields = append(fields, zap.Uint64("revision", g.state.Revision().StoreRevision()),
+		zap.Duration("storeAge", lag.StoreAge), zap.Duration("peerAge", g.peerAge(time.Now())))
+	if lag.Behind == 0 {
+		return fields
+	}
+	return append(fields, zap.Duration("behind", lag.Behind), zap.Uint64("offered", lag.Offered.StoreRevision()), zap.String("source", lag.Source))
+}
+
 // accountFields returns the fields that tell an operator which key a request had and which
 // configuration decided about it. The fingerprint does not reveal the key.
 func (r *routedRequest) accountFields() []zap.Field {
--- a/internal/cwgate/refusal.go
+++ b/internal/cwgate/refusal.go
@@ -22,6 +22,11 @@
 	return Refusal{Status: http.StatusServiceUnavailable, Reason: reason, RetryAfter: retryAfter}
 }
 
+// dependsOnConfig reports whether the request might be accepted by a newer configuration.
+func (r Refusal) dependsOnConfig() bool {
+	return r.Status == http.StatusNotFound || r.Status == http.StatusUnauthorized
+}
+
 // write sends the refusal.
 func (r Refusal) write(w http.ResponseWriter) {
 	h := w.Header()
--- a/internal/cwgate/serve.go
+++ b/internal/cwgate/serve.go
@@ -58,7 +58,7 @@
 	for _, s := range g.steps {
 		if refusal := s.take(ctx, routed); refusal != nil {
 			g.refundQuota(routed)
-			g.refuseUnrouted(r, responder, *refusal, routed.accountFields()...)
+			g.refuseUnrouted(r, responder, *refusal, g.refusalFields(routed, refusal)...)
 			return
 		}
 	}
--- a/internal/cwpublished/follower.go
+++ b/internal/cwpublished/follower.go
@@ -128,6 +128,7 @@
 	changes, err := f.watch(ctx)
 	switch {
 	case errors.Is(err, errRestartRequested):
+		f.Log.Info("watch ended; reading all items", zap.Uint64("revision", f.state.Revision().StoreRevision()))
 		f.hasAllItems = false
 		return nil
 	case errors.Is(err, errWatchBehind):
@@ -136,6 +137,7 @@
 	case err != nil:
 		return err
 	}
+	f.state.lag.recordStoreAnswer()
 	f.state.SetStoreUnreachable(false)
 	f.state.Apply("store", Delta{Items: changes.Items, Revision: changes.Revision})
 	f.wait(ctx, watchGap)
@@ -199,6 +201,8 @@
 	if err != nil {
 		return fmt.Errorf("probe store during a watch: %w", err)
 	}
+	f.state.lag.recordStoreAnswer()
+	f.state.RecordOffer("store", revision)
 	if revision <= f.state.Revision() {
 		return nil
 	}
@@ -242,6 +246,7 @@
 		}
 		items = append(items, page.Items...)
 		if !page.HasMore || len(page.Items) == 0 {
+			f.state.lag.recordStoreAnswer()
 			f.state.SetStoreUnreachable(false)
 			f.state.Apply("store", Delta{Items: items, Revision: firstRevision, IsFull: true})
 			f.hasAllItems, f.watchedAt = true, time.Now()
--- a/internal/cwpublished/state.go
+++ b/internal/cwpublished/state.go
@@ -27,11 +27,12 @@
 	// configured is closed once there is a configuration.
 	configured chan struct{}
 	view       atomic.Pointer[View]
+	lag        *lagTracker
 }
 
 // NewState returns a state without items.
 func NewState(common *cwcommon.Common, decode Decoder) *State {
-	s := &State{Common: common, items: NewItemSet(), interpreter: newInterpreter(decode), configured: make(chan struct{})}
+	s := &State{Common: common, items: NewItemSet(), interpreter: newInterpreter(decode), configured: make(chan struct{}), lag: &lagTracker{Common: common, storeAnswerAt: time.Now()}}
 	s.view.Store(&View{})
 	return s
 }
@@ -54,11 +55,24 @@
 // Apply applies changes. The source, "store" or the address of a peer, is for the log.
 func (s *State) Apply(source string, d Delta) {
 	s.apply(source, d)
+	s.lag.recordHeld(source, s.Revision())
 	if s.OnApply != nil {
 		s.OnApply(s.Revision())
 	}
 }
 
+// RecordOffer records that the source, "store" or the address of a peer, has the revision.
+func (s *State) RecordOffer(source string, revision Revision) {
+	s.lag.recordOffer(source, revision)
+}
+
+// Lag returns how far the state is behind what this instance was offered.
+func (s *State) Lag() Lag {
+	s.lag.mu.Lock()
+	defer s.lag.mu.Unlock()
+	return s.lag.lag()
+}
+
 func (s *State) apply(source string, d Delta) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/cwsync/published_puller.go
+++ b/internal/cwsync/published_puller.go
@@ -46,6 +46,7 @@
 // the offered version, whose number is a revision of the published state. If this instance watches
 // the store, it first waits for its own watch to deliver the revision.
 func (p *PublishedPuller) Pull(ctx context.Context, address string, offered cwconfig.Version) {
+	p.state.RecordOffer(address, cwpublished.Revision(offered.Number))
 	if !p.beginPull(cwpublished.Revision(offered.Number)) {
 		return
 	}
@@ -56,6 +57,8 @@
 			return
 		}
 		p.recordFetch()
+		p.Log.Info("watch has not delivered an offered revision; pulling", zap.String("peer", address),
+			zap.Uint64("offered", cwpublished.Revision(offered.Number).StoreRevision()), zap.Uint64("revision", p.state.Revision().StoreRevision()))
 	}
 	before := p.state.Revision()
 	delta, err := p.client.FetchPublished(ctx, address, before)
