--- a/internal/cwstandin/store.go
+++ b/internal/cwstandin/store.go
@@ -31,7 +31,7 @@
 	era          uint64
 	changed      chan struct{}
 	shouldRefuse func(remote string) bool
-	isHanging    bool
+	shouldHang   func(remote string) bool
 	// calls counts the calls that count toward the rate limit, and staleReads the others.
 	calls, staleReads int
 }
@@ -46,9 +46,12 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{items: make(map[string]storeItem), changed: make(chan struct{}), shouldRefuse: func(string) bool { return false }}
+	return &Store{items: make(map[string]storeItem), changed: make(chan struct{}), shouldRefuse: never, shouldHang: never}
 }
 
+// never is a predicate that holds for no client.
+func never(string) bool { return false }
+
 // Put writes an item.
 func (s *Store) Put(key string, value []byte) {
 	s.mu.Lock()
@@ -105,7 +108,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if refuse == nil {
-		refuse = func(string) bool { return false }
+		refuse = never
 	}
 	s.shouldRefuse = refuse
 }
@@ -113,9 +116,18 @@
 // SetHanging sets whether calls hang: they are processed, but get no response and stay
 // open until the client closes the connection.
 func (s *Store) SetHanging(hanging bool) {
+	s.HangIf(func(string) bool { return hanging })
+}
+
+// HangIf sets a predicate on the client's address that is evaluated for each response. Calls for
+// which it holds hang as with SetHanging. With nil, no call hangs.
+func (s *Store) HangIf(hang func(remote string) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.isHanging = hanging
+	if hang == nil {
+		hang = never
+	}
+	s.shouldHang = hang
 }
 
 // Calls returns the number of calls so far without stale reads, including refused ones.
@@ -164,7 +176,7 @@
 // writeResponse sends a JSON response, or none while the store is hanging.
 func (s *Store) writeResponse(w http.ResponseWriter, r *http.Request, v any) {
 	s.mu.Lock()
-	hanging := s.isHanging
+	hanging := s.shouldHang(r.RemoteAddr)
 	s.mu.Unlock()
 	if hanging {
 		<-r.Context().Done()
