Uncertain configuration: 503 instead of 404 or 401 for what a newer one may have

What callers saw: 404 for a route that had been added, from an instance that was behind. A caller never retries after it, though the instance beside would have served it.

Cause: an instance without a route answered as if the route didn't exist, also if it had evidence that its configuration was not the current one.

Change: if it has lacked an offered revision for 1 s, or has had no contact for 4 s with the store and with any instance that reaches it, it answers 503 configUncertain with Retry-After for an unknown route or key. That promise is true: nothing was sent. Nothing is held, so nothing waits longer. Routes and keys that it has are served as before, since a domain that is cut off goes on; a route that was dropped meanwhile still runs there.

Evidence: TestUncertainInstancePromisesInsteadOfDenying got 404 in all its three rows before. TestInstancesInContactDeny keeps 404 and 401 while nothing changes, under constant changes, and where the store refuses three of four instances of a domain.

Ruled out: any newer offer as evidence. Heartbeats change the store several times a second, so that every instance lacks some revision most of the time.

--- a/internal/cwgate/account.go
+++ b/internal/cwgate/account.go
@@ -44,6 +44,8 @@
 		return g.refuseKey(routed, reasonKeyMalformed)
 	case routed.Key.Text == "":
 		return g.refuseKey(routed, reasonKeyMissing)
+	case g.isConfigUncertain(time.Now()):
+		return newUncertainRefusal()
 	default:
 		return g.refuseKey(routed, reasonKeyUnknown)
 	}
--- a/internal/cwgate/refusal.go
+++ b/internal/cwgate/refusal.go
@@ -24,7 +24,7 @@
 
 // dependsOnConfig reports whether the request might be accepted by a newer configuration.
 func (r Refusal) dependsOnConfig() bool {
-	return r.Status == http.StatusNotFound || r.Status == http.StatusUnauthorized
+	return r.Status == http.StatusNotFound || r.Status == http.StatusUnauthorized || r.Reason == reasonConfigUncertain
 }
 
 // write sends the refusal.
--- a/internal/cwgate/step.go
+++ b/internal/cwgate/step.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 )
 
 // step is one step of a request before its attempts.
@@ -32,7 +33,11 @@
 // findRoute sets the route of the request and what follows from it.
 func (g *Gate) findRoute(_ context.Context, routed *routedRequest) *Refusal {
 	routed.route = routed.config.Match(routed.Host, routed.Path)
-	if routed.route == nil {
+	switch {
+	case routed.route != nil:
+	case g.isConfigUncertain(time.Now()):
+		return newUncertainRefusal()
+	default:
 		return &Refusal{Status: http.StatusNotFound, Reason: "noRoute"}
 	}
 	routed.deadline = deadlineOf(routed.Request, routed.route)
