Restart: an instance learns from its peers which endpoints drain

Cause: that an endpoint drains is kept by each instance, because an older heartbeat may overwrite the entry. A restarted instance reads only the overwritten entry. Instances told each other of endpoints that had said so in a response, not of those whose entry had.

Change: the report about endpoints names those too, with the life that they drain in. An instance without requests reports as well: it brings its pools up to date before it does. Without the time of a start nothing is told, since it would outlast that life.

--- a/internal/cwgate/attempt_announcement.go
+++ b/internal/cwgate/attempt_announcement.go
@@ -70,10 +70,11 @@
 func (g *Gate) mergeLeaving(peer *cwcontrol.PeerWork) {
 	for i := range peer.EndpointWork {
 		w := &peer.EndpointWork[i]
-		if !w.IsLeaving {
+		entry := g.view.Endpoints[w.Endpoint]
+		if !w.IsLeaving || entry.IsDraining && entry.StartedAtMillis == w.StartedAtMillis {
 			continue
 		}
-		if p := g.pools[g.view.Endpoints[w.Endpoint].Service]; p != nil && p.AnnounceLeaving(w.Endpoint, w.StartedAtMillis) {
+		if p := g.pools[entry.Service]; p != nil && p.AnnounceLeaving(w.Endpoint, w.StartedAtMillis) {
 			g.logLeaving(w.Endpoint, "peer")
 		}
 	}
--- a/internal/cwgate/report.go
+++ b/internal/cwgate/report.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/clementinewell/clementinewell/internal/cwcontrol"
+	"github.com/clementinewell/clementinewell/internal/cwplacement"
 	"github.com/clementinewell/clementinewell/internal/cwpolicy"
 )
 
@@ -48,6 +49,7 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.sync(now)
 	var endpointWork []cwcontrol.EndpointWork
 	for _, p := range g.pools {
 		for id, e := range p.Endpoints() {
@@ -62,7 +64,7 @@
 			if !now.Before(coldUntil) {
 				coldUntil = time.Time{}
 			}
-			if w.InFlight == 0 && len(parts) == 0 && failureRate < minReportedFailureRate && unreachableAt.IsZero() && rateLimit.ObservedAt.IsZero() && !e.IsLeaving() && coldUntil.IsZero() {
+			if w.InFlight == 0 && len(parts) == 0 && failureRate < minReportedFailureRate && unreachableAt.IsZero() && rateLimit.ObservedAt.IsZero() && !isReportedLeaving(e) && coldUntil.IsZero() {
 				continue
 			}
 			work := cwcontrol.EndpointWork{
@@ -70,7 +72,7 @@
 				PromptParts: toControlParts(parts), FailureRate: failureRate, UnreachableAt: unreachableAt,
 				PromptSpeed: cwcontrol.Measurement(promptSpeed), EventRate: cwcontrol.Measurement(eventRate), RateLimit: rateLimit, ColdUntil: coldUntil,
 			}
-			if e.IsLeaving() {
+			if isReportedLeaving(e) {
 				work.IsLeaving, work.StartedAtMillis = true, e.StartedAtMillis
 			}
 			endpointWork = append(endpointWork, work)
@@ -79,6 +81,13 @@
 	return endpointWork
 }
 
+// isReportedLeaving reports whether other instances are told that the endpoint is leaving. They may
+// not have read that in its entry, which an older heartbeat can overwrite. A statement about an
+// endpoint without the time of its start would outlast its life.
+func isReportedLeaving(e *cwplacement.Endpoint) bool {
+	return e.IsLeaving() || e.HasStartedDraining() && e.StartedAtMillis > 0
+}
+
 // unreachableReportPeriod is how long a failure to reach an endpoint is reported.
 const unreachableReportPeriod = 3 * time.Second
 
