Peers: one timeout, not one for each kept connection that is silent

What callers saw: an instance that the store turns away was behind for over 5 s if its connections to its peers had gone silent for good; the exchange and the pull each waited 2.5 s on one dead connection after the other.

Cause: a call that times out closes its own connection only. The client keeps two to each peer, and the next call takes the other one.

Change: a call that ends by its timeout closes all idle connections; new ones to sound peers cost a handshake.

Evidence: TestSilentConnectionsCostOneTimeout failed before: the second call timed out too.

--- a/internal/cwpeer/signing_client.go
+++ b/internal/cwpeer/signing_client.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -29,7 +31,12 @@
 	req.Body = io.NopCloser(bytes.NewReader(body))
 	req.ContentLength = int64(len(body))
 	req.Header.Set(authHeader, s.auth.Sign(req.URL.Path, body, time.Now()))
-	return s.client.Do(req)
+	resp, err := s.client.Do(req)
+	if err != nil && errors.Is(req.Context().Err(), context.DeadlineExceeded) {
+		// The kept connections to the peer may be silent too, and each would cost a timeout.
+		s.client.CloseIdleConnections()
+	}
+	return resp, err
 }
 
 // verifyingHandler returns a handler that verifies the signature of each call before it
