--- a/internal/cwapp/routed_late_config_test.go
+++ b/internal/cwapp/routed_late_config_test.go
@@ -191,6 +191,21 @@
 	}
 }
 
+// restart restarts the first and the third instance.
+func restart(s *lateScene) {
+	for _, n := range []int{0, 2} {
+		ip := s.hobart[n].IP
+		s.Kill(s.hobart[n])
+		s.Net.RestoreHost(ip)
+		s.hobart[n] = s.AddInstance(ip, "hobart-a")
+	}
+}
+
+// publishOther publishes a change that the change under test replaces.
+func publishOther(s *lateScene) {
+	s.Publish(nil, cwscene.NewRoute("r", "unsafe", nil), cwscene.NewRoute("other", "unsafe", nil))
+}
+
 func nothing(*lateScene) {}
 
 func answerAll(s *lateScene) { s.Store.HangIf(nil) }
@@ -200,6 +215,9 @@
 func lateScenarios() []lateScenario {
 	return []lateScenario{
 		{"no disruption", 0, nothing, nothing, true},
+		{"another change before", 0, publishOther, nothing, true},
+		{"two readers restarted", 0, restart, nothing, false},
+		{"two readers restarted while the store refuses them", 0, both(refuseAt(firstAndThird), restart), nothing, false},
 		{"two readers cut off from the store for 50 ms", 50 * time.Millisecond, partitionStore(firstAndThird, true), partitionStore(firstAndThird, false), false},
 		{"two readers cut off from the store for 2 s", 2 * time.Second, partitionStore(firstAndThird, true), partitionStore(firstAndThird, false), false},
 		{"domain cut off from the store for 2 s", 2 * time.Second, partitionStore(hobartOnly, true), partitionStore(hobartOnly, false), false},
@@ -272,7 +290,8 @@
 	for remaining := len(isInForce); remaining > 0; time.Sleep(10 * time.Millisecond) {
 		took := time.Since(acknowledgedAt)
 		for n, i := range s.instances() {
-			if isInForce[n] || i.State.View().Config.Version != uint64(s.ConfigVersion()) {
+			config := i.State.View().Config
+			if isInForce[n] || config == nil || config.Version != uint64(s.ConfigVersion()) {
 				continue
 			}
 			isInForce[n] = true
