--- a/internal/cwapp/routed_late_config_test.go
+++ b/internal/cwapp/routed_late_config_test.go
@@ -25,6 +25,9 @@
 	regionDelay = 40 * time.Millisecond
 	// sweepStep is the time from one time of the change to the next.
 	sweepStep = 3 * time.Second
+	// keepAliveTime is the time after which keep-alive closes a silent connection: the TCP user
+	// timeout of instances.
+	keepAliveTime = 5 * time.Second
 	// slowStoreDelay makes each answer of the store 60 times as slow as its usual 5 ms.
 	slowStoreDelay = 150 * time.Millisecond
 )
@@ -161,6 +164,13 @@
 	}
 }
 
+// stallPeerConnsUntilKeepAlive makes all open connections between instances silent, until keep-alive
+// closes them.
+func stallPeerConnsUntilKeepAlive(s *lateScene) {
+	stallPeerConns(s)
+	time.AfterFunc(keepAliveTime, s.Net.CloseStalledConns)
+}
+
 // stallAllConns makes all open connections between instances and to the store silent.
 func stallAllConns(s *lateScene) {
 	stallStoreConns((*lateScene).instances)(s)
@@ -229,6 +239,10 @@
 		{"store refuses two readers and connections between instances silent for good", 0, both(refuseAt(firstAndThird), stallPeerConns), nothing, false},
 		{"store refuses the domain and connections between instances silent for good", 0, both(refuseAt(hobartOnly), stallPeerConns), nothing, false},
 		{"store does not answer two readers and connections between instances silent for good", 0, both(hangAt(firstAndThird), stallPeerConns), nothing, false},
+		{"answers of the store lost and connections between instances silent until keep-alive", 1500 * time.Millisecond, func(s *lateScene) {
+			stallPeerConnsUntilKeepAlive(s)
+			s.Store.SetHanging(true)
+		}, answerAll, false},
 		{"all answers of the store lost", 4500 * time.Millisecond, func(s *lateScene) { s.Store.SetHanging(true) }, answerAll, false},
 		{"a third of the answers of the store lost", 4500 * time.Millisecond, func(s *lateScene) {
 			s.Store.HangIf(func(string) bool { return rand.Float64() < 0.35 })
--- a/internal/cwmemnet/network.go
+++ b/internal/cwmemnet/network.go
@@ -246,3 +246,18 @@
 		return nil, ctx.Err()
 	}
 }
+
+// CloseStalledConns closes the connections that drop all data, as keep-alive does.
+func (n *Network) CloseStalledConns() {
+	n.mu.Lock()
+	var closing []*conn
+	for c := range n.conns {
+		if c.isStalled {
+			closing = append(closing, c)
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range closing {
+		c.closeEnds()
+	}
+}
