--- a/internal/cwgate/refusal.go
+++ b/internal/cwgate/refusal.go
@@ -54,6 +54,11 @@
 	refusal.write(resp.ResponseWriter)
 }
 
+// dependsOnConfig reports whether the request might be accepted by a newer configuration.
+func (r Refusal) dependsOnConfig() bool {
+	return r.Status == http.StatusNotFound || r.Status == http.StatusUnauthorized || r.Reason == reasonConfigUncertain
+}
+
 // write sends the refusal.
 func (r Refusal) write(w http.ResponseWriter) {
 	h := w.Header()
