Requests without a body are not sent again by net/http

Callers saw nothing, endpoints ran a request once more than its service allows: after a kept connection had ended without a response, net/http sent a request without a body again by itself if the method is GET, HEAD, OPTIONS or TRACE, or if it has an X-Idempotency-Key. That run counted neither as an attempt nor in the retry budget. A request with a ticket was already protected. The client library sent up to 9 times for a documented limit of 4.

Cause: net/http takes a request without a body, or with GetBody, for replayable. Such requests now have an empty body of a type that net/http can't send again, which it recognizes as empty before it sends the head. A lost response is then a failed attempt like any other. Others keep NoBody: a wrapped empty body of a POST is sent in chunks.

Ruled out: the forwarder and the exchanges between instances (POST without GetBody or key), tickets (TestRequestIsNotReplayedAfterConnectionLoss), the routed path (cwconn sends once). Lookups and polls only read.

--- a/internal/cwendpoint/client.go
+++ b/internal/cwendpoint/client.go
@@ -127,16 +127,25 @@
 	return err
 }
 
-// nonReplayableBody wraps the body so that net/http does not retry a request with an
-// Idempotency-Key, which it does if the request has GetBody or no body. The wrapped
-// body has no GetBody, and net/http still sends header and body in one write.
+// nonReplayableBody wraps the body so that net/http does not send a request again after a lost
+// response, which it does if the request has GetBody or no body. The wrapped body has no GetBody,
+// and net/http still sends header and body in one write.
 func nonReplayableBody(r *Request) io.ReadCloser {
-	if r.Length == 0 && r.Header.Get(cwanswer.HeaderTicket) == "" {
-		return http.NoBody
+	if r.Length == 0 && !isIdempotentToNetHTTP(r) {
+		return http.NoBody // a wrapped empty body would be sent in chunks
 	}
 	return io.NopCloser(r.Body)
 }
 
+// isIdempotentToNetHTTP reports whether net/http takes the request for idempotent.
+func isIdempotentToNetHTTP(r *Request) bool {
+	switch r.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	}
+	return r.Header.Get(cwanswer.HeaderTicket) != "" || r.Header.Get("X-Idempotency-Key") != ""
+}
+
 // FetchLoad fetches the load report of an endpoint. It fails if the endpoint does not
 // respond or the report is invalid.
 func (c *Client) FetchLoad(ctx context.Context, address string) (Load, error) {
--- a/pkg/cwclient/client.go
+++ b/pkg/cwclient/client.go
@@ -152,11 +152,12 @@
 // no GetBody function, and net/http does not send it a second time.
 type nonReplayableReader struct{ io.Reader }
 
-// nonReplayableBody returns the body of the request, or nil if there is neither a body
-// nor a ticket. With a ticket, an empty body is returned too, because net/http may
-// send a request without a body again if it has an Idempotency-Key header.
+// nonReplayableBody returns the body of the request, or nil if it is empty and net/http does
+// not send such a request again by itself. It does after a lost response if the method or a
+// ticket makes the request idempotent; Call would then send it more often than it counts.
 func nonReplayableBody(r *Request) io.Reader {
-	if len(r.Body) == 0 && r.Ticket == "" {
+	isReplayed := r.Ticket != "" || r.Method == http.MethodGet || r.Method == http.MethodHead || r.Method == http.MethodOptions
+	if len(r.Body) == 0 && !isReplayed {
 		return nil
 	}
 	return nonReplayableReader{bytes.NewReader(r.Body)}
