Streams: comments and empty lines are no progress

A caller of a resumable stream whose endpoint had stalled, but sent a comment or an empty line now and then, got nothing more until the deadline and then a broken response, although another endpoint could have gone on with it. If the comment came before the first event, the response began with it, and no other endpoint could answer any more.

It restarted the stall timer, ended a move that had begun, and started the response. The splitter now distinguishes events from comments. Comments before the first event of a response are forwarded together with it, later ones as they arrive, without effect on the stall timer.

Bytes that complete nothing were no progress before either.

The product's own path keeps counting every byte: its streams are only resumed at the engine that runs them, and end at the deadline.

--- a/internal/cwevent/splitter.go
+++ b/internal/cwevent/splitter.go
@@ -32,13 +32,21 @@
 	LastEventID string
 	// Done is set after the "[DONE]" event that ends an OpenAI-style stream.
 	Done bool
+	// HoldsComments is set if comments before the first event are returned together with it.
+	HoldsComments bool
+	// HasEvent is set if the latest call of Push returned an event, and not only comments.
+	HasEvent bool
 
 	// pending are the bytes after the last whole event.
 	pending []byte
+	// heldBytes is the length of the comments that pending begins with. hasBegun is set once an
+	// event was returned.
+	heldBytes int
+	hasBegun  bool
 }
 
-// Push appends bytes of the stream and returns the events that are complete. The result
-// is valid until the next call. The error is a *cwlimit.Error if an event is larger than
+// Push appends bytes of the stream and returns the events and comments that are complete. The
+// result is valid until the next call. The error is a *cwlimit.Error if an event is larger than
 // cwlimit.MaxEventBytes or its start does not fit into memory.
 func (s *Splitter) Push(p []byte) ([]byte, error) {
 	size := len(s.pending) + len(p)
@@ -49,7 +57,8 @@
 	// The delimiter may begin with the last bytes that were searched before.
 	searched := max(len(s.pending)-len(delimiterCRLF)+1, 0)
 	s.pending = append(s.pending, p...)
-	end := lastDelimiterEnd(s.pending[searched:])
+	s.HasEvent = false
+	end := s.findEnd(searched)
 	if end < 0 && size > cwlimit.MaxEventBytes {
 		s.pending = nil
 		return nil, &cwlimit.Error{Step: "read event", Peer: s.Peer, LimitBytes: cwlimit.MaxEventBytes}
@@ -57,15 +66,45 @@
 	if end < 0 {
 		return nil, nil
 	}
-	events := s.pending[:searched+end]
+	events := s.pending[:end]
 	s.scan(events)
-	s.pending = append([]byte(nil), s.pending[searched+end:]...)
+	s.pending = append([]byte(nil), s.pending[end:]...)
 	if s.Memory != nil {
 		s.Memory.Release()
 	}
 	return events, nil
 }
 
+// findEnd returns where the events to be returned end in pending, -1 if there are none. No empty
+// line ends before searched.
+func (s *Splitter) findEnd(searched int) int {
+	end := lastDelimiterEnd(s.pending[searched:])
+	if end < 0 {
+		return -1
+	}
+	end += searched
+	if s.HoldsComments && !s.hasBegun && !hasField(s.pending[s.heldBytes:end]) {
+		s.heldBytes = end
+		return -1
+	}
+	s.hasBegun, s.heldBytes = true, 0
+	return end
+}
+
+// hasField reports whether whole lines contain a field of an event, and not only comments.
+func hasField(lines []byte) bool {
+	for line := range bytes.Lines(lines) {
+		if isField(bytes.TrimRight(line, "\r\n")) {
+			return true
+		}
+	}
+	return false
+}
+
+func isField(line []byte) bool {
+	return len(line) > 0 && line[0] != ':'
+}
+
 // lastDelimiterEnd returns where the last empty line in p ends, -1 if there is none.
 func lastDelimiterEnd(p []byte) int {
 	end := -1
@@ -89,10 +128,11 @@
 	s.pending = nil
 }
 
-// scan sets LastEventID and Done from whole events.
+// scan sets HasEvent, LastEventID and Done from whole events.
 func (s *Splitter) scan(events []byte) {
 	for line := range bytes.Lines(events) {
 		line = bytes.TrimRight(line, "\r\n")
+		s.HasEvent = s.HasEvent || isField(line)
 		if id, ok := bytes.CutPrefix(line, idPrefix); ok {
 			s.LastEventID = string(bytes.TrimSpace(id))
 		}
--- a/internal/cwevent/splitter_test.go
+++ b/internal/cwevent/splitter_test.go
@@ -37,6 +37,30 @@
 	}
 }
 
+// TestCommentsAreNoEvents guards against a response that begins with comments alone, and against
+// comments that count as progress of a stream.
+func TestCommentsAreNoEvents(t *testing.T) {
+	const first = ": wait\n\n\n: wait\n\nid: 1\ndata: a\n\n"
+	for size := 1; size <= len(first); size++ {
+		is := is.New(t)
+		s := cwevent.Splitter{HoldsComments: true}
+		got := ""
+		for rest := first; rest != ""; {
+			n := min(size, len(rest))
+			events, err := s.Push([]byte(rest[:n]))
+			is.NoErr(err)
+			is.Equal(len(events) > 0, s.HasEvent)
+			got += string(events)
+			rest = rest[n:]
+		}
+		is.Equal(got, first)
+		events, err := s.Push([]byte(": still here\n\n"))
+		is.NoErr(err)
+		is.Equal(string(events), ": still here\n\n")
+		is.True(!s.HasEvent)
+	}
+}
+
 // TestEndlessEventIsLimited guards against an event without an end that is collected, or passed
 // on in parts, as long as it lasts. Events before it have been returned.
 func TestEndlessEventIsLimited(t *testing.T) {
--- a/internal/cwgate/attempt_stream.go
+++ b/internal/cwgate/attempt_stream.go
@@ -19,7 +19,7 @@
 	routed, response := a.req, o.response
 	memory := a.Budget.NewReservation()
 	defer memory.Release()
-	splitter := &cwevent.Splitter{Peer: a.address, Memory: memory, LastEventID: routed.responder.lastEventID}
+	splitter := &cwevent.Splitter{Peer: a.address, Memory: memory, LastEventID: routed.responder.lastEventID, HoldsComments: !routed.responder.hasBegun}
 	hasMarkers := a.hasRelayMarkers(response)
 	var relayReader cwevent.RelayReader
 	chunk, buf, err := o.chunk, o.chunk[:cap(o.chunk)], o.chunkErr
@@ -39,18 +39,16 @@
 			}
 		}
 		if len(events) > 0 {
-			if !a.recordEvent(splitter.LastEventID) {
+			if splitter.HasEvent && !a.recordEvent(splitter.LastEventID) {
 				return a.failUnknown(ctx, errStalled)
 			}
-			if !routed.responder.hasBegun {
-				a.beginStream(o.head)
-			}
-			routed.responder.beginStream(response.StatusCode, response.Header)
-			if err := routed.responder.writeEvents(events); err != nil {
+			if err := a.writeEvents(o, events); err != nil {
 				a.recordEnd(ctx, cwplacement.Abandoned)
 				return result{outcome: cwanswer.Unknown, mayHaveRun: true, err: fmt.Errorf("forward events: %w", err)}
 			}
-			a.stallTimer.reset(a.eventTimeout())
+			if splitter.HasEvent { // comments are no progress
+				a.stallTimer.reset(a.eventTimeout())
+			}
 		}
 		if errors.Is(err, io.EOF) {
 			if hasMarkers && !relayReader.HasEnded() {
@@ -68,6 +66,15 @@
 	}
 }
 
+// writeEvents writes whole events, or comments between them.
+func (a *attempt) writeEvents(o *opening, events []byte) error {
+	if !a.req.responder.hasBegun {
+		a.beginStream(o.head)
+	}
+	a.req.responder.beginStream(o.response.StatusCode, o.response.Header)
+	return a.req.responder.writeEvents(events)
+}
+
 // readChunk reads the next bytes of a stream into buf.
 func readChunk(response *cwconn.Response, buf []byte) ([]byte, error) {
 	n, err := response.Read(buf)
