Memory of response heads counts in the budget

Endpoints that send as much as the head of a response may take and then pause, many at the same time, could end an instance for its memory, and with it the requests of all its callers. Each head was limited to 64 KB, but not the memory of all together, and short fields take far more in memory than their bytes: 500 such connections kept 462 MB, more than three times the limit of the smallest instances. The body of a refusal that names no request, up to 256 KB, did not count either while the answer to the check was awaited.

Cause: only bodies and events counted in the budget of responses. A head now counts too, with its bytes and its fields, while it is read and until its response is released. A head that finds no memory fails its attempt, which may have run.

Ruled out by existing tests: one head or body without an end (endless_head_test.go, routed_endless_test.go, endless_clients_test.go); chunk extensions and trailers, which net/http bounds (rows of EndlessBodies); skipped bodies, which are discarded as they arrive.

--- a/internal/cwconn/check.go
+++ b/internal/cwconn/check.go
@@ -1,13 +1,10 @@
 package cwconn
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
-
-	"github.com/clementinewell/clementinewell/internal/cwlimit"
 )
 
 // Check is a request without a body that the peer answers without running anything. A peer answers the
@@ -32,8 +29,8 @@
 // confirm returns the response to the call after one that names no request. That is the refusal if the
 // answer to a check comes next, and otherwise the response that names the call.
 func (c *conn) confirm(call *Call, refusal *http.Response) (*http.Response, error) {
-	body, err := c.readSkippedBody(call, refusal)
-	if err != nil {
+	var err error
+	if c.refusalBody, err = c.budget.ReadAll(refusal.Body, call.Address, refusal.ContentLength, maxSkippedBodyBytes); err != nil {
 		return nil, err
 	}
 	if _, err = c.Write(call.Check.Head); err != nil {
@@ -51,11 +48,11 @@
 		match := call.Check.MatchResponse(resp.StatusCode, resp.Header.Get)
 		// Only one that is named can't be followed by another answer to the check.
 		c.hasSkippedResponse = c.hasSkippedResponse || match != MatchByName
-		if _, err = c.readSkippedBody(call, resp); err != nil {
+		if err = skipBody(call, resp); err != nil {
 			return nil, err
 		}
 		if match != MatchNone {
-			refusal.Body = io.NopCloser(bytes.NewReader(body))
+			refusal.Body = io.NopCloser(c.refusalBody.NewReader())
 			return refusal, nil
 		}
 		if call.MatchResponse(resp.StatusCode, resp.Header.Get) == MatchByOrder {
@@ -64,15 +61,3 @@
 	}
 	return nil, errOnlyOthers
 }
-
-// readSkippedBody reads the body of a response that is not forwarded as it arrives.
-func (c *conn) readSkippedBody(call *Call, resp *http.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxSkippedBodyBytes))
-	if err != nil {
-		return nil, fmt.Errorf("skip response to another request: %w", err)
-	}
-	if len(body) == maxSkippedBodyBytes {
-		return nil, &cwlimit.Error{Step: "skip response to another request", Peer: call.Address, LimitBytes: maxSkippedBodyBytes}
-	}
-	return body, nil
-}
--- a/internal/cwconn/conn.go
+++ b/internal/cwconn/conn.go
@@ -44,6 +44,8 @@
 	// headReader reads from the connection, and reader buffers what it reads.
 	headReader *cwlimit.HeadReader
 	reader     *bufio.Reader
+	// budget is what is kept of responses counts in; it may be nil.
+	budget *cwlimit.Budget
 	// used is set after the first call.
 	used bool
 	// cancelCloseHook cancels the closing of the connection at the end of the call's
@@ -57,6 +59,8 @@
 	hasUnnamedResponse bool
 	// hasReadDeadline is set if a time limit for reading must be removed before the next call.
 	hasReadDeadline bool
+	// refusalBody is the body of a refusal that had to be confirmed; nil if there is none.
+	refusalBody *cwlimit.Buffer
 	// idleUntil is when the idle timeout passes.
 	idleUntil time.Time
 }
@@ -173,28 +177,38 @@
 			return resp, nil
 		}
 		c.hasSkippedResponse = true
-		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBodyBytes))
-		if err != nil {
-			return nil, fmt.Errorf("skip response to another request: %w", err)
-		}
-		if n == maxSkippedBodyBytes {
-			return nil, &cwlimit.Error{Step: "skip response to another request", Peer: call.Address, LimitBytes: maxSkippedBodyBytes}
+		if err := skipBody(call, resp); err != nil {
+			return nil, err
 		}
 	}
 	return nil, errOnlyOthers
 }
 
+// skipBody reads the body of a response that is not the call's.
+func skipBody(call *Call, resp *http.Response) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBodyBytes))
+	if err != nil {
+		return fmt.Errorf("skip response to another request: %w", err)
+	}
+	if n == maxSkippedBodyBytes {
+		return &cwlimit.Error{Step: "skip response to another request", Peer: call.Address, LimitBytes: maxSkippedBodyBytes}
+	}
+	return nil
+}
+
 // readFinalHead reads a response head and skips informational (1xx) ones. Together they are
 // limited to cwlimit.MaxHeadBytes.
 func (c *conn) readFinalHead(req *http.Request) (*http.Response, error) {
-	c.headReader.BeginHead()
-	defer c.headReader.EndHead()
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	c.headReader.BeginHead(buffered)
 	for {
 		resp, err := http.ReadResponse(c.reader, req)
 		if err != nil {
+			c.headReader.EndHead(nil)
 			return nil, err
 		}
 		if resp.StatusCode >= http.StatusOK {
+			c.headReader.EndHead(resp.Header)
 			return resp, nil
 		}
 	}
@@ -205,6 +219,7 @@
 func (c *conn) finish(keep bool, header http.Header) {
 	stopped := c.cancelCloseHook == nil || c.cancelCloseHook()
 	c.cancelCloseHook = nil
+	c.releaseMemory()
 	if keep && stopped && !c.hasSkippedResponse && c.reader.Buffered() == 0 {
 		if c.hasReadDeadline {
 			_ = c.SetReadDeadline(time.Time{})
@@ -222,6 +237,15 @@
 	c.pool.releaseConn()
 }
 
+// releaseMemory returns what is kept of the call's response to the budget.
+func (c *conn) releaseMemory() {
+	c.headReader.Release()
+	if c.refusalBody != nil {
+		c.refusalBody.Release()
+		c.refusalBody = nil
+	}
+}
+
 // keepUnused makes a connection that was opened available to the next call.
 func (c *conn) keepUnused() {
 	c.idleUntil = time.Now().Add(defaultIdleTimeout)
--- a/internal/cwconn/pool.go
+++ b/internal/cwconn/pool.go
@@ -41,6 +41,10 @@
 
 // Pool holds the connections to all addresses.
 type Pool struct {
+	// Budget limits what is kept of all responses before their bodies are read. It must be set before
+	// the first call; nil means no limit.
+	Budget *cwlimit.Budget
+
 	net          cwnet.Net
 	mu           sync.Mutex
 	addressPools map[string]*addressPool
@@ -194,8 +198,8 @@
 		return nil, withContextCause(dialCtx, err)
 	}
 	isOpen = true
-	headReader := cwlimit.NewHeadReader(raw, call.Address)
-	return &conn{Conn: raw, pool: pool, headReader: headReader, reader: bufio.NewReaderSize(headReader, readBufferBytes)}, nil
+	headReader := cwlimit.NewHeadReader(raw, call.Address, p.Budget)
+	return &conn{Conn: raw, pool: pool, headReader: headReader, budget: p.Budget, reader: bufio.NewReaderSize(headReader, readBufferBytes)}, nil
 }
 
 func isDialTimeout(err error) bool {
--- a/internal/cwgate/gate.go
+++ b/internal/cwgate/gate.go
@@ -99,6 +99,8 @@
 // choices.
 func NewGate(common *cwcommon.Common, site *cwsite.Site, control *cwcontrol.Control, state *cwpublished.State, codec Codec, seed uint64) *Gate {
 	ended, end := context.WithCancelCause(context.Background())
+	conns := cwconn.NewPool(common.Net)
+	conns.Budget = common.Budget
 	g := &Gate{
 		ended:            ended,
 		end:              end,
@@ -108,7 +110,7 @@
 		bounds:           site.Bounds,
 		control:          control,
 		state:            state,
-		conns:            cwconn.NewPool(common.Net),
+		conns:            conns,
 		codec:            codec,
 		metrics:          newMetrics(common.Metrics),
 		rng:              rand.New(rand.NewPCG(seed, common.Incarnation)),
--- a/internal/cwlimit/buffer.go
+++ b/internal/cwlimit/buffer.go
@@ -1,6 +1,7 @@
 package cwlimit
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -99,6 +100,15 @@
 	return written, nil
 }
 
+// NewReader returns a reader of the whole body. It must not be used after Release.
+func (b *Buffer) NewReader() io.Reader {
+	readers := make([]io.Reader, 0, len(b.chunks))
+	for _, chunk := range b.chunks {
+		readers = append(readers, bytes.NewReader(chunk))
+	}
+	return io.MultiReader(readers...)
+}
+
 // Release returns the memory to the budget. Further calls do nothing.
 func (b *Buffer) Release() {
 	b.chunks, b.length = nil, 0
