Events count in memory until their caller has read them

Large events, each complete and within its limit, could end an instance for its memory if their callers read slowly: the memory of an event returned to the budget when the event was complete, before it was written to the caller, and the next stream could take it. A caller that reads nothing held it until the deadline of its request.

The splitter now keeps what it has reserved until the events are written, on both paths.

Evidence: the new row "stream with a large event" of TestCallerThatReadsNothingEndsItsRequest (an event of 1 MB, a caller that reads nothing) fails on the code before, where the budget counts nothing; it passes now. Responses in memory were counted until written before, and get the same check.

Not counted still: the copies of a chunk of events whose relay markers are added or removed.

--- a/internal/cwapp/routed_stuck_caller_test.go
+++ b/internal/cwapp/routed_stuck_caller_test.go
@@ -64,15 +64,18 @@
 
 // TestCallerThatReadsNothingEndsItsRequest guards against a caller that keeps its connection and
 // reads nothing: its request stayed in progress, at its endpoint and in the memory for responses,
-// for as long as the connection was open.
+// for as long as the connection was open. What is kept for it must count until then.
 func TestCallerThatReadsNothingEndsItsRequest(t *testing.T) {
 	const timeout = 3 * time.Second
 	for _, c := range []struct {
 		name, kind string
-		response   http.Handler
+		// heldBytes is what the budget must count while the caller does not read.
+		heldBytes int64
+		response  http.Handler
 	}{
-		{"stream", "streaming", cwstandin.StreamResponse("events", "", "id: 1\ndata: a\n\n")},
-		{"response in memory", "safe", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		{"stream", "streaming", 0, cwstandin.StreamResponse("events", "", "id: 1\ndata: a\n\n")},
+		{"stream with a large event", "streaming", 1 << 20, cwstandin.StreamResponse("event", "id: 1\ndata: "+strings.Repeat("a", 1<<20)+"\n\n", "data: ")},
+		{"response in memory", "safe", 1 << 20, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			w.Header().Set(cwstandin.RequestIDHeader, r.Header.Get(cwstandin.RequestIDHeader))
 			w.Header().Set("Clementinewell-Response-Signature", "signed")
 			_, _ = io.WriteString(w, strings.Repeat("a", 1<<20))
@@ -89,6 +92,7 @@
 				go s.Do(t.Context(), i, cwscene.RoutedRequest{Path: "/r/x", Timeout: timeout})
 				time.Sleep(timeout / 2)
 				is.True(strings.Contains(s.FetchAdmin(t, i, "/status"), `"inFlight": 1`))
+				is.True(i.Budget.UsedBytes() >= c.heldBytes)
 				time.Sleep(timeout/2 + 5*time.Second)
 				synctest.Wait()
 				is.True(!strings.Contains(s.FetchAdmin(t, i, "/status"), `"inFlight": 1`))
--- a/internal/cwdispatch/deliver.go
+++ b/internal/cwdispatch/deliver.go
@@ -109,6 +109,9 @@
 		if p, err = a.splitter.Push(p); err != nil {
 			return err
 		}
+		if len(p) > 0 {
+			defer a.splitter.ReleaseEvents()
+		}
 	}
 	if len(p) == 0 {
 		return nil
--- a/internal/cwevent/splitter.go
+++ b/internal/cwevent/splitter.go
@@ -46,8 +46,8 @@
 }
 
 // Push appends bytes of the stream and returns the events and comments that are complete. The
-// result is valid until the next call. The error is a *cwlimit.Error if an event is larger than
-// cwlimit.MaxEventBytes or its start does not fit into memory.
+// result is valid, and counts in the memory, until ReleaseEvents. The error is a *cwlimit.Error if
+// an event is larger than cwlimit.MaxEventBytes or its start does not fit into memory.
 func (s *Splitter) Push(p []byte) ([]byte, error) {
 	size := len(s.pending) + len(p)
 	if s.Memory != nil && size > uncountedBytes && !s.Memory.Resize(int64(size)) {
@@ -69,10 +69,15 @@
 	events := s.pending[:end]
 	s.scan(events)
 	s.pending = append([]byte(nil), s.pending[end:]...)
+	return events, nil
+}
+
+// ReleaseEvents returns the memory of the events that Push returned. What is left of the chunk, the
+// start of the next event, is too short to count.
+func (s *Splitter) ReleaseEvents() {
 	if s.Memory != nil {
 		s.Memory.Release()
 	}
-	return events, nil
 }
 
 // findEnd returns where the events to be returned end in pending, -1 if there are none. No empty
--- a/internal/cwgate/attempt_stream.go
+++ b/internal/cwgate/attempt_stream.go
@@ -46,6 +46,7 @@
 				a.recordEnd(ctx, cwplacement.Abandoned)
 				return result{outcome: cwanswer.Unknown, mayHaveRun: true, err: fmt.Errorf("forward events: %w", err)}
 			}
+			splitter.ReleaseEvents()
 			if splitter.HasEvent { // comments are no progress
 				a.stallTimer.reset(a.eventTimeout())
 			}
