A refused ticket is not called not run

A caller that had lost the response to a request with a ticket, and sent it again, could be told that the request had not run, although it had run or was running: by any instance that refused it before it looked at the uses of the ticket (429 over the limit or with too many requests in flight, a bad deadline, an unknown key, 413, 307), and by the owner of the ticket, if it refused the request of another instance (403, 504, bad body). Such a caller may book again with a new ticket.

Cause: a refusal states what is true of this request; for a ticket the outcome is about all requests that carry it, which only its owner can tell. That rule held for failures on the way to the owner, not for refusals. Now a refusal at the entry of a request with a ticket, and one of the owner before it looks, have the outcome unknown; the latter is looked up at the service like other unknown ones. The client library goes on to send a refused request again with its ticket, which can't run twice.

Evidence: all four rows of TestRefusedTicketIsNotCalledNotRun fail on the code before with the outcome notRun while the booking runs; they pass now.

Ruled out: outcomes of the owner itself (TestIssuerLost, TestBadTickets, the schedules of TestTicketsRunAtMostOnceUnderAnySchedule), and the clocks of owner and successor: uses are kept for 10 minutes beyond the expiry of a ticket.

--- a/internal/cwapp/ticket_test.go
+++ b/internal/cwapp/ticket_test.go
@@ -253,3 +253,50 @@
 		is.Equal(doubled, 0)
 	})
 }
+
+// TestRefusedTicketIsNotCalledNotRun guards against a refusal which states that a booking has not
+// run, to a caller that lost the response and sends it again: an instance that has not looked at the
+// uses of the ticket can't tell.
+func TestRefusedTicketIsNotCalledNotRun(t *testing.T) {
+	for _, sc := range []struct {
+		name, key  string
+		isAtIssuer bool
+		header     []string
+		status     int
+	}{
+		{"too many requests in flight", "", true, nil, http.StatusTooManyRequests},
+		{"bad deadline", "", true, []string{cwanswer.HeaderDeadline, "x"}, http.StatusBadRequest},
+		{"unknown key", "unknown", true, nil, http.StatusUnauthorized},
+		{"refused by the issuer for another instance", "", false, []string{cwanswer.HeaderDeadline, "500us"}, http.StatusGatewayTimeout},
+	} {
+		t.Run(sc.name, func(t *testing.T) {
+			service := cwscene.NewBookingService("north")
+			service.Limits.AccountStreams = 1
+			inScene(t, services(service), func(t *testing.T, is *is.I, s *cwscene.Scene) {
+				p := newInstancePair(s, "booking")
+				p.plain.BlockUntil = make(chan struct{})
+				c := s.NewCaller()
+				ticket := requestTicket(t.Context(), is, c, p.a)
+				done := make(chan cwscene.Response, 1)
+				go func() { done <- sendBooking(t.Context(), c, p.a, ticket) }()
+				<-p.plain.StartedKeys()
+				again, i := s.NewCaller(), p.b
+				if sc.isAtIssuer {
+					i = p.a
+				}
+				if sc.key != "" {
+					again.Key = sc.key
+				}
+				resp := again.Do(t.Context(), i, cwscene.Request{
+					Method: "POST", Path: bookingsPath, Body: `{"truck":4}`,
+					Header: append([]string{cwanswer.HeaderTicket, ticket}, sc.header...),
+				})
+				is.Equal(resp.Status, sc.status)
+				is.True(decodeProblem(resp).Outcome != cwanswer.NotRun)
+				close(p.plain.BlockUntil)
+				is.Equal((<-done).Status, http.StatusOK)
+				is.Equal(p.plain.Runs(ticket), 1)
+			})
+		})
+	}
+}
--- a/internal/cwdispatch/serve_ticket.go
+++ b/internal/cwdispatch/serve_ticket.go
@@ -157,7 +157,8 @@
 	if !errors.As(r.err, &p) {
 		p = cwanswer.NewProblem(http.StatusBadGateway, "issuer-unreachable", cwanswer.Unknown, r.err.Error())
 	}
-	if p.Step == "forward" {
+	if p.Step == "forward" || p.Step == "exit" {
+		// Neither the way to the owner nor its check of the request looks at the uses of the ticket.
 		p.Outcome = cwanswer.Unknown
 	}
 	if p.RetryAfterSeconds == 0 {
--- a/internal/cwentry/handler.go
+++ b/internal/cwentry/handler.go
@@ -123,6 +123,10 @@
 
 func (h *Handler) refuse(w http.ResponseWriter, r *http.Request, requestID string, p *cwanswer.Problem) {
 	p.RequestID = requestID
+	if _, err := cwpolicy.ParseTicket(r.Header.Get(cwanswer.HeaderTicket)); err == nil {
+		// An earlier request with the ticket may have run.
+		p.Outcome = cwanswer.Unknown
+	}
 	h.metrics.recordRefusal(p)
 	h.logRefusal(r, p)
 	p.Write(w)
--- a/pkg/cwclient/client.go
+++ b/pkg/cwclient/client.go
@@ -68,9 +68,9 @@
 // first, the error wraps that of ctx.
 //
 // A request is sent up to 4 times in total. After a Problem it is retried only if the
-// outcome is cwanswer.NotRun. After a connection failure it is retried at another
-// instance only if the method is GET or HEAD, or if the request carries a ticket, which
-// prevents a second run.
+// outcome is cwanswer.NotRun, or if the gateway refused it and it carries a ticket, which
+// prevents a second run. After a connection failure it is retried at another instance only
+// if the method is GET or HEAD, or if the request carries a ticket.
 func (c *Client) Call(ctx context.Context, r Request) (*http.Response, error) {
 	var lastErr error
 	var triedAddresses []string
@@ -107,7 +107,7 @@
 		r.Ticket = p.Ticket
 		return 0, true
 	}
-	if p.Outcome != cwanswer.NotRun {
+	if p.Outcome != cwanswer.NotRun && (r.Ticket == "" || p.Status == http.StatusBadGateway || p.Status == http.StatusLoopDetected) {
 		return 0, false
 	}
 	switch p.Status {
