Silence: count repeated runs, and the product's own path

No fault was found; two guards had no test.

An unsafe request, or a stream that can't be resumed, must not be sent to another endpoint because its own is silent for a second or so. With that check taken out of limitMoves all tests of silence and of overdue attempts passed: the second run answered the caller. They now count runs beyond the first of each request; without the check 6 or more rows of TestSilenceWithinResponsesCostsCallersNothing fail.

The product's own path had no scene of a silent endpoint, only of stalled connections. TestSilenceOfEndpointsEndsNoDispatch sends bookings and streams, resumable or not, through a silence of 1.5 s; with a probe after 0.25 s instead of 2 s it fails. Both pass on the code as it is.

--- a/internal/cwapp/routed_silence_test.go
+++ b/internal/cwapp/routed_silence_test.go
@@ -215,8 +215,10 @@
 			services, header = cwscene.NewEngineService(4), newPromptHeader()
 		}
 		s.Publish(services, cwscene.NewRoute("r", kind, cwscene.RoutedRoute{"resumable": true, "home-regions": []string{"south"}}))
+		var workers []*cwstandin.Worker
 		for _, ip := range []string{"10.2.1.1", "10.2.1.2"} {
-			s.AddWorker("south-a", ip).SetServiceTime(50 * time.Millisecond)
+			workers = append(workers, s.AddWorker("south-a", ip))
+			workers[len(workers)-1].SetServiceTime(50 * time.Millisecond)
 		}
 		instances := []*cwscene.RoutedInstance{s.AddInstance("10.1.0.1", "north-a"), s.AddInstance("10.1.0.2", "north-a"), s.AddInstance("10.2.0.1", "south-a")}
 		if silent.name != "the only exit" {
@@ -233,9 +235,22 @@
 		is.Equal(counts.unserved, 0)
 		is.Equal(counts.late, 0)
 		is.True(counts.worst <= duration+returnNoticeTime)
+		is.True(kind != "unsafe" || repeatedRuns(workers) == 0)
 	})
 }
 
+// repeatedRuns returns how many requests the workers ran beyond the first run of each.
+func repeatedRuns(workers []*cwstandin.Worker) int {
+	repeated, ids := 0, map[string]bool{}
+	for _, run := range collectRuns(workers) {
+		if ids[run.RequestID] {
+			repeated++
+		}
+		ids[run.RequestID] = true
+	}
+	return repeated
+}
+
 // TestSilenceWithinResponsesCostsCallersNothing guards against responses that are cut off or run
 // again because their endpoint is silent for a second or so between the head and the end.
 func TestSilenceWithinResponsesCostsCallersNothing(t *testing.T) {
@@ -277,6 +292,7 @@
 						is.Equal(counts.unserved, 0)
 						is.Equal(counts.late, 0)
 						is.Equal(resumed, 0)
+						is.True(sc.kind == "safe" || sc.isResumable || repeatedRuns(workers) == 0)
 					})
 				})
 			}
