Slow readers are not timed out by the TCP user timeout

A caller that reads slower than its response arrives was reset after 5 s, in the middle of a sound stream or response, and so was a relayed response whose entry instance waited for such a caller.

Cause: TCP_USER_TIMEOUT also limits how long the peer's window may stay closed, although the peer acknowledges each probe (tcp(7)). The listeners set it, and accepted connections inherit it. They no longer do: keep-alive probes detect a vanished peer while nothing is under way, and the time limits of request and response otherwise.

Not changed: dialed connections.

--- a/internal/cwnet/net.go
+++ b/internal/cwnet/net.go
@@ -24,8 +24,10 @@
 	DialContext(ctx context.Context, network, address string) (net.Conn, error)
 }
 
-// TCP is the network of the operating system. Keep-alive probes and the TCP user timeout
-// detect connections whose remote side is unreachable.
+// TCP is the network of the operating system. Keep-alive probes detect connections whose remote
+// side is unreachable, and so does the TCP user timeout on connections that are dialed. An accepted
+// one has none: it would also end while its peer reads slowly and the window stays closed. The time
+// limits of the request and its response bound it instead.
 type TCP struct {
 	dialer       net.Dialer
 	listenConfig net.ListenConfig
@@ -41,7 +43,7 @@
 	}
 	return &TCP{
 		dialer:       net.Dialer{Timeout: dialTimeout, KeepAliveConfig: probes, Control: setUserTimeout},
-		listenConfig: net.ListenConfig{KeepAliveConfig: probes, Control: setUserTimeout},
+		listenConfig: net.ListenConfig{KeepAliveConfig: probes},
 	}
 }
 
--- a/internal/cwnet/user_timeout.go
+++ b/internal/cwnet/user_timeout.go
@@ -7,7 +7,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// userTimeout is the time after which a connection is closed if sent bytes are not
+// userTimeout is the time after which a dialed connection is closed if sent bytes are not
 // acknowledged, or if nothing is received and keep-alive probes are not answered. A sound host
 // may be silent for a second and a half, and the connection must outlast the first packet
 // after that: retransmissions follow the bytes by about 0.2, 0.6, 1.4 and 3 s, and probes
