--- a/pkg/cwclient/client.go
+++ b/pkg/cwclient/client.go
@@ -68,9 +68,9 @@
 // first, the error wraps that of ctx.
 //
 // A request is sent up to 4 times in total. After a Problem it is retried only if the
-// outcome is cwanswer.NotRun. After a connection failure it is retried at another
-// instance only if the method is GET or HEAD, or if the request carries a ticket, which
-// prevents a second run.
+// outcome is cwanswer.NotRun, or if the gateway refused it and it carries a ticket, which
+// prevents a second run. After a connection failure it is retried at another instance only
+// if the method is GET or HEAD, or if the request carries a ticket.
 func (c *Client) Call(ctx context.Context, r Request) (*http.Response, error) {
 	var lastErr error
 	var triedAddresses []string
@@ -107,7 +107,7 @@
 		r.Ticket = p.Ticket
 		return 0, true
 	}
-	if p.Outcome != cwanswer.NotRun {
+	if p.Outcome != cwanswer.NotRun && (r.Ticket == "" || p.Status == http.StatusBadGateway || p.Status == http.StatusLoopDetected) {
 		return 0, false
 	}
 	switch p.Status {
@@ -152,11 +152,12 @@
 // no GetBody function, and net/http does not send it a second time.
 type nonReplayableReader struct{ io.Reader }
 
-// nonReplayableBody returns the body of the request, or nil if there is neither a body
-// nor a ticket. With a ticket, an empty body is returned too, because net/http may
-// send a request without a body again if it has an Idempotency-Key header.
+// nonReplayableBody returns the body of the request, or nil if it is empty and net/http does
+// not send such a request again by itself. It does after a lost response if the method or a
+// ticket makes the request idempotent; Call would then send it more often than it counts.
 func nonReplayableBody(r *Request) io.Reader {
-	if len(r.Body) == 0 && r.Ticket == "" {
+	isReplayed := r.Ticket != "" || r.Method == http.MethodGet || r.Method == http.MethodHead || r.Method == http.MethodOptions
+	if len(r.Body) == 0 && !isReplayed {
 		return nil
 	}
 	return nonReplayableReader{bytes.NewReader(r.Body)}
