Log why a stream that is taken up is unknown

After a loss of all instances callers that take up streams get 503 streamUnknown; the log did not name the stream nor why no instance knew it, so that losses, expired records and endpoints that may have restarted could not be told apart. The line now has the request that began the stream, the event after which it goes on, the reason at this instance, and how many instances were asked and answered.

--- a/internal/cwgate/log.go
+++ b/internal/cwgate/log.go
@@ -114,6 +114,15 @@
 	return zap.String("account", r.account.Name)
 }
 
+// takeUpFields returns the fields that tell why a stream that the caller takes up can't go on.
+func (r *routedRequest) takeUpFields() []zap.Field {
+	fields := append(r.accountFields(), zap.String("resumes", r.Resumes), zap.String("afterEvent", r.LastEventID))
+	if r.absence == "" {
+		return fields
+	}
+	return append(fields, zap.String("absence", string(r.absence)), zap.Int("asked", r.inquiry.Asked), zap.Int("answered", r.inquiry.Answered))
+}
+
 // accountFields returns the fields that tell an operator which key a request had and which
 // configuration decided about it. The fingerprint does not reveal the key.
 func (r *routedRequest) accountFields() []zap.Field {
--- a/internal/cwgate/routed_request.go
+++ b/internal/cwgate/routed_request.go
@@ -65,6 +65,9 @@
 	// the caller takes it up. origin is unknown if the stream can't go on.
 	hasOrigin bool
 	origin    cwstream.Origin
+	// absence and inquiry tell why the origin of a stream that the caller takes up is not known.
+	absence cwstream.Absence
+	inquiry cwstream.Inquiry
 	// isKeyRefused is set once an exit has refused the request because of its key.
 	isKeyRefused bool
 	// ends is the number of endpoints that ended while the request may have been the cause.
--- a/internal/cwgate/serve.go
+++ b/internal/cwgate/serve.go
@@ -106,7 +106,7 @@
 // request.
 func (g *Gate) runAttempts(ctx context.Context, routed *routedRequest) {
 	if refusal := g.bindTakenUpStream(ctx, routed); refusal != nil {
-		g.refuseUnrouted(routed.Request, routed.responder, *refusal, routed.accountFields()...)
+		g.refuseUnrouted(routed.Request, routed.responder, *refusal, routed.takeUpFields()...)
 		return
 	}
 	g.assignService(routed)
--- a/internal/cwgate/stream_origin.go
+++ b/internal/cwgate/stream_origin.go
@@ -12,8 +12,8 @@
 
 // StreamFinder asks other instances about streams.
 type StreamFinder interface {
-	// FindStream returns the record of a stream, false if no other instance knows it.
-	FindStream(ctx context.Context, id cwstream.ID) (cwstream.Record, bool)
+	// FindStream returns the record of a stream, and what the other instances answered.
+	FindStream(ctx context.Context, id cwstream.ID) (cwstream.Record, cwstream.Inquiry)
 }
 
 var errOtherOrigin = errors.New("the stream was begun by another software version or service")
@@ -52,18 +52,24 @@
 // findOrigin returns the origin of a stream that the caller takes up, as this instance or others
 // know it.
 func (g *Gate) findOrigin(ctx context.Context, routed *routedRequest) cwstream.Origin {
-	id, source := routed.streamID(), "own"
+	id := routed.streamID()
 	record, isKnown := g.streams.Find(id, time.Now())
-	if !isKnown && g.StreamFinder != nil {
-		source = "peer"
-		if record, isKnown = g.StreamFinder.FindStream(ctx, id); isKnown {
-			g.streams.Merge([]cwstream.Record{record}, time.Now())
-		}
-	}
-	if !isKnown {
-		source = "unknown"
+	if isKnown {
+		g.metrics.countTakenUp("own")
+		return record.Origin
+	}
+	absence := g.streams.ExplainAbsence(id, time.Now())
+	var inquiry cwstream.Inquiry
+	if g.StreamFinder != nil {
+		record, inquiry = g.StreamFinder.FindStream(ctx, id)
+	}
+	if !inquiry.IsFound {
+		g.metrics.countTakenUp("unknown")
+		routed.absence, routed.inquiry = absence, inquiry
+		return cwstream.Origin{}
 	}
-	g.metrics.countTakenUp(source)
+	g.streams.Merge([]cwstream.Record{record}, time.Now())
+	g.metrics.countTakenUp("peer")
 	return record.Origin
 }
 
--- a/internal/cwpeer/stream_spreader.go
+++ b/internal/cwpeer/stream_spreader.go
@@ -64,30 +64,42 @@
 	}
 }
 
-// FindStream asks other instances about a stream that this one does not know. It returns false if
-// none of them knows it in time.
-func (s *StreamSpreader) FindStream(ctx context.Context, id cwstream.ID) (cwstream.Record, bool) {
+// streamAnswer is the answer of one instance to the question for a stream.
+type streamAnswer struct {
+	record *cwstream.Record
+	err    error
+}
+
+// FindStream asks other instances about a stream that this one does not know, and returns the first
+// record in time.
+func (s *StreamSpreader) FindStream(ctx context.Context, id cwstream.ID) (cwstream.Record, cwstream.Inquiry) {
 	ctx, cancel := context.WithTimeout(ctx, streamCallTimeout)
 	defer cancel()
 	snapshot := s.control.Snapshot()
 	witnesses := cwpolicy.StreamWitnesses(&snapshot.Self, snapshot.Members, time.Now())
-	found := make(chan *cwstream.Record, len(witnesses))
+	found := make(chan streamAnswer, len(witnesses))
 	for _, address := range witnesses {
 		s.Go("findStream", func() { found <- s.ask(ctx, address, id) })
 	}
+	inquiry := cwstream.Inquiry{Asked: len(witnesses)}
 	for range witnesses {
-		if r := <-found; r != nil {
-			return *r, true
+		answer := <-found
+		if answer.record != nil {
+			inquiry.IsFound = true
+			return *answer.record, inquiry
+		}
+		if answer.err == nil {
+			inquiry.Answered++
 		}
 	}
-	return cwstream.Record{}, false
+	return cwstream.Record{}, inquiry
 }
 
-// ask returns what an instance knows of a stream, nil if that is nothing.
-func (s *StreamSpreader) ask(ctx context.Context, address string, id cwstream.ID) *cwstream.Record {
+// ask returns what an instance knows of a stream; no record if that is nothing.
+func (s *StreamSpreader) ask(ctx context.Context, address string, id cwstream.ID) streamAnswer {
 	r, err := s.client.FindStream(ctx, address, id)
 	if err != nil && ctx.Err() == nil {
 		s.Log.Debug("instance not asked about a stream", zap.String("peer", address), zap.Error(err))
 	}
-	return r
+	return streamAnswer{record: r, err: err}
 }
--- /dev/null
+++ b/internal/cwstream/inquiry.go
@@ -0,0 +1,10 @@
+package cwstream
+
+// Inquiry is how other instances answered the question for a stream.
+type Inquiry struct {
+	// IsFound is set if one of them has a record of it.
+	IsFound bool
+	// Asked is the number of instances that were asked, and Answered that of those which had no
+	// record. The others failed or did not answer in time.
+	Asked, Answered int
+}
--- a/internal/cwstream/ledger.go
+++ b/internal/cwstream/ledger.go
@@ -24,6 +24,8 @@
 type Ledger struct {
 	mu      sync.Mutex
 	records map[ID]entry
+	// uncertain are the streams whose origin turned out to be uncertain, until their deadlines.
+	uncertain map[ID]time.Time
 	// untold are the streams that this instance began and has not told yet.
 	untold  []ID
 	sweptAt time.Time
@@ -37,13 +39,16 @@
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{records: make(map[ID]entry), sweptAt: time.Now()}
+	return &Ledger{records: make(map[ID]entry), uncertain: make(map[ID]time.Time), sweptAt: time.Now()}
 }
 
 // Begin records a stream of this instance, to be told to others.
 func (l *Ledger) Begin(r Record, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !r.Origin.IsKnown() && len(l.uncertain) < maxRecords {
+		l.uncertain[r.ID] = r.ExpiresAt.Add(expiryMargin)
+	}
 	if !l.add(r, now) || len(l.untold) >= maxUntold {
 		return
 	}
@@ -68,9 +73,25 @@
 func (l *Ledger) Forget(id ID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if e, ok := l.records[id]; ok && len(l.uncertain) < maxRecords {
+		l.uncertain[id] = e.expiresAt
+	}
 	delete(l.records, id)
 }
 
+// ExplainAbsence returns why Find returns no record of a stream.
+func (l *Ledger) ExplainAbsence(id ID, now time.Time) Absence {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, ok := l.uncertain[id]; ok {
+		return Uncertain
+	}
+	if e, ok := l.records[id]; ok && !now.Before(e.expiresAt) {
+		return Expired
+	}
+	return NeverTold
+}
+
 // Merge adds streams that other instances began.
 func (l *Ledger) Merge(records []Record, now time.Time) {
 	l.mu.Lock()
@@ -112,6 +133,11 @@
 			delete(l.records, id)
 		}
 	}
+	for id, expiresAt := range l.uncertain {
+		if !now.Before(expiresAt) {
+			delete(l.uncertain, id)
+		}
+	}
 }
 
 // Find returns the record of a stream, false if it is not known.
--- a/internal/cwstream/ledger_test.go
+++ b/internal/cwstream/ledger_test.go
@@ -73,3 +73,30 @@
 	l.Begin(cwstream.Record{ID: 1, ExpiresAt: now.Add(time.Hour)}, now)
 	is.Equal(l.Len(), 0)
 }
+
+// TestLedgerExplainsAbsence guards against refused streams of which an operator can't tell whether
+// nobody told of them, their deadline has passed, or their endpoint may have restarted.
+func TestLedgerExplainsAbsence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := cwstream.NewLedger()
+		now := time.Now()
+		record := func(name string, o cwstream.Origin) cwstream.Record {
+			return cwstream.Record{ID: cwstream.NewID(name), Origin: o, ExpiresAt: now.Add(time.Second)}
+		}
+		l.Begin(record("expired", v1), now)
+		l.Begin(record("forgotten", v1), now)
+		l.Forget(cwstream.NewID("forgotten"))
+		l.Begin(record("began without origin", cwstream.Origin{}), now)
+		later := now.Add(4 * time.Second)
+		for name, want := range map[string]cwstream.Absence{
+			"never told": cwstream.NeverTold, "expired": cwstream.Expired, "forgotten": cwstream.Uncertain, "began without origin": cwstream.Uncertain,
+		} {
+			_, isKnown := l.Find(cwstream.NewID(name), later)
+			is.True(!isKnown)
+			is.Equal(l.ExplainAbsence(cwstream.NewID(name), later), want)
+		}
+		l.Merge([]cwstream.Record{record("another", v1)}, now.Add(10*time.Second))
+		is.Equal(l.ExplainAbsence(cwstream.NewID("forgotten"), now.Add(10*time.Second)), cwstream.NeverTold) // bounded
+	})
+}
