Streams taken up at an instance that was out of step keep their version

A caller that took its stream up at an instance which had just stood still got events of two software versions: endpoints had restarted with another version under their identifiers meanwhile, and the instance still placed streams by the old entries. Others know the origin of the stream, but that does not help if the entries are stale.

An instance that had no contact to any other for 1.5 s now asks others about each stream taken up until 2 s after contact is back, also those it knows and those relayed to it. They answer with the revision of their published state, and the stream waits until this instance has that one, for 500 ms at most, or is refused (stateBehind). In normal operation nothing is waited for: instances lag behind each other by up to a second.

Not covered: a stream that breaks off and goes on within its answer at such an instance, and streams that are taken up while no other instance can be asked.

--- a/internal/cwapp/routed_stream_release_test.go
+++ b/internal/cwapp/routed_stream_release_test.go
@@ -195,14 +195,34 @@
 
 func (f *versionedFleet) restartWorkerBeside(rng *rand.Rand, whileDown func()) {
 	old := f.drawWorker(rng)
-	ip := strings.TrimPrefix(old.ID, "worker-")
-	domain := map[bool]string{true: "north-a", false: "south-a"}[strings.HasPrefix(ip, "10.1.")]
-	f.Net.KillHost(ip)
+	f.Net.KillHost(ipOf(old))
 	whileDown()
+	f.returnAt(old, map[string]string{"v1": "v2", "v2": "v1"}[f.workers[old]], entryDelay)
+}
+
+func ipOf(w *cwstandin.Worker) string {
+	return strings.TrimPrefix(w.ID, "worker-")
+}
+
+func (f *versionedFleet) domainOf(w *cwstandin.Worker) string {
+	return map[bool]string{true: "north-a", false: "south-a"}[strings.HasPrefix(ipOf(w), "10.1.")]
+}
+
+// restartAt restarts a worker with a version under its identifier and address. It is down for a time,
+// and its entry names the version at once.
+func (f *versionedFleet) restartAt(old *cwstandin.Worker, version string, downFor time.Duration) {
+	f.Net.KillHost(ipOf(old))
+	time.Sleep(downFor)
+	f.returnAt(old, version, 0)
+}
+
+// returnAt starts a killed worker again with a version under its identifier and address; its entry
+// names the version after a time.
+func (f *versionedFleet) returnAt(old *cwstandin.Worker, version string, entryDelay time.Duration) {
+	ip, domain := ipOf(old), f.domainOf(old)
 	f.Net.RestoreHost(ip)
 	w := cwstandin.NewWorker(old.ID)
 	f.Serve(ip+":8010", w)
-	version := map[string]string{"v1": "v2", "v2": "v1"}[f.workers[old]]
 	f.workers[w] = version
 	time.AfterFunc(entryDelay, func() { f.RegisterWorker(w.ID, domain, ip, map[string]any{"version": version}) })
 }
--- a/internal/cwapp/routed_stream_version_test.go
+++ b/internal/cwapp/routed_stream_version_test.go
@@ -65,8 +65,13 @@
 
 // begin sends a request whose stream breaks off behind its second event.
 func (f *versionedFleet) begin(t *testing.T, i *cwscene.RoutedInstance) cwscene.RoutedResponse {
+	return f.beginWithin(t, i, 0)
+}
+
+// beginWithin does that with a deadline of the caller; 0 is the default.
+func (f *versionedFleet) beginWithin(t *testing.T, i *cwscene.RoutedInstance, timeout time.Duration) cwscene.RoutedResponse {
 	f.setFault(cwstandin.FaultTruncateStream)
-	resp := f.Do(t.Context(), i, cwscene.RoutedRequest{Path: "/r/x", Header: newPromptHeader()})
+	resp := f.Do(t.Context(), i, cwscene.RoutedRequest{Path: "/r/x", Header: newPromptHeader(), Timeout: timeout})
 	f.setFault(cwstandin.FaultNone)
 	return resp
 }
--- a/internal/cwgate/gate.go
+++ b/internal/cwgate/gate.go
@@ -86,6 +86,7 @@
 	snapshot *cwcontrol.Snapshot
 	// originRegions are the regions with endpoints by what they serve, as of a view.
 	originRegions originRegions
+	contactGap    contactGap
 	startedAt     time.Time
 	inFlight      atomic.Int64
 	// endsAt is when the instance ends; nil unless it stops.
--- a/internal/cwgate/log.go
+++ b/internal/cwgate/log.go
@@ -117,7 +117,7 @@
 // takeUpFields returns the fields that tell why a stream that the caller takes up can't go on.
 func (r *routedRequest) takeUpFields() []zap.Field {
 	fields := append(r.accountFields(), zap.String("resumes", r.Resumes), zap.String("afterEvent", r.LastEventID))
-	if r.absence == "" {
+	if r.absence == "" || r.origin.IsKnown() {
 		return fields
 	}
 	return append(fields, zap.String("absence", string(r.absence)), zap.Int("asked", r.inquiry.Asked), zap.Int("answered", r.inquiry.Answered))
--- a/internal/cwgate/stream_origin.go
+++ b/internal/cwgate/stream_origin.go
@@ -34,14 +34,20 @@
 	if routed.route.Kind != cwroute.Stream || !routed.takesUpStream() && !routed.Origin.IsKnown() {
 		return nil
 	}
+	isOutOfStep := g.isOutOfStep()
 	routed.hasOrigin, routed.origin = true, routed.Origin
 	if !routed.IsRelayed {
-		routed.origin = g.findOrigin(ctx, routed)
+		routed.origin = g.findOrigin(ctx, routed, isOutOfStep)
+	} else if isOutOfStep {
+		g.askForStream(ctx, routed)
 	}
 	switch {
 	case !routed.origin.IsKnown():
 		refusal := newNotRunRefusal("streamUnknown", 0)
 		return &refusal
+	case isOutOfStep && !g.awaitRevision(ctx, routed.inquiry.Revision):
+		refusal := newNotRunRefusal("stateBehind", revisionWait)
+		return &refusal
 	case !routed.route.LeadsTo(routed.origin.Service):
 		refusal := newNotRunRefusal("noVersion", 0)
 		return &refusal
@@ -50,27 +56,38 @@
 }
 
 // findOrigin returns the origin of a stream that the caller takes up, as this instance or others
-// know it.
-func (g *Gate) findOrigin(ctx context.Context, routed *routedRequest) cwstream.Origin {
-	id := routed.streamID()
-	record, isKnown := g.streams.Find(id, time.Now())
-	if isKnown {
-		g.metrics.countTakenUp("own")
-		return record.Origin
+// know it. Others are asked in any case if this instance is out of step.
+func (g *Gate) findOrigin(ctx context.Context, routed *routedRequest, isOutOfStep bool) cwstream.Origin {
+	now := time.Now()
+	record, isKnown := g.streams.Find(routed.streamID(), now)
+	if !isKnown {
+		routed.absence = g.streams.ExplainAbsence(routed.streamID(), now)
 	}
-	absence := g.streams.ExplainAbsence(id, time.Now())
-	var inquiry cwstream.Inquiry
-	if g.StreamFinder != nil {
-		record, inquiry = g.StreamFinder.FindStream(ctx, id)
+	var found cwstream.Record
+	if !isKnown || isOutOfStep {
+		found = g.askForStream(ctx, routed)
 	}
-	if !inquiry.IsFound {
+	switch {
+	case isKnown:
+		g.metrics.countTakenUp("own")
+		return record.Origin
+	case routed.inquiry.IsFound:
+		g.streams.Merge([]cwstream.Record{found}, time.Now())
+		g.metrics.countTakenUp("peer")
+	default:
 		g.metrics.countTakenUp("unknown")
-		routed.absence, routed.inquiry = absence, inquiry
-		return cwstream.Origin{}
 	}
-	g.streams.Merge([]cwstream.Record{record}, time.Now())
-	g.metrics.countTakenUp("peer")
-	return record.Origin
+	return found.Origin
+}
+
+// askForStream asks other instances about the stream that the caller takes up.
+func (g *Gate) askForStream(ctx context.Context, routed *routedRequest) cwstream.Record {
+	if g.StreamFinder == nil {
+		return cwstream.Record{}
+	}
+	var found cwstream.Record
+	found, routed.inquiry = g.StreamFinder.FindStream(ctx, routed.streamID())
+	return found
 }
 
 // beginStream is called before the first event of a stream is sent: from here on the stream goes on
--- a/internal/cwgate/sync.go
+++ b/internal/cwgate/sync.go
@@ -35,6 +35,7 @@
 func (g *Gate) newParts() []part {
 	return []part{
 		partFunc(g.updateOriginRegions),
+		partFunc(g.updateContactGap),
 		partFunc(g.updateSharing),
 		partFunc(g.updateEndpoints),
 		partFunc(g.updateExitAddresses),
--- a/internal/cwpeer/server.go
+++ b/internal/cwpeer/server.go
@@ -45,6 +45,8 @@
 	// ChangesSince returns the changes after the revision, or all items if the source no
 	// longer has the changes or the revision is 0.
 	ChangesSince(after cwpublished.Revision) cwpublished.Delta
+	// Revision returns the revision up to which the source is complete.
+	Revision() cwpublished.Revision
 }
 
 // ManifestSource provides the manifests of configurations, byte for byte as published.
@@ -110,15 +112,18 @@
 
 // FindStream returns what this instance knows of a stream.
 func (s *Server) FindStream(_ context.Context, req *cwproto.FindStreamRequest) (*cwproto.FindStreamResponse, error) {
+	resp := &cwproto.FindStreamResponse{}
+	if s.sources.Published != nil {
+		resp.Revision = uint64(s.sources.Published.Revision())
+	}
 	if s.sources.Streams == nil {
-		return &cwproto.FindStreamResponse{}, nil
+		return resp, nil
 	}
 	now := time.Now()
-	r, isKnown := s.sources.Streams.Find(cwstream.ID(req.GetStream()), now)
-	if !isKnown {
-		return &cwproto.FindStreamResponse{}, nil
+	if r, isKnown := s.sources.Streams.Find(cwstream.ID(req.GetStream()), now); isKnown {
+		resp.Group = protoStreamGroups([]cwstream.Record{r}, now)[0]
 	}
-	return &cwproto.FindStreamResponse{Group: protoStreamGroups([]cwstream.Record{r}, now)[0]}, nil
+	return resp, nil
 }
 
 // pullFrom fetches the offered configuration from the calling peer if it is newer than
--- a/internal/cwpeer/stream_spreader.go
+++ b/internal/cwpeer/stream_spreader.go
@@ -9,6 +9,7 @@
 	"github.com/clementinewell/clementinewell/internal/cwcommon"
 	"github.com/clementinewell/clementinewell/internal/cwcontrol"
 	"github.com/clementinewell/clementinewell/internal/cwpolicy"
+	"github.com/clementinewell/clementinewell/internal/cwpublished"
 	"github.com/clementinewell/clementinewell/internal/cwstream"
 )
 
@@ -66,8 +67,9 @@
 
 // streamAnswer is the answer of one instance to the question for a stream.
 type streamAnswer struct {
-	record *cwstream.Record
-	err    error
+	record   *cwstream.Record
+	revision cwpublished.Revision
+	err      error
 }
 
 // FindStream asks other instances about a stream that this one does not know, and returns the first
@@ -84,6 +86,7 @@
 	inquiry := cwstream.Inquiry{Asked: len(witnesses)}
 	for range witnesses {
 		answer := <-found
+		inquiry.Revision = max(inquiry.Revision, answer.revision)
 		if answer.record != nil {
 			inquiry.IsFound = true
 			return *answer.record, inquiry
@@ -97,9 +100,9 @@
 
 // ask returns what an instance knows of a stream; no record if that is nothing.
 func (s *StreamSpreader) ask(ctx context.Context, address string, id cwstream.ID) streamAnswer {
-	r, err := s.client.FindStream(ctx, address, id)
+	r, revision, err := s.client.FindStream(ctx, address, id)
 	if err != nil && ctx.Err() == nil {
 		s.Log.Debug("instance not asked about a stream", zap.String("peer", address), zap.Error(err))
 	}
-	return streamAnswer{record: r, err: err}
+	return streamAnswer{record: r, revision: revision, err: err}
 }
--- a/internal/cwstream/inquiry.go
+++ b/internal/cwstream/inquiry.go
@@ -1,5 +1,7 @@
 package cwstream
 
+import "github.com/clementinewell/clementinewell/internal/cwpublished"
+
 // Inquiry is how other instances answered the question for a stream.
 type Inquiry struct {
 	// IsFound is set if one of them has a record of it.
@@ -7,4 +9,6 @@
 	// Asked is the number of instances that were asked, and Answered that of those which had no
 	// record. The others failed or did not answer in time.
 	Asked, Answered int
+	// Revision is the latest revision of the published state at those that have answered.
+	Revision cwpublished.Revision
 }
