--- a/internal/cwgate/log.go
+++ b/internal/cwgate/log.go
@@ -132,6 +132,15 @@
 	return append(fields, zap.Duration("behind", lag.Behind), zap.Uint64("offered", lag.Offered.StoreRevision()), zap.String("source", lag.Source))
 }
 
+// takeUpFields returns the fields that tell why a stream that the caller takes up can't go on.
+func (r *routedRequest) takeUpFields() []zap.Field {
+	fields := append(r.accountFields(), zap.String("resumes", r.Resumes), zap.String("afterEvent", r.LastEventID))
+	if r.absence == "" || r.origin.IsKnown() {
+		return fields
+	}
+	return append(fields, zap.String("absence", string(r.absence)), zap.Int("asked", r.inquiry.Asked), zap.Int("answered", r.inquiry.Answered))
+}
+
 // accountFields returns the fields that tell an operator which key a request had and which
 // configuration decided about it. The fingerprint does not reveal the key.
 func (r *routedRequest) accountFields() []zap.Field {
--- a/internal/cwgate/stream_origin.go
+++ b/internal/cwgate/stream_origin.go
@@ -12,8 +12,8 @@
 
 // StreamFinder asks other instances about streams.
 type StreamFinder interface {
-	// FindStream returns the record of a stream, false if no other instance knows it.
-	FindStream(ctx context.Context, id cwstream.ID) (cwstream.Record, bool)
+	// FindStream returns the record of a stream, and what the other instances answered.
+	FindStream(ctx context.Context, id cwstream.ID) (cwstream.Record, cwstream.Inquiry)
 }
 
 var errOtherOrigin = errors.New("the stream was begun by another software version or service")
@@ -34,14 +34,20 @@
 	if routed.route.Kind != cwroute.Stream || !routed.takesUpStream() && !routed.Origin.IsKnown() {
 		return nil
 	}
+	isOutOfStep := g.isOutOfStep()
 	routed.hasOrigin, routed.origin = true, routed.Origin
 	if !routed.IsRelayed {
-		routed.origin = g.findOrigin(ctx, routed)
+		routed.origin = g.findOrigin(ctx, routed, isOutOfStep)
+	} else if isOutOfStep {
+		g.askForStream(ctx, routed)
 	}
 	switch {
 	case !routed.origin.IsKnown():
 		refusal := newNotRunRefusal("streamUnknown", 0)
 		return &refusal
+	case isOutOfStep && !g.awaitRevision(ctx, routed.inquiry.Revision):
+		refusal := newNotRunRefusal("stateBehind", revisionWait)
+		return &refusal
 	case !routed.route.LeadsTo(routed.origin.Service):
 		refusal := newNotRunRefusal("noVersion", 0)
 		return &refusal
@@ -50,21 +56,57 @@
 }
 
 // findOrigin returns the origin of a stream that the caller takes up, as this instance or others
-// know it.
-func (g *Gate) findOrigin(ctx context.Context, routed *routedRequest) cwstream.Origin {
-	id, source := routed.streamID(), "own"
-	record, isKnown := g.streams.Find(id, time.Now())
-	if !isKnown && g.StreamFinder != nil {
-		source = "peer"
-		if record, isKnown = g.StreamFinder.FindStream(ctx, id); isKnown {
-			g.streams.Merge([]cwstream.Record{record}, time.Now())
-		}
-	}
+// know it. Others are asked in any case if this instance is out of step, or has only observed the
+// stream.
+func (g *Gate) findOrigin(ctx context.Context, routed *routedRequest, isOutOfStep bool) cwstream.Origin {
+	now := time.Now()
+	record, isKnown := g.streams.Find(routed.streamID(), now)
 	if !isKnown {
-		source = "unknown"
+		routed.absence = g.streams.ExplainAbsence(routed.streamID(), now)
 	}
-	g.metrics.countTakenUp(source)
-	return record.Origin
+	var found cwstream.Record
+	if !isKnown || isOutOfStep || record.IsObserved {
+		found = g.askForStream(ctx, routed)
+	}
+	if isKnown && record.IsObserved {
+		record, isKnown = g.compareObserved(routed, record, found)
+	}
+	switch {
+	case isKnown:
+		g.metrics.countTakenUp("own")
+		return record.Origin
+	case routed.inquiry.IsFound:
+		g.streams.Merge([]cwstream.Record{found}, time.Now())
+		g.metrics.countTakenUp("peer")
+		return found.Origin
+	}
+	g.metrics.countTakenUp("unknown")
+	return cwstream.Origin{}
+}
+
+// compareObserved compares what this instance has observed of a stream with what others found. It
+// returns false if they contradict each other.
+func (g *Gate) compareObserved(routed *routedRequest, own, found cwstream.Record) (cwstream.Record, bool) {
+	switch {
+	case routed.inquiry.IsFound && !found.IsObserved:
+		g.streams.Merge([]cwstream.Record{found}, time.Now())
+		return found, true
+	case routed.inquiry.IsContradicted, routed.inquiry.IsFound && found.Origin != own.Origin:
+		g.streams.Forget(own.ID)
+		routed.absence, routed.inquiry.IsFound = cwstream.Uncertain, false
+		return cwstream.Record{}, false
+	}
+	return own, true
+}
+
+// askForStream asks other instances about the stream that the caller takes up.
+func (g *Gate) askForStream(ctx context.Context, routed *routedRequest) cwstream.Record {
+	if g.StreamFinder == nil {
+		return cwstream.Record{}
+	}
+	var found cwstream.Record
+	found, routed.inquiry = g.StreamFinder.FindStream(ctx, routed.streamID())
+	return found
 }
 
 // beginStream is called before the first event of a stream is sent: from here on the stream goes on
--- a/internal/cwpeer/stream_spreader.go
+++ b/internal/cwpeer/stream_spreader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -9,6 +10,7 @@
 	"github.com/clementinewell/clementinewell/internal/cwcommon"
 	"github.com/clementinewell/clementinewell/internal/cwcontrol"
 	"github.com/clementinewell/clementinewell/internal/cwpolicy"
+	"github.com/clementinewell/clementinewell/internal/cwpublished"
 	"github.com/clementinewell/clementinewell/internal/cwstream"
 )
 
@@ -64,30 +66,53 @@
 	}
 }
 
-// FindStream asks other instances about a stream that this one does not know. It returns false if
-// none of them knows it in time.
-func (s *StreamSpreader) FindStream(ctx context.Context, id cwstream.ID) (cwstream.Record, bool) {
+// streamAnswer is the answer of one instance to the question for a stream.
+type streamAnswer struct {
+	record   *cwstream.Record
+	revision cwpublished.Revision
+	err      error
+}
+
+// FindStream asks other instances about a stream that this one does not know, and returns the first
+// record in time. A record that was only observed counts if no other one contradicts it.
+func (s *StreamSpreader) FindStream(ctx context.Context, id cwstream.ID) (cwstream.Record, cwstream.Inquiry) {
 	ctx, cancel := context.WithTimeout(ctx, streamCallTimeout)
 	defer cancel()
 	snapshot := s.control.Snapshot()
 	witnesses := cwpolicy.StreamWitnesses(&snapshot.Self, snapshot.Members, time.Now())
-	found := make(chan *cwstream.Record, len(witnesses))
+	found := make(chan streamAnswer, len(witnesses))
 	for _, address := range witnesses {
 		s.Go("findStream", func() { found <- s.ask(ctx, address, id) })
 	}
+	inquiry := cwstream.Inquiry{Asked: len(witnesses)}
+	var observed []cwstream.Record
 	for range witnesses {
-		if r := <-found; r != nil {
-			return *r, true
+		answer := <-found
+		inquiry.Revision = max(inquiry.Revision, answer.revision)
+		switch {
+		case answer.record == nil && answer.err == nil:
+			inquiry.Answered++
+		case answer.record == nil:
+		case !answer.record.IsObserved:
+			inquiry.IsFound = true
+			return *answer.record, inquiry
+		default:
+			observed = append(observed, *answer.record)
 		}
 	}
-	return cwstream.Record{}, false
+	if len(observed) == 0 {
+		return cwstream.Record{}, inquiry
+	}
+	inquiry.IsContradicted = slices.ContainsFunc(observed, func(r cwstream.Record) bool { return r.Origin != observed[0].Origin })
+	inquiry.IsFound = !inquiry.IsContradicted
+	return observed[0], inquiry
 }
 
-// ask returns what an instance knows of a stream, nil if that is nothing.
-func (s *StreamSpreader) ask(ctx context.Context, address string, id cwstream.ID) *cwstream.Record {
-	r, err := s.client.FindStream(ctx, address, id)
+// ask returns what an instance knows of a stream; no record if that is nothing.
+func (s *StreamSpreader) ask(ctx context.Context, address string, id cwstream.ID) streamAnswer {
+	r, revision, err := s.client.FindStream(ctx, address, id)
 	if err != nil && ctx.Err() == nil {
 		s.Log.Debug("instance not asked about a stream", zap.String("peer", address), zap.Error(err))
 	}
-	return r
+	return streamAnswer{record: r, revision: revision, err: err}
 }
--- a/internal/cwstream/ledger.go
+++ b/internal/cwstream/ledger.go
@@ -24,6 +24,8 @@
 type Ledger struct {
 	mu      sync.Mutex
 	records map[ID]entry
+	// uncertain are the streams whose origin turned out to be uncertain, until their deadlines.
+	uncertain map[ID]time.Time
 	// untold are the streams that this instance began and has not told yet.
 	untold  []ID
 	sweptAt time.Time
@@ -33,17 +35,22 @@
 	origin    Origin
 	expiresAt time.Time
 	isUntold  bool
+	// isObserved is that of the record.
+	isObserved bool
 }
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{records: make(map[ID]entry), sweptAt: time.Now()}
+	return &Ledger{records: make(map[ID]entry), uncertain: make(map[ID]time.Time), sweptAt: time.Now()}
 }
 
 // Begin records a stream of this instance, to be told to others.
 func (l *Ledger) Begin(r Record, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !r.Origin.IsKnown() && len(l.uncertain) < maxRecords {
+		l.uncertain[r.ID] = r.ExpiresAt.Add(expiryMargin)
+	}
 	if !l.add(r, now) || len(l.untold) >= maxUntold {
 		return
 	}
@@ -68,9 +75,25 @@
 func (l *Ledger) Forget(id ID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if e, ok := l.records[id]; ok && len(l.uncertain) < maxRecords {
+		l.uncertain[id] = e.expiresAt
+	}
 	delete(l.records, id)
 }
 
+// ExplainAbsence returns why Find returns no record of a stream.
+func (l *Ledger) ExplainAbsence(id ID, now time.Time) Absence {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, ok := l.uncertain[id]; ok {
+		return Uncertain
+	}
+	if e, ok := l.records[id]; ok && !now.Before(e.expiresAt) {
+		return Expired
+	}
+	return NeverTold
+}
+
 // Merge adds streams that other instances began.
 func (l *Ledger) Merge(records []Record, now time.Time) {
 	l.mu.Lock()
@@ -86,6 +109,9 @@
 		l.sweep(now)
 	}
 	previous, isKnown := l.records[r.ID]
+	if r.IsObserved && l.isContradicted(&r, now) {
+		return false
+	}
 	if !r.Origin.IsKnown() || !isKnown && len(l.records) >= maxRecords {
 		return false
 	}
@@ -93,14 +119,31 @@
 	if latest := now.Add(maxRetention); expiresAt.After(latest) {
 		expiresAt = latest
 	}
-	if isKnown && now.Before(previous.expiresAt) {
+	if isKnown && now.Before(previous.expiresAt) && (!previous.isObserved || r.IsObserved) {
 		// What began the stream does not change; a later attempt only renews the record.
-		r.Origin = previous.origin
+		r.Origin, r.IsObserved = previous.origin, previous.isObserved
 		if previous.expiresAt.After(expiresAt) {
 			expiresAt = previous.expiresAt
 		}
 	}
-	l.records[r.ID] = entry{origin: r.Origin, expiresAt: expiresAt, isUntold: previous.isUntold}
+	l.records[r.ID] = entry{origin: r.Origin, expiresAt: expiresAt, isUntold: previous.isUntold, isObserved: r.IsObserved}
+	return true
+}
+
+// isContradicted reports whether an observed record proves nothing: the origin is uncertain, or
+// another one was observed too. The caller holds mu.
+func (l *Ledger) isContradicted(r *Record, now time.Time) bool {
+	if expiresAt, ok := l.uncertain[r.ID]; ok && now.Before(expiresAt) {
+		return true
+	}
+	previous, isKnown := l.records[r.ID]
+	if !isKnown || !now.Before(previous.expiresAt) || !previous.isObserved || previous.origin == r.Origin {
+		return false
+	}
+	delete(l.records, r.ID)
+	if len(l.uncertain) < maxRecords {
+		l.uncertain[r.ID] = previous.expiresAt
+	}
 	return true
 }
 
@@ -112,6 +155,11 @@
 			delete(l.records, id)
 		}
 	}
+	for id, expiresAt := range l.uncertain {
+		if !now.Before(expiresAt) {
+			delete(l.uncertain, id)
+		}
+	}
 }
 
 // Find returns the record of a stream, false if it is not known.
@@ -122,7 +170,7 @@
 	if !ok || !now.Before(e.expiresAt) {
 		return Record{}, false
 	}
-	return Record{ID: id, Origin: e.origin, ExpiresAt: e.expiresAt.Add(-expiryMargin)}, true
+	return Record{ID: id, Origin: e.origin, ExpiresAt: e.expiresAt.Add(-expiryMargin), IsObserved: e.isObserved}, true
 }
 
 // Len returns the number of streams.
