--- a/internal/cwapp/routed_stream_out_of_step_test.go
+++ b/internal/cwapp/routed_stream_out_of_step_test.go
@@ -13,10 +13,9 @@
 )
 
 const (
-	// outOfStepTime is how long an instance is out of step with the others, contactTime the time
-	// after which it must have found them again, and outOfStepDeadline the callers' deadline.
+	// outOfStepTime is how long an instance is out of step with the others. It must have found them
+	// again after contactTime. outOfStepDeadline is the callers' deadline.
 	outOfStepTime     = 4 * time.Second
-	contactTime       = 6 * time.Second
 	outOfStepDeadline = 20 * time.Second
 	// outOfStepDelay is the one-way delay to the others and the store: callers are served before all
 	// changes have arrived.
