After a start streams in progress are read from endpoints' reports

After a loss of all instances callers that took their streams up were all refused (streamUnknown), although endpoints of their version served: the origins are kept in the memory of instances.

An instance that has started now asks endpoints of its failure domain for their reports, at most 64 in each of two rounds. A run that has made an event proves the origin if the report is of the incarnation whose entry names the version. What was observed gives way to what was told, and two different observations make the origin unknown.

Evidence: TestStreamsGoOnAfterLossOfAllInstances, row 'runs in progress': 0 of 24 went on without the reading, 24 of 24 with it; in the rows in which a report proves nothing none does. Streams whose run has ended when instances are back have no proof left.

Ruled out: the parts of prompts that endpoints keep, the one version in the store, its history (see decision 0009).

--- a/internal/cwapp/routed_app.go
+++ b/internal/cwapp/routed_app.go
@@ -87,6 +87,7 @@
 		r.follower.Run,
 		r.gate.Conns().Run,
 		r.gate.RunColdChecks,
+		r.gate.ObserveStreams,
 		r.exchanger.Run,
 		spreader.Run,
 		streamSpreader.Run,
--- a/internal/cwgate/codec.go
+++ b/internal/cwgate/codec.go
@@ -24,6 +24,10 @@
 	// BuildHealthCheck returns a request to an endpoint for its health, which no other endpoint
 	// answers.
 	BuildHealthCheck(endpoint, address, healthPath string) *cwconn.Check
+	// BuildReportCheck returns a request to an endpoint for its report.
+	BuildReportCheck(address string) *cwconn.Check
+	// DecodeReport decodes a report.
+	DecodeReport(body []byte) (EndpointReport, error)
 	// DecodeColdTime returns for how long an endpoint is cold according to the response to its
 	// health check; false if it doesn't say.
 	DecodeColdTime(h http.Header) (time.Duration, bool)
--- a/internal/cwgate/metrics.go
+++ b/internal/cwgate/metrics.go
@@ -28,6 +28,8 @@
 	cutOffs tally.Counter
 	// coldChecks counts the health checks that ask endpoints whether they are cold.
 	coldChecks tally.Counter
+	// streamReports counts the reports of endpoints that were requested.
+	streamReports tally.Counter
 	// quotaRefusals counts the requests refused for their account's quota, and quotaRefunds those
 	// that were charged and have not run.
 	quotaRefusals tally.Counter
@@ -37,15 +39,16 @@
 func newMetrics(root tally.Scope) *metrics {
 	buckets := tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 14)
 	return &metrics{
-		root:         root,
-		firstByte:    root.Histogram("routed_first_byte_seconds", buckets),
-		total:        root.Histogram("routed_total_seconds", buckets),
-		retries:      root.Counter("routed_repeats"),
-		relays:       root.Counter("routed_relays"),
-		limitedSends: root.Counter("routed_limited_sends"),
-		blocks:       root.Counter("crash_blocks"),
-		cutOffs:      root.Counter("endpoint_cut_offs"),
-		coldChecks:   root.Counter("cold_checks"),
+		root:          root,
+		firstByte:     root.Histogram("routed_first_byte_seconds", buckets),
+		total:         root.Histogram("routed_total_seconds", buckets),
+		retries:       root.Counter("routed_repeats"),
+		relays:        root.Counter("routed_relays"),
+		limitedSends:  root.Counter("routed_limited_sends"),
+		blocks:        root.Counter("crash_blocks"),
+		cutOffs:       root.Counter("endpoint_cut_offs"),
+		coldChecks:    root.Counter("cold_checks"),
+		streamReports: root.Counter("stream_reports"),
 
 		quotaRefusals: root.Counter("quota_refusals"),
 		quotaRefunds:  root.Counter("quota_refunds"),
--- a/internal/cwgate/stream_origin.go
+++ b/internal/cwgate/stream_origin.go
@@ -56,7 +56,8 @@
 }
 
 // findOrigin returns the origin of a stream that the caller takes up, as this instance or others
-// know it. Others are asked in any case if this instance is out of step.
+// know it. Others are asked in any case if this instance is out of step, or has only observed the
+// stream.
 func (g *Gate) findOrigin(ctx context.Context, routed *routedRequest, isOutOfStep bool) cwstream.Origin {
 	now := time.Now()
 	record, isKnown := g.streams.Find(routed.streamID(), now)
@@ -64,9 +65,12 @@
 		routed.absence = g.streams.ExplainAbsence(routed.streamID(), now)
 	}
 	var found cwstream.Record
-	if !isKnown || isOutOfStep {
+	if !isKnown || isOutOfStep || record.IsObserved {
 		found = g.askForStream(ctx, routed)
 	}
+	if isKnown && record.IsObserved {
+		record, isKnown = g.compareObserved(routed, record, found)
+	}
 	switch {
 	case isKnown:
 		g.metrics.countTakenUp("own")
@@ -74,10 +78,25 @@
 	case routed.inquiry.IsFound:
 		g.streams.Merge([]cwstream.Record{found}, time.Now())
 		g.metrics.countTakenUp("peer")
-	default:
-		g.metrics.countTakenUp("unknown")
+		return found.Origin
+	}
+	g.metrics.countTakenUp("unknown")
+	return cwstream.Origin{}
+}
+
+// compareObserved compares what this instance has observed of a stream with what others found. It
+// returns false if they contradict each other.
+func (g *Gate) compareObserved(routed *routedRequest, own, found cwstream.Record) (cwstream.Record, bool) {
+	switch {
+	case routed.inquiry.IsFound && !found.IsObserved:
+		g.streams.Merge([]cwstream.Record{found}, time.Now())
+		return found, true
+	case routed.inquiry.IsContradicted, routed.inquiry.IsFound && found.Origin != own.Origin:
+		g.streams.Forget(own.ID)
+		routed.absence, routed.inquiry.IsFound = cwstream.Uncertain, false
+		return cwstream.Record{}, false
 	}
-	return found.Origin
+	return own, true
 }
 
 // askForStream asks other instances about the stream that the caller takes up.
--- a/internal/cwpeer/stream_message.go
+++ b/internal/cwpeer/stream_message.go
@@ -24,7 +24,7 @@
 		r := &records[i]
 		group := byOrigin[r.Origin]
 		if group == nil {
-			group = &cwproto.StreamGroup{Service: r.Origin.Service, Version: r.Origin.Version}
+			group = &cwproto.StreamGroup{Service: r.Origin.Service, Version: r.Origin.Version, Observed: r.IsObserved}
 			byOrigin[r.Origin] = group
 			groups = append(groups, group)
 		}
@@ -40,7 +40,7 @@
 		origin := cwstream.Origin{Service: group.GetService(), Version: group.GetVersion()}
 		remaining := group.GetRemainingMillis()
 		for n, id := range group.GetStreams()[:min(len(group.GetStreams()), len(remaining))] {
-			records = append(records, cwstream.Record{ID: cwstream.ID(id), Origin: origin, ExpiresAt: now.Add(time.Duration(remaining[n]) * time.Millisecond)})
+			records = append(records, cwstream.Record{ID: cwstream.ID(id), Origin: origin, ExpiresAt: now.Add(time.Duration(remaining[n]) * time.Millisecond), IsObserved: group.GetObserved()})
 		}
 	}
 	return records
--- a/internal/cwpeer/stream_spreader.go
+++ b/internal/cwpeer/stream_spreader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -73,7 +74,7 @@
 }
 
 // FindStream asks other instances about a stream that this one does not know, and returns the first
-// record in time.
+// record in time. A record that was only observed counts if no other one contradicts it.
 func (s *StreamSpreader) FindStream(ctx context.Context, id cwstream.ID) (cwstream.Record, cwstream.Inquiry) {
 	ctx, cancel := context.WithTimeout(ctx, streamCallTimeout)
 	defer cancel()
@@ -84,18 +85,27 @@
 		s.Go("findStream", func() { found <- s.ask(ctx, address, id) })
 	}
 	inquiry := cwstream.Inquiry{Asked: len(witnesses)}
+	var observed []cwstream.Record
 	for range witnesses {
 		answer := <-found
 		inquiry.Revision = max(inquiry.Revision, answer.revision)
-		if answer.record != nil {
+		switch {
+		case answer.record == nil && answer.err == nil:
+			inquiry.Answered++
+		case answer.record == nil:
+		case !answer.record.IsObserved:
 			inquiry.IsFound = true
 			return *answer.record, inquiry
+		default:
+			observed = append(observed, *answer.record)
 		}
-		if answer.err == nil {
-			inquiry.Answered++
-		}
 	}
-	return cwstream.Record{}, inquiry
+	if len(observed) == 0 {
+		return cwstream.Record{}, inquiry
+	}
+	inquiry.IsContradicted = slices.ContainsFunc(observed, func(r cwstream.Record) bool { return r.Origin != observed[0].Origin })
+	inquiry.IsFound = !inquiry.IsContradicted
+	return observed[0], inquiry
 }
 
 // ask returns what an instance knows of a stream; no record if that is nothing.
--- a/internal/cwstandin/worker.go
+++ b/internal/cwstandin/worker.go
@@ -37,11 +37,12 @@
 	// version is named in each event of a stream; empty to name none.
 	version string
 	coldness
+	report workerReport
 }
 
 // NewWorker returns a worker that injects no faults.
 func NewWorker(id string) *Worker {
-	return &Worker{ID: id}
+	return &Worker{ID: id, report: workerReport{bornMillis: 1}}
 }
 
 // Runs returns the requests that the worker ran.
@@ -121,6 +122,10 @@
 
 // ServeHTTP serves a request with the worker's next fault.
 func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == ReportPath {
+		w.serveReport(rw)
+		return
+	}
 	body, _ := io.ReadAll(r.Body)
 	fault := w.takeFault()
 	time.Sleep(w.recordArrival(rw.Header()))
--- a/internal/cwstandin/worker_stream.go
+++ b/internal/cwstandin/worker_stream.go
@@ -18,6 +18,8 @@
 		rw.Header().Set("Transfer-Encoding", "identity")
 	}
 	lastID, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	id := r.Header.Get(RequestIDHeader)
+	defer w.SetReportedRun(id, -1)
 	for n := lastID + 1; n <= eventsPerStream; n++ {
 		if fault == FaultTruncateSlowStream && n > lastID+1 {
 			time.Sleep(SlowStreamInterval)
@@ -35,6 +37,7 @@
 		}
 		_, _ = io.WriteString(rw, w.formatEvent(n))
 		_ = http.NewResponseController(rw).Flush()
+		w.SetReportedRun(id, n-lastID)
 	}
 }
 
--- a/internal/cwstream/inquiry.go
+++ b/internal/cwstream/inquiry.go
@@ -6,6 +6,8 @@
 type Inquiry struct {
 	// IsFound is set if one of them has a record of it.
 	IsFound bool
+	// IsContradicted is set if the stream was only observed, at several origins.
+	IsContradicted bool
 	// Asked is the number of instances that were asked, and Answered that of those which had no
 	// record. The others failed or did not answer in time.
 	Asked, Answered int
--- a/internal/cwstream/ledger.go
+++ b/internal/cwstream/ledger.go
@@ -35,6 +35,8 @@
 	origin    Origin
 	expiresAt time.Time
 	isUntold  bool
+	// isObserved is that of the record.
+	isObserved bool
 }
 
 // NewLedger returns an empty ledger.
@@ -107,6 +109,9 @@
 		l.sweep(now)
 	}
 	previous, isKnown := l.records[r.ID]
+	if r.IsObserved && l.isContradicted(&r, now) {
+		return false
+	}
 	if !r.Origin.IsKnown() || !isKnown && len(l.records) >= maxRecords {
 		return false
 	}
@@ -114,14 +119,31 @@
 	if latest := now.Add(maxRetention); expiresAt.After(latest) {
 		expiresAt = latest
 	}
-	if isKnown && now.Before(previous.expiresAt) {
+	if isKnown && now.Before(previous.expiresAt) && (!previous.isObserved || r.IsObserved) {
 		// What began the stream does not change; a later attempt only renews the record.
-		r.Origin = previous.origin
+		r.Origin, r.IsObserved = previous.origin, previous.isObserved
 		if previous.expiresAt.After(expiresAt) {
 			expiresAt = previous.expiresAt
 		}
 	}
-	l.records[r.ID] = entry{origin: r.Origin, expiresAt: expiresAt, isUntold: previous.isUntold}
+	l.records[r.ID] = entry{origin: r.Origin, expiresAt: expiresAt, isUntold: previous.isUntold, isObserved: r.IsObserved}
+	return true
+}
+
+// isContradicted reports whether an observed record proves nothing: the origin is uncertain, or
+// another one was observed too. The caller holds mu.
+func (l *Ledger) isContradicted(r *Record, now time.Time) bool {
+	if expiresAt, ok := l.uncertain[r.ID]; ok && now.Before(expiresAt) {
+		return true
+	}
+	previous, isKnown := l.records[r.ID]
+	if !isKnown || !now.Before(previous.expiresAt) || !previous.isObserved || previous.origin == r.Origin {
+		return false
+	}
+	delete(l.records, r.ID)
+	if len(l.uncertain) < maxRecords {
+		l.uncertain[r.ID] = previous.expiresAt
+	}
 	return true
 }
 
@@ -148,7 +170,7 @@
 	if !ok || !now.Before(e.expiresAt) {
 		return Record{}, false
 	}
-	return Record{ID: id, Origin: e.origin, ExpiresAt: e.expiresAt.Add(-expiryMargin)}, true
+	return Record{ID: id, Origin: e.origin, ExpiresAt: e.expiresAt.Add(-expiryMargin), IsObserved: e.isObserved}, true
 }
 
 // Len returns the number of streams.
--- a/internal/cwstream/ledger_test.go
+++ b/internal/cwstream/ledger_test.go
@@ -100,3 +100,37 @@
 		is.Equal(l.ExplainAbsence(cwstream.NewID("forgotten"), now.Add(10*time.Second)), cwstream.NeverTold) // bounded
 	})
 }
+
+// TestLedgerDoubtsContradictedObservations guards against a stream that goes on at a version of which
+// an endpoint runs it, though one of another version does too.
+func TestLedgerDoubtsContradictedObservations(t *testing.T) {
+	now, id := time.Now(), cwstream.NewID("a")
+	told := func(o cwstream.Origin) cwstream.Record {
+		return cwstream.Record{ID: id, Origin: o, ExpiresAt: now.Add(time.Second)}
+	}
+	observed := func(o cwstream.Origin) cwstream.Record {
+		r := told(o)
+		r.IsObserved = true
+		return r
+	}
+	for _, sc := range []struct {
+		name    string
+		records []cwstream.Record
+		want    cwstream.Origin
+	}{
+		{"observed twice at one version", []cwstream.Record{observed(v1), observed(v1)}, v1},
+		{"observed at two versions", []cwstream.Record{observed(v1), observed(v2)}, cwstream.Origin{}},
+		{"observed at two versions and again", []cwstream.Record{observed(v1), observed(v2), observed(v1)}, cwstream.Origin{}},
+		{"told after it was observed", []cwstream.Record{observed(v1), told(v2)}, v2},
+		{"told before it was observed", []cwstream.Record{told(v2), observed(v1)}, v2},
+		{"told after observations at two versions", []cwstream.Record{observed(v1), observed(v2), told(v2)}, v2},
+	} {
+		t.Run(sc.name, func(t *testing.T) {
+			is := is.New(t)
+			l := cwstream.NewLedger()
+			l.Merge(sc.records, now)
+			r, _ := l.Find(id, now)
+			is.Equal(r.Origin, sc.want)
+		})
+	}
+}
