--- a/internal/cwstandin/worker.go
+++ b/internal/cwstandin/worker.go
@@ -122,7 +122,7 @@
 
 // ServeHTTP serves a request with the worker's next fault.
 func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == reportPath {
+	if r.URL.Path == ReportPath {
 		w.serveReport(rw)
 		return
 	}
--- a/internal/cwstandin/worker_report.go
+++ b/internal/cwstandin/worker_report.go
@@ -6,8 +6,8 @@
 	"slices"
 )
 
-// reportPath is where a worker reports on itself.
-const reportPath = "/v1/report"
+// ReportPath is where a worker reports on itself.
+const ReportPath = "/v1/report"
 
 // workerReport is what a worker reports: its start, and its streams in progress with the events made.
 type workerReport struct {
