Soak: large bodies at one instance at once

What callers would see: a process above its memory limit is killed, and each request that it holds ends without an answer, dozens at once. The soak limited bodies to 1 MiB, sent small ones only and checked memory only beside endless responses, so it could not fail on that.

The new phase sends 128 bodies of 4 MiB, the users' limit, to one instance, each without its last byte, and checks the peak memory of all instances. The limit is that of the smallest instance, 144 MB, as beside endless responses.

--- a/internal/cwsoak/config_variant_test.go
+++ b/internal/cwsoak/config_variant_test.go
@@ -80,7 +80,7 @@
 	return map[string]any{
 		"version": version, "routes": routes, "tenants": accounts,
 		"services": []map[string]any{app, {"name": "aux", "max-connections": 400}},
-		"limits":   map[string]any{"max-header-bytes": 16384, "max-body-bytes": 1 << 20, "header-timeout-ms": 3000, "idle-timeout-ms": v.idleTimeout().Milliseconds()},
+		"limits":   map[string]any{"max-header-bytes": 16384, "max-body-bytes": maxBodyBytes, "header-timeout-ms": 3000, "idle-timeout-ms": v.idleTimeout().Milliseconds()},
 	}
 }
 
--- a/internal/cwsoak/endless_test.go
+++ b/internal/cwsoak/endless_test.go
@@ -33,11 +33,17 @@
 		<-time.After(endlessInterval)
 	}
 	<-time.After(endlessRest)
-	after := s.peakMemory()
-	s.t.Logf("peak memory of the instances in MB: %v before endless responses, %v after", before, after)
-	for n, megabytes := range after {
+	s.t.Logf("peak memory of the instances in MB: %v before endless responses", before)
+	s.checkPeakMemory("endless responses")
+}
+
+// checkPeakMemory checks the peak memory of the instances after what could fill it.
+func (s *soakRun) checkPeakMemory(cause string) {
+	peaks := s.peakMemory()
+	s.t.Logf("peak memory of the instances in MB: %v after %s", peaks, cause)
+	for n, megabytes := range peaks {
 		if megabytes > maxInstanceMemory>>20 {
-			s.t.Errorf("%s used %d MB of memory beside endless responses, want at most %d MB", s.instances[n].ip, megabytes, maxInstanceMemory>>20)
+			s.t.Errorf("%s used %d MB of memory beside %s, want at most %d MB", s.instances[n].ip, megabytes, cause, maxInstanceMemory>>20)
 		}
 	}
 }
--- a/internal/cwsoak/soak_test.go
+++ b/internal/cwsoak/soak_test.go
@@ -205,6 +205,7 @@
 	jumpRNG := rand.New(rand.NewPCG(s.seed, 16))
 	wg.Go(func() { s.runJumps(ctx, jumpRNG) })
 	if !slices.Contains(regressionSeeds, s.seed) {
+		s.runLargeBodies(rand.New(rand.NewPCG(s.seed, 22)))
 		s.runCalm(rand.New(rand.NewPCG(s.seed, 17)))
 		s.runUndelimitedEnds(rand.New(rand.NewPCG(s.seed, 20)))
 	}
