Shutdown: requests end before their connections are closed

Cause: requests in flight were to end 0.4 s before the end of the grace and their connections were closed 0.3 s before it, by two timers. When the process stands still there, both have expired: connections were closed while requests got their 502, or instead of that, since closing cancelled it. What was left was killed with the process.

Connections are now closed after the requests were ended, and 100 ms later at least. Requests end 0.8 s before the end of the grace, or a tenth of a shorter one, so that half a second, beyond which the platform counts a machine as slowed, may be lost. Log lines are written up to 0.5 s late, so those on the end now come before a kill too. The cost: streams are cut, and late requests refused, 0.4 s sooner; the platform excuses cuts in the last sixth.

The soak played none of this: its grace of 4 s admits almost no late request, and it didn't kill a process at the end of the grace, which it does now.

Ruled out: the write deadline that a request sets at its end stays on the connection (net/http clears it); a processor quota alone.

--- a/internal/cwapp/routed_app.go
+++ b/internal/cwapp/routed_app.go
@@ -149,13 +149,20 @@
 	// that have its address cached. It is slightly longer than the TTL of directory
 	// responses; most of the shutdown grace remains for streams.
 	acceptDuration = 2500 * time.Millisecond
-	// shutdownMargin is what remains of the shutdown grace when the last streams are aborted.
-	shutdownMargin = 400 * time.Millisecond
-	// endMargin is what remains of it when their connections are closed: meanwhile requests
-	// without a response get one.
-	endMargin = 300 * time.Millisecond
-	// closeMargin is what remains of the shutdown grace when the other servers are closed.
-	closeMargin = 200 * time.Millisecond
+	// shutdownMarginShare is the part of the shutdown grace, as a divisor, that remains when the
+	// last streams are aborted, and maxShutdownMargin limits it. The platform kills the process at
+	// the end of the grace. At the usual 8 s, requests get their responses in time even if the
+	// process stands still for half a second, which the platform does not count as a disruption. The
+	// platform excuses streams that are cut in the last sixth.
+	shutdownMarginShare = 10
+	maxShutdownMargin   = 800 * time.Millisecond
+	// endMarginShare is the part of that margin, as a divisor, that remains when connections are
+	// closed: meanwhile requests without a response get one. For that they have minResponseTime at
+	// least, also if the process stood still when they were to end.
+	endMarginShare  = 4
+	minResponseTime = 100 * time.Millisecond
+	// closeMarginShare is the part of it that remains when the other servers are closed.
+	closeMarginShare = 8
 )
 
 // shutdown stops the instance gracefully: peers and callers are notified first, requests
@@ -165,12 +172,14 @@
 // longer get a response or, if it has begun, are broken off. The directory, the ready check and
 // the interfaces for peers and operators are closed last.
 func (r *RoutedApp) shutdown(ctx context.Context) {
-	graceEnd := time.Now().Add(r.gate.Bounds().ShutdownGrace)
-	closeCtx, cancelClose := context.WithDeadline(ctx, graceEnd.Add(-closeMargin))
+	grace := r.gate.Bounds().ShutdownGrace
+	graceEnd, margin := time.Now().Add(grace), min(grace/shutdownMarginShare, maxShutdownMargin)
+	abortAt, closeAt := graceEnd.Add(-margin), graceEnd.Add(-margin/closeMarginShare)
+	closeCtx, cancelClose := context.WithDeadline(ctx, closeAt)
 	defer cancelClose()
-	endCtx, cancelEnd := context.WithDeadline(ctx, graceEnd.Add(-endMargin))
+	endCtx, cancelEnd := context.WithCancel(ctx)
 	defer cancelEnd()
-	ctx, cancel := context.WithDeadline(ctx, graceEnd.Add(-shutdownMargin))
+	ctx, cancel := context.WithDeadline(ctx, abortAt)
 	defer cancel()
 	r.Log.Info("shutdown begins", zap.Int("inFlight", r.gate.InFlight()))
 	r.Control.Post(ctx, cwcontrol.SelfLeaving{})
@@ -183,10 +192,11 @@
 	case <-ctx.Done():
 	case <-time.After(acceptDuration):
 	}
-	r.gate.SetEnd(graceEnd.Add(-shutdownMargin))
+	r.gate.SetEnd(abortAt)
 	stopEnd := context.AfterFunc(ctx, func() {
 		r.Log.Warn("shutdown grace expired with requests in flight", zap.Int("inFlight", r.gate.InFlight()), zap.Error(ctx.Err()))
 		r.gate.End()
+		time.AfterFunc(max(time.Until(graceEnd)-margin/endMarginShare, minResponseTime), cancelEnd)
 	})
 	err := drainServers(endCtx, r.forwardingServers, requestArrivalTimeout)
 	stopEnd()
@@ -194,7 +204,7 @@
 		closeServers(r.forwardingServers)
 	}
 	// After an expired grace the time for requests on their way is short.
-	lookupArrivalTimeout := min(requestArrivalTimeout, time.Until(graceEnd.Add(-closeMargin))/2)
+	lookupArrivalTimeout := min(requestArrivalTimeout, time.Until(closeAt)/2)
 	err = errors.Join(drainServers(closeCtx, r.lookupServers, lookupArrivalTimeout), drainServers(closeCtx, r.controlServers, 0))
 	if err != nil {
 		r.Log.Warn("control connections closed with requests in progress", zap.Error(err))
--- a/internal/cwapp/routed_grace_test.go
+++ b/internal/cwapp/routed_grace_test.go
@@ -40,6 +40,67 @@
 	})
 }
 
+// TestResponsesAreWrittenWellBeforeTheEndOfTheGrace guards against requests that end without a
+// response because the process stands still for a moment, is then late with their responses and is
+// killed at the end of the grace. Beyond half a second the platform counts a machine as slowed.
+func TestResponsesAreWrittenWellBeforeTheEndOfTheGrace(t *testing.T) {
+	const requestCount, maxStall = 40, 500 * time.Millisecond
+	inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+		s.Publish(nil, cwscene.NewRoute("r", "unsafe", cwscene.RoutedRoute{"timeout-ms": 60_000}))
+		s.AddWorker("north-a", "10.1.1.1").SetDefaultFault(cwstandin.FaultHang)
+		i := s.AddInstance("10.1.0.1", "north-a")
+		s.AwaitReady()
+		responses := make(chan cwscene.RoutedResponse, requestCount)
+		for range requestCount {
+			go func() {
+				responses <- s.Do(t.Context(), i, cwscene.RoutedRequest{Path: "/r/x", Body: "order", Timeout: time.Minute})
+			}()
+		}
+		synctest.Wait()
+		start := time.Now()
+		i.Stop()
+		for range requestCount {
+			is.NoErr((<-responses).Err)
+		}
+		is.True(cwscene.DefaultBounds().ShutdownGrace-time.Since(start) > maxStall)
+		<-i.Done()
+	})
+}
+
+// TestRequestsEndBeforeTheirConnectionsAreClosed guards against requests without a response after a
+// process stood still at the end of its grace: the times at which it ends them and at which it closes
+// their connections have both passed then. A grace that is shorter than all margins does the same.
+func TestRequestsEndBeforeTheirConnectionsAreClosed(t *testing.T) {
+	const requestCount = 40
+	inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+		s.Publish(nil, cwscene.NewRoute("r", "unsafe", cwscene.RoutedRoute{"timeout-ms": 60_000}))
+		s.AddWorker("north-a", "10.1.1.1").SetDefaultFault(cwstandin.FaultHang)
+		i := s.AddInstance("10.1.0.1", "north-a")
+		s.AwaitReady()
+		site := &cwsite.Site{SeedPeers: s.SeedPeers, Bounds: cwscene.DefaultBounds()}
+		site.Bounds.ShutdownGrace = time.Millisecond
+		signals := make(chan os.Signal, 1)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go i.WatchSettings(ctx, signals, func() (*cwsite.Site, error) { return site, nil })
+		signals <- syscall.SIGHUP
+		responses := make(chan cwscene.RoutedResponse, requestCount)
+		for range requestCount {
+			go func() {
+				responses <- s.Do(t.Context(), i, cwscene.RoutedRequest{Path: "/r/x", Body: "order", Timeout: time.Minute})
+			}()
+		}
+		synctest.Wait()
+		i.Stop()
+		for range requestCount {
+			resp := <-responses
+			is.NoErr(resp.Err)
+			is.Equal(resp.Status, http.StatusBadGateway) // it may have run
+		}
+		<-i.Done()
+	})
+}
+
 // TestReloadedBoundsHold guards against bounds that are read once at the start. After a reload
 // with a shorter grace the process would be killed with requests in progress, and after one with
 // a shorter time for responses of the directory callers would keep addresses for too long.
--- a/internal/cwsoak/cut_check_test.go
+++ b/internal/cwsoak/cut_check_test.go
@@ -123,7 +123,7 @@
 // grace, on a request that was sent at most 3 s after SIGTERM.
 func isGraceOver(resp response, w work) bool {
 	shutdown, ok := resp.instance.findShutdown(resp)
-	lastSixth := shutdown.from.Add(shutdownGrace * 5 / 6)
+	lastSixth := shutdown.from.Add(shutdown.grace * 5 / 6)
 	return ok && resp.sentAt.Sub(shutdown.from) <= 3*time.Second && !resp.endedAt.Before(lastSixth) &&
 		(w.endedAt.IsZero() || !w.endedAt.Before(lastSixth))
 }
--- a/internal/cwsoak/gateway_process_test.go
+++ b/internal/cwsoak/gateway_process_test.go
@@ -33,7 +33,18 @@
 	// was started. faults are the times in which a process was killed or paused, and shutdowns
 	// those from SIGTERM to exit. mu guards cmd and these fields.
 	pausedUntil, startedAt time.Time
-	faults, shutdowns      []span
+	faults                 []span
+	shutdowns              []shutdown
+	// grace is the shutdown grace of the settings. mu guards it.
+	grace time.Duration
+	// formatSettings returns the settings with a grace.
+	formatSettings func(grace time.Duration) string
+}
+
+// shutdown is the time from SIGTERM to the exit, and the grace that was allowed.
+type shutdown struct {
+	span
+	grace time.Duration
 }
 
 // span is a time from its begin to its end.
@@ -44,7 +55,7 @@
 }
 
 // formatSettings returns a settings file in the format of the users' platform.
-func formatSettings(ip, domain, storeAddress string, seedPeers []string) string {
+func formatSettings(ip, domain, storeAddress string, seedPeers []string, grace time.Duration) string {
 	return fmt.Sprintf(`node-name=%[1]s
 ip=%[1]s
 zone=%[2]s
@@ -60,7 +71,7 @@
 limits.cpu-share=1
 limits.cores=1
 limits.max-fds=4000
-bounds.grace-s=4
+bounds.grace-s=%[6]g
 bounds.drain-ms=4000
 bounds.retry-ratio=0.2
 bounds.retry-slack=50
@@ -72,15 +83,14 @@
 bounds.quota-overage=0.25
 bounds.quota-slack=110000
 provider.address=%[5]s
-`, ip, domain, strings.TrimSuffix(domain, "-a"), strings.Join(seedPeers, ","), storeAddress)
+`, ip, domain, strings.TrimSuffix(domain, "-a"), strings.Join(seedPeers, ","), storeAddress, grace.Seconds())
 }
 
 func newGatewayProcess(t *testing.T, programs []string, ip, domain, storeAddress string, seedPeers []string) *gatewayProcess {
 	dir := t.TempDir()
 	p := &gatewayProcess{t: t, programs: programs, settingsPath: filepath.Join(dir, "node.conf"), logPath: filepath.Join(dir, "log"), ip: ip, domain: domain}
-	if err := os.WriteFile(p.settingsPath, []byte(formatSettings(ip, domain, storeAddress, seedPeers)), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	p.formatSettings = func(grace time.Duration) string { return formatSettings(ip, domain, storeAddress, seedPeers, grace) }
+	p.setGrace(shutdownGrace)
 	p.start()
 	if p.cmd == nil {
 		t.FailNow()
@@ -118,6 +128,16 @@
 	p.mu.Unlock()
 }
 
+// setGrace writes the settings with a shutdown grace. The process applies them after SIGHUP.
+func (p *gatewayProcess) setGrace(grace time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.grace = grace
+	if err := os.WriteFile(p.settingsPath, []byte(p.formatSettings(grace)), 0o600); err != nil {
+		p.t.Errorf("write the settings of %s: %v", p.ip, err)
+	}
+}
+
 func (p *gatewayProcess) signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -135,12 +155,12 @@
 	time.AfterFunc(d, func() { p.signal(syscall.SIGCONT) })
 }
 
-// stop signals the process and waits until it has exited. It returns how long that
-// took. For a paused process the time counts from when it resumes, since it can't
-// handle the signal before.
+// stop signals the process and waits until it has exited. A process that gets SIGTERM is killed at
+// the end of its grace. stop returns how long the process took. For a paused process the time counts
+// from when it resumes, since it can't handle the signal before.
 func (p *gatewayProcess) stop(s syscall.Signal) time.Duration {
 	p.mu.Lock()
-	cmd, startedAt := p.cmd, time.Now()
+	cmd, startedAt, grace := p.cmd, time.Now(), p.grace
 	if p.pausedUntil.After(startedAt) {
 		startedAt = p.pausedUntil
 	}
@@ -149,11 +169,15 @@
 	}
 	p.mu.Unlock()
 	_ = cmd.Process.Signal(s)
+	if s == syscall.SIGTERM {
+		// A process that has ended gets no signal.
+		defer time.AfterFunc(time.Until(startedAt)+grace, func() { _ = cmd.Process.Kill() }).Stop()
+	}
 	_ = cmd.Wait()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if s == syscall.SIGTERM {
-		p.shutdowns = append(p.shutdowns, span{from: startedAt, to: time.Now()})
+		p.shutdowns = append(p.shutdowns, shutdown{span: span{from: startedAt, to: time.Now()}, grace: grace})
 	}
 	return time.Since(startedAt)
 }
@@ -191,17 +215,17 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return slices.ContainsFunc(p.starts, func(at time.Time) bool { return span{from: at, to: at}.overlaps(from, to) }) ||
-		slices.ContainsFunc(p.shutdowns, func(d span) bool { return d.overlaps(from, to) })
+		slices.ContainsFunc(p.shutdowns, func(d shutdown) bool { return d.overlaps(from, to) })
 }
 
 // findShutdown returns the last shutdown during which a request was sent or cut.
-func (p *gatewayProcess) findShutdown(resp response) (shutdown span, ok bool) {
+func (p *gatewayProcess) findShutdown(resp response) (found shutdown, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, d := range p.shutdowns {
 		if d.overlaps(resp.sentAt, resp.endedAt) {
-			shutdown, ok = d, true
+			found, ok = d, true
 		}
 	}
-	return shutdown, ok
+	return found, ok
 }
--- a/internal/cwsoak/planned_work_test.go
+++ b/internal/cwsoak/planned_work_test.go
@@ -91,12 +91,17 @@
 
 // restart stops an instance by SIGTERM and starts it again.
 func (s *soakRun) restart(p *gatewayProcess) {
-	if took := p.stop(syscall.SIGTERM); took > shutdownGrace {
-		s.t.Errorf("instance took %v to stop, want at most its shutdown grace period of %v", took, shutdownGrace)
-	}
+	s.stopInGrace(p)
 	p.start()
 }
 
+// stopInGrace stops an instance by SIGTERM.
+func (s *soakRun) stopInGrace(p *gatewayProcess) {
+	if took := p.stop(syscall.SIGTERM); took > p.grace {
+		s.t.Errorf("instance took %v to stop, want at most its shutdown grace period of %v", took, p.grace)
+	}
+}
+
 func (s *soakRun) setSlowWorkers(isSlow bool) {
 	for _, o := range s.observers {
 		o.setSlow(isSlow)
--- a/internal/cwsoak/soak_test.go
+++ b/internal/cwsoak/soak_test.go
@@ -124,12 +124,14 @@
 	storeFaults []span
 	// quotaUses are the requests of the accounts with quotas.
 	quotaUses []response
+	// lateOutcomes counts the requests late in a grace by what they got.
+	lateOutcomes map[string]int
 }
 
 func newSoakRun(t *testing.T, programs []string, seed uint64) *soakRun {
 	s := &soakRun{
 		t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 7)), store: cwstandin.NewStore(),
-		refusedIDs: make(map[string]bool), unsafeIDs: make(map[string]bool), sentKeys: make(map[string]string),
+		refusedIDs: make(map[string]bool), unsafeIDs: make(map[string]bool), sentKeys: make(map[string]string), lateOutcomes: make(map[string]int),
 		keys: []keyLife{{key: "secret-changing-0"}, {key: "secret-changing-1"}},
 	}
 	for n, domain := range []string{"north-a", "north-a", "south-a", "south-a"} {
@@ -205,6 +207,7 @@
 	jumpRNG := rand.New(rand.NewPCG(s.seed, 16))
 	wg.Go(func() { s.runJumps(ctx, jumpRNG) })
 	if !slices.Contains(regressionSeeds, s.seed) {
+		s.runLateInGrace(rand.New(rand.NewPCG(s.seed, 21)))
 		s.runLargeBodies(rand.New(rand.NewPCG(s.seed, 22)))
 		s.runCalm(rand.New(rand.NewPCG(s.seed, 17)))
 		s.runUndelimitedEnds(rand.New(rand.NewPCG(s.seed, 20)))
@@ -244,6 +247,7 @@
 			s.t.Logf("log of %s (%v):\n%s", p.ip, err, log)
 		}
 	}
+	s.t.Logf("requests late in a grace: %v", s.lateOutcomes)
 	s.t.Logf("%d requests, %d succeeded; %d streams taken up, %d gone on", s.requests.Load(), s.succeeded.Load(), s.takenUp, s.goneOn)
 }
 
