Silent connections: one request finds them, not one for each connection

What callers saw: when the open connections to an endpoint, or to the instance that takes relayed requests, had gone silent for good, each kept one cost a request all its time, though new connections worked: 504 for one request after the other.

Cause: a call that ends at its deadline closes its own connection only. The next call takes the next kept one, which is silent too. Idle connections were closed after a connection that broke, not after a deadline, and never for relayed requests.

Change: an attempt that is overdue, or that its deadline ends before a response, opens a new connection and then closes the idle ones that have brought nothing since it began. If none can be opened, they are kept: an endpoint may refuse new connections and serve the open ones.

Evidence: TestSilentConnectionsFailFewRequests failed before in all four rows, 8 of 8 requests with 504 or 503 to an endpoint that answers at once; now at most 1 of 8. TestRenewKeepsConnectionsThatMayWork is new with the change. Green: cwconn, and 271 s of the scenes of cwapp, among them those of endpoints that refuse new connections (routed_cut_off_test.go).

--- a/internal/cwconn/address_pool.go
+++ b/internal/cwconn/address_pool.go
@@ -1,6 +1,7 @@
 package cwconn
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -14,6 +15,8 @@
 	openConns int
 	// lastTakenAt is when an idle connection was last requested.
 	lastTakenAt time.Time
+	// isRenewing is set while a connection is opened that is to replace idle ones.
+	isRenewing bool
 }
 
 // takeIdle returns a usable idle connection for a call, or nil, and closes those that are not usable. It
@@ -51,6 +54,7 @@
 func (p *addressPool) putIdle(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	c.idleSince = time.Now()
 	p.idle = append(p.idle, c)
 }
 
@@ -64,19 +68,45 @@
 // closeIdle closes the connections whose idle timeout has passed, or all idle ones if
 // now is zero.
 func (p *addressPool) closeIdle(now time.Time) {
+	p.closeIdleIf(func(c *conn) bool { return now.IsZero() || !now.Before(c.idleUntil) })
+}
+
+// closeIdleIf closes the idle connections for which the condition holds, and returns their number.
+func (p *addressPool) closeIdleIf(isClosing func(c *conn) bool) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	kept := p.idle[:0]
 	for _, c := range p.idle {
-		if !now.IsZero() && now.Before(c.idleUntil) {
+		if !isClosing(c) {
 			kept = append(kept, c)
 			continue
 		}
 		_ = c.Conn.Close()
 		p.openConns--
 	}
+	closed := len(p.idle) - len(kept)
 	clear(p.idle[len(kept):])
 	p.idle = kept
+	return closed
+}
+
+// beginRenewal reports whether idle connections unused since the given time are to be replaced. That is in
+// progress until endRenewal is called.
+func (p *addressPool) beginRenewal(since time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	isUnused := func(c *conn) bool { return c.idleSince.Before(since) }
+	if p.isRenewing || !slices.ContainsFunc(p.idle, isUnused) {
+		return false
+	}
+	p.isRenewing = true
+	return true
+}
+
+func (p *addressPool) endRenewal() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.isRenewing = false
 }
 
 // isUnusedSince reports whether no connection is open and none was requested since the
--- a/internal/cwconn/conn.go
+++ b/internal/cwconn/conn.go
@@ -70,8 +70,8 @@
 	hasUnnamedResponse bool
 	// hasReadDeadline is set if a time limit for reading must be removed before the next call.
 	hasReadDeadline bool
-	// idleUntil is when the idle timeout passes.
-	idleUntil time.Time
+	// idleSince is when the connection became idle, and idleUntil when the idle timeout passes.
+	idleSince, idleUntil time.Time
 }
 
 // isReusable reports whether an idle connection can be used for another call.
--- a/internal/cwconn/pool.go
+++ b/internal/cwconn/pool.go
@@ -158,6 +158,29 @@
 	return nil
 }
 
+// Renew replaces the idle connections to an address that have not been used since the given time with a new
+// one, and returns how many it closed. They are kept if none can be opened: a peer may refuse new
+// connections and serve the open ones. The error is a *CallError.
+func (p *Pool) Renew(ctx context.Context, address string, since time.Time, timeout time.Duration) (int, error) {
+	pool := p.addressPool(address)
+	if !pool.beginRenewal(since) {
+		return 0, nil
+	}
+	defer pool.endRenewal()
+	// The limit of connections holds again once the others are closed.
+	c, err := p.open(ctx, pool, &Call{Address: address}, timeout)
+	if err != nil {
+		return 0, &CallError{Step: "connect to", Peer: address, Err: err}
+	}
+	closed := pool.closeIdleIf(func(c *conn) bool { return c.idleSince.Before(since) })
+	if closed == 0 {
+		c.finish(false, nil)
+		return 0, nil
+	}
+	c.keepUnused()
+	return closed, nil
+}
+
 // Hold opens a connection and keeps it without a call until the peer closes it or ctx ends. It does not
 // count against the limits of calls. The error is a *CallError.
 func (p *Pool) Hold(ctx context.Context, address string, timeout time.Duration) error {
--- a/internal/cwgate/attempt_failure.go
+++ b/internal/cwgate/attempt_failure.go
@@ -39,6 +39,9 @@
 	}
 	a.excludePlace()
 	a.closeIdleConns(ctx)
+	if errors.Is(context.Cause(ctx), errDeadline) {
+		a.renewConns()
+	}
 	a.probeEndpoint(ctx, a.preconnect)
 	a.recordEnd(ctx, cwplacement.Failed)
 	if callErr.Pending != nil {
--- a/internal/cwgate/attempt_overdue.go
+++ b/internal/cwgate/attempt_overdue.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/clementinewell/clementinewell/internal/cwconn"
 	"github.com/clementinewell/clementinewell/internal/cwplacement"
 )
 
@@ -25,6 +28,7 @@
 	if a.placement != nil {
 		a.placement.OnOverdue(now)
 	}
+	a.renewConns()
 	if a.spareRuns <= 0 || a.spareAttempts <= 0 {
 		return
 	}
@@ -33,6 +37,17 @@
 	}
 }
 
+// renewConns replaces the idle connections to the place that have brought no response since the attempt
+// began: if its connection has gone silent, they may have too, and each would cost a request its time.
+func (a *attempt) renewConns() {
+	a.Go("renew connections", func() {
+		closed, err := a.conns.Renew(a.ended, a.address, a.startedAt, cwconn.DialTimeout)
+		if closed > 0 || err != nil {
+			a.Log.Info("idle connections renewed", zap.String("place", a.placeName()), zap.Int("closed", closed), zap.Error(err))
+		}
+	})
+}
+
 // reserveAlternative chooses another place and spends retry budget for it. It returns nil
 // if there is no place or no budget. The caller holds mu.
 func (a *attempt) reserveAlternative(now time.Time) *cwplacement.Decision {
