--- a/internal/cwendpoint/client.go
+++ b/internal/cwendpoint/client.go
@@ -46,6 +46,8 @@
 // Client sends requests to endpoints.
 type Client struct {
 	pooled *http.Client
+	// polls sends load polls on the pooled connections.
+	polls *http.Client
 	// unpooled opens a new connection for each request, so that a failure of the
 	// pooled connections does not affect probes, resumed streams, cancellations and
 	// orders.
@@ -71,6 +73,7 @@
 	unpooled := cwlimit.NewTransport(&http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}, nil, 0)
 	return &Client{
 		pooled:   &http.Client{Transport: pooled, CheckRedirect: noRedirect},
+		polls:    &http.Client{Transport: &cwnet.RenewingTransport{IdleCloser: pooled}, CheckRedirect: noRedirect},
 		unpooled: &http.Client{Transport: unpooled, CheckRedirect: noRedirect},
 	}
 }
@@ -152,7 +155,7 @@
 	load := Load{}
 	ctx, cancel := context.WithTimeout(ctx, controlRequestTimeout)
 	defer cancel()
-	body, status, err := fetch(ctx, c.pooled, address, LoadPath)
+	body, status, err := fetch(ctx, c.polls, address, LoadPath)
 	if err != nil {
 		return load, fmt.Errorf("fetch load of %s: %w", address, cwlimit.ShortenError(err))
 	}
--- a/internal/cwplatform/reader.go
+++ b/internal/cwplatform/reader.go
@@ -43,7 +43,7 @@
 // NewReader returns a reader of the platform at the base URL. Responses count in the budget.
 func NewReader(baseURL string, n cwnet.Net, budget *cwlimit.Budget) *Reader {
 	transport := cwlimit.NewTransport(&http.Transport{DialContext: n.DialContext, MaxIdleConnsPerHost: 4}, budget, cwlimit.MaxControlBytes)
-	return &Reader{baseURL: baseURL, client: &http.Client{Transport: transport}}
+	return &Reader{baseURL: baseURL, client: &http.Client{Transport: &cwnet.RenewingTransport{IdleCloser: transport}}}
 }
 
 // Read returns the current value with the key. It returns ErrNotFound, ErrOverBudget or
