--- a/internal/cwconn/conn.go
+++ b/internal/cwconn/conn.go
@@ -74,8 +74,8 @@
 	hasReadDeadline bool
 	// refusalBody is the body of a refusal that had to be confirmed; nil if there is none.
 	refusalBody *cwlimit.Buffer
-	// idleUntil is when the idle timeout passes.
-	idleUntil time.Time
+	// idleSince is when the connection became idle, and idleUntil when the idle timeout passes.
+	idleSince, idleUntil time.Time
 }
 
 // isReusable reports whether an idle connection can be used for another call.
