Forwarder: one request finds silent connections to another instance

What callers saw: while the kept connections to an instance had gone silent for good, each cost a forwarded request its deadline or the idle timeout, though new connections worked.

Cause: as with reads of the store, a call that ends by a time limit closes its own connection only, and up to 64 are kept to an instance.

Change: the forwarder closes the idle ones then too. The idle timeout of a forward cancels the request with a cause, which counts as a time limit; a caller that leaves doesn't.

--- a/internal/cwnet/renewing_transport.go
+++ b/internal/cwnet/renewing_transport.go
@@ -28,7 +28,8 @@
 		GotConn: func(info httptrace.GotConnInfo) { isReused.Store(info.Reused) },
 	})
 	resp, err := t.IdleCloser.RoundTrip(req.WithContext(ctx))
-	if err != nil && isReused.Load() && errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+	// Without a cause of its own, a cancelled request was given up by its caller.
+	if cause := context.Cause(ctx); err != nil && isReused.Load() && cause != nil && !errors.Is(cause, context.Canceled) {
 		t.CloseIdleConnections()
 	}
 	return resp, err
--- a/internal/cwpeer/forwarder.go
+++ b/internal/cwpeer/forwarder.go
@@ -46,7 +46,7 @@
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
 	}, nil, 0)
-	return &Forwarder{auth: auth, client: &http.Client{Transport: transport}}
+	return &Forwarder{auth: auth, client: &http.Client{Transport: &cwnet.RenewingTransport{IdleCloser: transport}}}
 }
 
 // ForwardedResponse is the response to a forwarded request. Its head has arrived, its
