Peers: a frozen instance doesn't cost the connections to all others

What callers saw: nothing yet. A call to an instance that accepts connections and doesn't answer ends by its timeout, and each one closed the idle connections to all instances; those pay a handshake, between regions a round trip, on the next call.

Cause: the end of a call by its timeout was taken for a sign of silent kept connections, also after a call on a new connection.

Change: only a call on a kept connection closes the others, as in the clients of the store and the platform.

Evidence: TestFrozenPeerKeepsConnectionsToOthers opened 10 connections in 5 rounds before, 6 now.

--- a/internal/cwpeer/client.go
+++ b/internal/cwpeer/client.go
@@ -39,7 +39,7 @@
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
 	}, budget, cwlimit.MaxControlBytes)
-	return &Client{http: &signingClient{auth: auth, client: &http.Client{Transport: transport}}}
+	return &Client{http: &signingClient{auth: auth, client: &http.Client{Transport: &cwnet.RenewingTransport{IdleCloser: transport}}}}
 }
 
 func (c *Client) peerAt(address string) cwproto.Peer {
--- a/internal/cwpeer/signing_client.go
+++ b/internal/cwpeer/signing_client.go
@@ -2,8 +2,6 @@
 
 import (
 	"bytes"
-	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -31,12 +29,7 @@
 	req.Body = io.NopCloser(bytes.NewReader(body))
 	req.ContentLength = int64(len(body))
 	req.Header.Set(authHeader, s.auth.Sign(req.URL.Path, body, time.Now()))
-	resp, err := s.client.Do(req)
-	if err != nil && errors.Is(req.Context().Err(), context.DeadlineExceeded) {
-		// The kept connections to the peer may be silent too, and each would cost a timeout.
-		s.client.CloseIdleConnections()
-	}
-	return resp, err
+	return s.client.Do(req)
 }
 
 // verifyingHandler returns a handler that verifies the signature of each call before it
--- a/internal/cwpeer/silent_conn_test.go
+++ b/internal/cwpeer/silent_conn_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +14,7 @@
 
 	"github.com/clementinewell/clementinewell/internal/cwlimit"
 	"github.com/clementinewell/clementinewell/internal/cwmemnet"
+	"github.com/clementinewell/clementinewell/internal/cwnet"
 	"github.com/clementinewell/clementinewell/internal/cwpeer"
 	"github.com/clementinewell/clementinewell/internal/cwproto"
 )
@@ -55,3 +58,44 @@
 		is.NoErr(fetch())       // on a new one
 	})
 }
+
+// countingNet counts the connections that are opened.
+type countingNet struct {
+	cwnet.Net
+	opened atomic.Int64
+}
+
+// DialContext opens a connection.
+func (n *countingNet) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	n.opened.Add(1)
+	return n.Net.DialContext(ctx, network, address)
+}
+
+// TestFrozenPeerKeepsConnectionsToOthers guards against an instance that accepts connections and is
+// frozen: calls to it time out again and again, and each time cost the connections to all others.
+func TestFrozenPeerKeepsConnectionsToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		network := cwmemnet.NewNetwork()
+		defer network.Close()
+		l, err := network.Host("10.0.0.2").Listen(t.Context(), "10.0.0.2:8003")
+		is.NoErr(err)
+		server := &http.Server{Handler: cwproto.NewPeerServer(slowPeer{})}
+		go func() { _ = server.Serve(l) }()
+		defer func() { _ = server.Close() }()
+		n := &countingNet{Net: network.Host("10.0.0.1")}
+		client := cwpeer.NewClient(n, cwpeer.NewAuth(""), cwlimit.NewBudget(0))
+		frozen, err := network.Host("10.0.0.3").Listen(t.Context(), "10.0.0.3:8003")
+		is.NoErr(err)
+		defer func() { _ = frozen.Close() }()
+		network.SilenceHost("10.0.0.3", true)
+		const rounds = 5
+		for range rounds {
+			_, err = client.FetchPublished(t.Context(), "10.0.0.2:8003", 5)
+			is.NoErr(err)
+			_, err = client.FetchPublished(t.Context(), "10.0.0.3:8003", 5)
+			is.True(err != nil)
+		}
+		is.Equal(n.opened.Load(), int64(rounds+1)) // one to the sound instance
+	})
+}
