Stand-in worker: a request for a report after a refusal is not a run

An instance that had just started asked for the worker's report on a connection on which the stand-in was to send an additional refusal: it took the next request there for one to run, whatever its path. The checks are unchanged.

--- a/internal/cwstandin/worker_repeat.go
+++ b/internal/cwstandin/worker_repeat.go
@@ -31,8 +31,15 @@
 	}()
 }
 
+// rawEmptyReport is the report of a worker without runs.
+const rawEmptyReport = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}"
+
 func (w *Worker) serveAfterRefusal(conn net.Conn, reader *bufio.Reader) {
 	r, err := http.ReadRequest(reader)
+	for err == nil && r.URL.Path == ReportPath { // a worker runs nothing for it
+		_, _ = io.WriteString(conn, rawEmptyReport)
+		r, err = http.ReadRequest(reader)
+	}
 	if err != nil {
 		return
 	}
