--- a/internal/cwsoak/soak_test.go
+++ b/internal/cwsoak/soak_test.go
@@ -59,7 +59,7 @@
 	20002,      // all workers silent: callers were refused until seconds after they were back
 	20004,      // each request to a service panicked after a configuration had given it an engine
 	1333, 1357, // after a stall near the end of a grace, connections were closed before their requests were ended
-	95002,      // the stand-in worker took a request for its report for one to run
+	95002, // the stand-in worker took a request for its report for one to run
 	20008, // a stream went on at another worker after a part of an endless event was passed on
 }
 
