Retry budgets and late responses can be seen

Callers saw nothing of this; operators could not tell why a request got no further attempt, nor whether the sum of all instances keeps the bound. "retry budget exhausted" names what the budget has counted, its allowance, the instances that share the slack and the uptime: the hypotheses "forgotten", "miscounted" and "window" differ in these. retry_budget counts what is spent, denied and refunded. late_response_wait_seconds and "no late response" show how long a call outlives its caller.

--- a/internal/cwgate/attempt_late_response.go
+++ b/internal/cwgate/attempt_late_response.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/clementinewell/clementinewell/internal/cwconn"
 )
 
@@ -20,13 +22,17 @@
 		pending.Close()
 		return
 	}
+	leftAt := time.Now()
 	a.Go("late response", func() {
 		defer a.endAwaiting()
+		defer func() { a.metrics.lateWaits.RecordDuration(time.Since(leftAt)) }()
 		ctx, cancel := context.WithTimeout(a.ended, lateResponseWait)
 		defer cancel()
 		response, err := pending.Await(ctx)
 		if err != nil {
-			return // The attempt has failed already.
+			// The attempt has failed already.
+			a.Log.Info("no late response", zap.String("request", a.req.ID), zap.String("endpoint", a.placement.EndpointID), zap.Duration("waited", time.Since(leftAt)), zap.Bool("relayed", a.req.IsRelayed), zap.Error(err))
+			return
 		}
 		defer response.Close()
 		a.recordResponse()
--- a/internal/cwgate/attempt_move.go
+++ b/internal/cwgate/attempt_move.go
@@ -55,7 +55,7 @@
 func (a *attempt) beginMove(ctx context.Context, d cwplacement.Decision) bool {
 	b, err := a.newAttempt(ctx, a.req, d)
 	if err != nil {
-		a.retryBudget(a.req.service).Refund(time.Now())
+		a.refundRetry(a.req, time.Now())
 		return false
 	}
 	a.next, b.opened = b, make(chan opening, 1)
@@ -139,7 +139,7 @@
 	a.next = nil
 	a.addFailedMove(b, r)
 	if r.notSent {
-		a.retryBudget(a.req.service).Refund(time.Now())
+		a.refundRetry(a.req, time.Now())
 	}
 	b.cancel(nil)
 	a.stallTimer.reset(alternativeInterval)
--- a/internal/cwgate/attempt_overdue.go
+++ b/internal/cwgate/attempt_overdue.go
@@ -51,14 +51,13 @@
 // reserveAlternative chooses another place and spends retry budget for it. It returns nil
 // if there is no place or no budget. The caller holds mu.
 func (a *attempt) reserveAlternative(now time.Time) *cwplacement.Decision {
-	budget := a.retryBudget(a.req.service)
-	if !budget.TrySpend(a.instanceCount(), now) {
+	if !a.spendRetry(a.req, now) {
 		return nil
 	}
 	current := a.placeName()
 	d := a.decidePlacementLocked(a.req, func(name string) bool { return name == current || a.req.isTriedOrSilent(name) }, now)
 	if d.Action == cwplacement.ActionRefuse {
-		budget.Refund(now)
+		a.refundRetry(a.req, now)
 		return nil
 	}
 	return &d
--- a/internal/cwgate/metrics.go
+++ b/internal/cwgate/metrics.go
@@ -22,6 +22,10 @@
 	firstByte tally.Histogram
 	total     tally.Histogram
 	retries   tally.Counter
+	// budgetEvents counts by event and service what is spent of retry budgets.
+	budgetEvents sync.Map
+	// lateWaits is how long calls are kept open whose callers have left.
+	lateWaits tally.Histogram
 	relays    tally.Counter
 	// limitedSends counts the requests sent to endpoints that name a rate limit.
 	limitedSends tally.Counter
@@ -50,6 +54,7 @@
 		root:          root,
 		firstByte:     root.Histogram("routed_first_byte_seconds", buckets),
 		total:         root.Histogram("routed_total_seconds", buckets),
+		lateWaits:     root.Histogram("late_response_wait_seconds", buckets),
 		retries:       root.Counter("routed_repeats"),
 		relays:        root.Counter("routed_relays"),
 		limitedSends:  root.Counter("routed_limited_sends"),
@@ -85,6 +90,16 @@
 	m.taggedCounter(&m.announcements, "endpoint_announcements", "kind", kind).Inc(1)
 }
 
+// countRetryBudget counts that a retry of the service was spent, denied or refunded.
+func (m *metrics) countRetryBudget(event, service string) {
+	key := [2]string{event, service}
+	cached, ok := m.budgetEvents.Load(key)
+	if !ok {
+		cached, _ = m.budgetEvents.LoadOrStore(key, m.root.Tagged(map[string]string{"event": event, "service": service}).Counter("retry_budget"))
+	}
+	cached.(tally.Counter).Inc(1)
+}
+
 // countRequest counts a request by its outcome and records its durations. A firstByte of
 // 0 means that no endpoint's response was begun.
 func (m *metrics) countRequest(outcome string, firstByte, total time.Duration) {
--- a/internal/cwgate/routed_request.go
+++ b/internal/cwgate/routed_request.go
@@ -43,6 +43,8 @@
 	// possibleRuns is the number of attempts that may have run, and attempts that of all
 	// attempts.
 	possibleRuns, attempts int
+	// isRetryDenied is set once the retry budget was exhausted. The gate's mu guards it.
+	isRetryDenied bool
 	// isEndpointLimited is set if the latest attempt was sent to an endpoint that named a
 	// rate limit.
 	isEndpointLimited bool
--- a/internal/cwgate/serve.go
+++ b/internal/cwgate/serve.go
@@ -234,17 +234,6 @@
 	}
 }
 
-// retryBudget returns the retry budget of the service; it adds one if there is none. The
-// caller holds mu.
-func (g *Gate) retryBudget(service string) *cwplacement.RetryBudget {
-	budget := g.budgets[service]
-	if budget == nil {
-		budget = cwplacement.NewRetryBudget(g.bounds.RetryRatio, g.bounds.RetrySlack, g.bounds.RetryWindow, g.startedAt)
-		g.budgets[service] = budget
-	}
-	return budget
-}
-
 // reserveRetry spends retry budget for another attempt after the result r. It returns false
 // if no other attempt may be made or the budget is exhausted. After an attempt that was not
 // sent, no budget is needed.
@@ -261,13 +250,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.retryBudget(routed.service).TrySpend(g.instanceCount(), time.Now())
-}
-
-// instanceCount returns the number of instances that share the global limits. Unresponsive
-// ones count too, since they may only be partitioned from this one.
-func (g *Gate) instanceCount() int {
-	return len(g.control.Snapshot().Members) + 1
+	return g.spendRetry(routed, time.Now())
 }
 
 // refuseUnrouted refuses a request before it is assigned to a service.
--- a/internal/cwplacement/retry_budget.go
+++ b/internal/cwplacement/retry_budget.go
@@ -55,6 +55,13 @@
 	b.retries[b.advance(now)]--
 }
 
+// State returns what the budget has counted and what it allows. The parameter instances is that of
+// TrySpend.
+func (b *RetryBudget) State(instances int, now time.Time) RetryBudgetState {
+	b.advance(now)
+	return RetryBudgetState{Requests: sum(b.requests), Retries: sum(b.retries), Allowance: b.allowance(instances), Instances: instances}
+}
+
 // allowance returns the number of retries that may be made in the window.
 func (b *RetryBudget) allowance(instances int) float64 {
 	return usableBudgetShare * (b.ratio*float64(sum(b.requests)) + b.slack/float64(max(instances, 1)))
