Retry budget: a restart doesn't fill it again, and a window is a whole one

Price: in the first 10 s after a start an instance retries less. Nine tests that let an instance retry as soon as it is ready wait for its whole budget now (AwaitRetries); what they check is the same. Weighed: peers tell an instance what its predecessor spent (nobody knows after a loss of all); a token bucket (holds without a window, but needs a smaller burst).

--- a/internal/cwapp/routed_endless_test.go
+++ b/internal/cwapp/routed_endless_test.go
@@ -127,7 +127,7 @@
 				addEndlessWorker(s, "10.1.1.1", response)
 				sound := s.AddWorker("north-a", "10.1.1.2")
 				i := s.AddInstance("10.1.0.1", "north-a")
-				s.AwaitReady()
+				s.AwaitRetries()
 				for range 8 {
 					resp := s.Do(t.Context(), i, cwscene.RoutedRequest{Path: "/r/x"})
 					is.Equal(resp.Status, http.StatusOK)
@@ -214,7 +214,7 @@
 					s.RegisterWorker(sound.ID, "north-a", ip, nil)
 				}
 				i := s.AddInstance("10.1.0.1", "north-a")
-				s.AwaitReady()
+				s.AwaitRetries()
 				resp := s.Do(t.Context(), i, cwscene.RoutedRequest{Path: "/r/x", Header: newPromptHeader()})
 				is.Equal(resp.Status, sc.status)
 				is.Equal(resp.Err != nil, sc.isBroken)
--- a/internal/cwapp/routed_overdue_test.go
+++ b/internal/cwapp/routed_overdue_test.go
@@ -41,7 +41,7 @@
 						w.SetDefaultFault(sc.fault)
 					}
 					i := s.AddInstance("10.1.0.1", "north-a")
-					s.AwaitReady()
+					s.AwaitRetries()
 					resp := s.Do(t.Context(), i, cwscene.RoutedRequest{Path: "/r/x", Header: header})
 					is.NoErr(resp.Err)
 					is.Equal(resp.Status, 200)
--- a/internal/cwapp/routed_path_test.go
+++ b/internal/cwapp/routed_path_test.go
@@ -18,7 +18,7 @@
 	s.Publish(nil, routes...)
 	workers := []*cwstandin.Worker{s.AddWorker("north-a", "10.1.1.1"), s.AddWorker("north-a", "10.1.1.2")}
 	i := s.AddInstance("10.1.0.1", "north-a")
-	s.AwaitReady()
+	s.AwaitRetries()
 	return i, workers
 }
 
--- a/internal/cwapp/routed_stream_resumed_test.go
+++ b/internal/cwapp/routed_stream_resumed_test.go
@@ -107,7 +107,7 @@
 					workers = append(workers, s.AddWorker("north-a", fmt.Sprintf("10.1.1.%d", n+1)))
 				}
 				i := s.AddInstance("10.1.0.1", "north-a")
-				s.AwaitReady()
+				s.AwaitRetries()
 				cwstandin.SetFirstRequestFault(workers, cwstandin.FaultPauseStream)
 				resp := s.Do(t.Context(), i, cwscene.RoutedRequest{Path: "/r/x", Header: newPromptHeader(), Timeout: 10 * time.Second})
 				is.NoErr(resp.Err)
--- a/internal/cwapp/routed_stream_version_test.go
+++ b/internal/cwapp/routed_stream_version_test.go
@@ -30,7 +30,7 @@
 		f.north = append(f.north, s.AddInstance(fmt.Sprintf("10.1.0.%d", n+1), "north-a"))
 		f.south = append(f.south, s.AddInstance(fmt.Sprintf("10.2.0.%d", n+1), "south-a"))
 	}
-	s.AwaitReady()
+	s.AwaitRetries()
 	time.Sleep(4 * time.Second) // the capacities of the other region are known
 	return f
 }
--- a/internal/cwgate/attempt.go
+++ b/internal/cwgate/attempt.go
@@ -70,6 +70,8 @@
 	// lastEventID and origin are those of a stream that goes on, when the attempt began.
 	lastEventID string
 	origin      cwstream.Origin
+	// paidAt is when an attempt that began beside an overdue one was counted in the retry budget.
+	paidAt time.Time
 	// opened receives the opening of an attempt that began beside an overdue one; nil for others.
 	opened chan opening
 	// skippedResponses is the number of responses to other requests that came in the attempt.
--- a/internal/cwgate/attempt_move.go
+++ b/internal/cwgate/attempt_move.go
@@ -50,14 +50,15 @@
 	a.spareAttempts = maxTotalAttempts - routed.attempts
 }
 
-// beginMove begins an attempt at another place beside this one, and returns false if that is not
-// possible. The caller holds mu.
-func (a *attempt) beginMove(ctx context.Context, d cwplacement.Decision) bool {
+// beginMove begins an attempt at another place beside this one, paid for at paidAt, and returns false
+// if that is not possible. The caller holds mu.
+func (a *attempt) beginMove(ctx context.Context, d cwplacement.Decision, paidAt time.Time) bool {
 	b, err := a.newAttempt(ctx, a.req, d)
 	if err != nil {
-		a.refundRetry(a.req, time.Now())
+		a.refundRetry(a.req, paidAt)
 		return false
 	}
+	b.paidAt = paidAt
 	a.next, b.opened = b, make(chan opening, 1)
 	takeOver := func() { a.takeOver(b) }
 	switch {
@@ -139,7 +140,7 @@
 	a.next = nil
 	a.addFailedMove(b, r)
 	if r.notSent {
-		a.refundRetry(a.req, time.Now())
+		a.refundRetry(a.req, b.paidAt)
 	}
 	b.cancel(nil)
 	a.stallTimer.reset(alternativeInterval)
--- a/internal/cwgate/attempt_overdue.go
+++ b/internal/cwgate/attempt_overdue.go
@@ -32,7 +32,7 @@
 	if a.spareRuns <= 0 || a.spareAttempts <= 0 {
 		return
 	}
-	if d := a.reserveAlternative(now); d == nil || !a.beginMove(ctx, *d) {
+	if d := a.reserveAlternative(now); d == nil || !a.beginMove(ctx, *d, now) {
 		a.stallTimer.reset(alternativeInterval)
 	}
 }
--- a/internal/cwgate/retry_budget.go
+++ b/internal/cwgate/retry_budget.go
@@ -39,9 +39,9 @@
 	return false
 }
 
-// refundRetry takes back an attempt that was paid for and not made. The caller holds mu.
-func (g *Gate) refundRetry(routed *routedRequest, now time.Time) {
-	g.retryBudget(routed.service).Refund(now)
+// refundRetry takes back an attempt that was paid for at spentAt and not made. The caller holds mu.
+func (g *Gate) refundRetry(routed *routedRequest, spentAt time.Time) {
+	g.retryBudget(routed.service).Refund(spentAt, time.Now())
 	g.metrics.countRetryBudget("refunded", routed.service)
 }
 
--- a/internal/cwgate/sharing.go
+++ b/internal/cwgate/sharing.go
@@ -19,7 +19,8 @@
 
 // sharing determines which instances use what is divided among instances: the slots of brittle
 // endpoints, cold endpoints and the rate limits of endpoints. The retry budget is divided by the
-// number of all instances known instead, see instanceCount, which only makes the shares smaller.
+// number of all instances known instead, see instanceCount: those that have ended only make the shares
+// smaller, and an instance that does not know all others yet has no share.
 type sharing struct {
 	startedAt time.Time
 	// leavingSince are the times at which instances were first known to be leaving, by the peer
--- a/internal/cwscene/routed_scene.go
+++ b/internal/cwscene/routed_scene.go
@@ -232,6 +232,13 @@
 	})
 }
 
+// AwaitRetries waits until every instance is ready and may spend its whole retry budget.
+func (s *RoutedScene) AwaitRetries() {
+	s.t.Helper()
+	s.AwaitReady()
+	time.Sleep(DefaultBounds().RetryWindow)
+}
+
 // Await waits until the condition holds, and fails the test if it does not within
 // awaitTimeout of the test's clock.
 func (s *RoutedScene) Await(condition func() bool) {
