Relays name the endpoints that were tried

What callers saw: a refusal that came late, and endpoints that are full got the same request up to three times, as in the users' record: two endpoints refuse it at regina-yard-25, and 50 ms later the same two get it from regina-yard-14. Cause: knowledge of a request's attempts stays with the instance that made them. An instance that reaches one endpoint less than it knows asks a neighbor, and the exits of one region share their endpoints; neither is told what was tried. The repeats are paid for, by both, and can't help. Change: a relayed request names the endpoints that it was sent to, and its refusal those that it was sent to since. An exit with no other endpoint refuses at once. An exit of before passes the new field on to its endpoint, which has no use for it, and reads nothing from it."

--- a/internal/cwgate/attempt.go
+++ b/internal/cwgate/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -244,6 +245,7 @@
 	if a.exitDomain != "" {
 		params.IsRelayed, params.Elapsed = true, routed.Elapsed+time.Since(routed.ArrivedAt)
 		params.Origin = a.origin
+		params.TriedEndpoints = a.triedEndpoints()
 		params.RelayedAccount = routed.relayedAccount()
 		params.Timeout -= a.relayMargin(params.Timeout)
 	} else {
@@ -254,6 +256,13 @@
 	return params
 }
 
+// triedEndpoints returns the endpoints to which the request was sent already.
+func (a *attempt) triedEndpoints() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.Clone(a.req.triedEndpoints)
+}
+
 // maxRelayMarginShare is the largest part of a relayed request's time that is kept for the
 // way to the exit and back.
 const maxRelayMarginShare = 0.1
@@ -309,7 +318,11 @@
 func (a *attempt) excludePlace() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.req.triedPlaces = append(a.req.triedPlaces, a.placeName())
+	if a.placement != nil {
+		a.req.addTriedEndpoints(a.placement.EndpointID)
+		return
+	}
+	a.req.triedPlaces = append(a.req.triedPlaces, a.exitDomain)
 }
 
 // forwardBuffered reads the response to its end before it forwards it, so that the request
--- a/internal/cwgate/attempt_failure.go
+++ b/internal/cwgate/attempt_failure.go
@@ -65,6 +65,9 @@
 	if head.IsKeyRefused && a.exitDomain != "" {
 		a.recordKeyRefused()
 	}
+	if a.exitDomain != "" {
+		a.recordTriedBehindExit(head.TriedEndpoints)
+	}
 	if a.exitDomain == "" || !head.IsExitCutOff || !a.recordExitCutOff() {
 		a.excludePlace()
 	}
@@ -72,6 +75,13 @@
 	return result{notRun: true, outcome: cwanswer.NotRun, err: fmt.Errorf("%s rejected the request with status %d", a.address, response.StatusCode)}
 }
 
+// recordTriedBehindExit excludes the endpoints that an exit has tried: the exits of a region share them.
+func (a *attempt) recordTriedBehindExit(endpoints []string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.req.addTriedEndpoints(endpoints...)
+}
+
 // failBroken handles an attempt whose response was broken off.
 func (a *attempt) failBroken(ctx context.Context, err error) result {
 	a.probeEndpoint(ctx, a.preconnect)
--- a/internal/cwgate/codec.go
+++ b/internal/cwgate/codec.go
@@ -42,6 +42,8 @@
 	// EncodeCutOff marks the refusal of a relayed request: this instance is cut off from the
 	// endpoints.
 	EncodeCutOff(h http.Header)
+	// EncodeTried names in the refusal of a relayed request the endpoints that it was sent to.
+	EncodeTried(h http.Header, endpoints []string)
 	// EncodeKeyRefused marks the refusal of a relayed request: this instance does not accept the
 	// caller's key.
 	EncodeKeyRefused(h http.Header)
@@ -74,6 +76,8 @@
 	// Origin is what began the stream that a relayed request goes on with; unknown if it begins
 	// one.
 	Origin cwstream.Origin
+	// TriedEndpoints are the endpoints to which a relayed request was sent already.
+	TriedEndpoints []string
 	// Account is the name of the client account for the endpoint; empty if there is none, and in
 	// requests to another instance.
 	Account string
@@ -107,6 +111,8 @@
 	IsKeyRefused bool
 	// Origin is what serves the stream, in the response of another instance.
 	Origin cwstream.Origin
+	// TriedEndpoints are the endpoints to which another instance sent the request before it refused it.
+	TriedEndpoints []string
 	// LeavingEndpoint is the endpoint that states in the response of another instance that it is
 	// leaving; empty if there is none.
 	LeavingEndpoint EndpointLife
--- a/internal/cwgate/request.go
+++ b/internal/cwgate/request.go
@@ -48,6 +48,8 @@
 	RelayedAccount RelayedAccount
 	// Origin is what began the stream that a relayed request goes on with; unknown otherwise.
 	Origin cwstream.Origin
+	// TriedEndpoints are the endpoints to which the request was sent before it was relayed.
+	TriedEndpoints []string
 }
 
 // Prompt describes the prompt and the output of a request to a model engine.
--- a/internal/cwgate/routed_request.go
+++ b/internal/cwgate/routed_request.go
@@ -31,9 +31,10 @@
 	deadline  time.Time
 	responder *responder
 
-	// triedPlaces are the endpoints and domains that rejected the request or failed. The gate's mu
-	// guards it and the silent domains.
-	triedPlaces []string
+	// triedPlaces are the endpoints and domains that rejected the request or failed, and
+	// triedEndpoints the endpoints among them, also those of other instances' attempts. The gate's mu
+	// guards both and the silent domains.
+	triedPlaces, triedEndpoints []string
 	// silentDomains are the domains that did not answer the last dials; they are tried again
 	// if there is no other place. silentSince is when the first of these dials began.
 	silentDomains []string
@@ -147,6 +148,12 @@
 	return slices.Contains(r.triedPlaces, name)
 }
 
+// addTriedEndpoints excludes endpoints from further attempts. The caller holds the gate's mu.
+func (r *routedRequest) addTriedEndpoints(ids ...string) {
+	r.triedPlaces = append(r.triedPlaces, ids...)
+	r.triedEndpoints = append(r.triedEndpoints, ids...)
+}
+
 // isTriedOrSilent reports whether the endpoint or domain was tried before, or did not answer the
 // latest dial.
 func (r *routedRequest) isTriedOrSilent(name string) bool {
--- a/internal/cwgate/serve.go
+++ b/internal/cwgate/serve.go
@@ -54,6 +54,7 @@
 		return
 	}
 	routed := &routedRequest{Request: r, config: config, responder: responder, bodyClaim: g.Requests.NewClaim()}
+	routed.addTriedEndpoints(r.TriedEndpoints...)
 	defer routed.bodyClaim.Release()
 	for _, s := range g.steps {
 		if refusal := s.take(ctx, routed); refusal != nil {
@@ -280,11 +281,21 @@
 	if routed.IsRelayed && g.isCutOff() {
 		g.codec.EncodeCutOff(routed.responder.Header())
 	}
+	g.encodeTried(routed)
 	g.metrics.countRefusal(d.Reason)
 	g.writeRefusal(routed.Request, routed.responder, newNotRunRefusal(d.Reason, d.RetryAfter))
 	g.logRefused(routed, d)
 }
 
+// encodeTried names in the refusal of a relayed request the endpoints that it was sent to here.
+func (g *Gate) encodeTried(routed *routedRequest) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if tried := routed.triedEndpoints[len(routed.TriedEndpoints):]; routed.IsRelayed && len(tried) > 0 {
+		g.codec.EncodeTried(routed.responder.Header(), tried)
+	}
+}
+
 // finishFailed ends a request whose last attempt failed.
 func (g *Gate) finishFailed(ctx context.Context, routed *routedRequest, r result) {
 	switch {
@@ -295,6 +306,7 @@
 	case routed.errorResponse != nil:
 		g.forwardErrorResponse(routed)
 	case routed.isNotRun():
+		g.encodeTried(routed)
 		g.writeRefusal(routed.Request, routed.responder, newNotRunRefusal("noRoom", cwplacement.RetryAfter(0, g.randomFloat())))
 		g.logEnd(routed, "noRoom", r.err)
 	case errors.Is(context.Cause(ctx), errEnded):
