--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -34,32 +34,47 @@
 check_examples() { bin/clementinewell check examples/prairie-linepaint && bin/clementinewell check examples/myrtle-gully; }
 # Property tests on random fault schedules. The fixed seed makes a failure repeatable.
 run_schedules() { go test -count=1 ./internal/cwpolicy ./internal/cwpublished ./internal/cwcrash ./internal/cwplacement ./internal/cwconn -run Schedule -rapid.checks=10000 -rapid.seed=1 -rapid.nofailfile; }
+# list_crashed prints the packages of a log whose run crashed, or ended without naming a failed test.
+list_crashed() {
+  awk '/^--- FAIL/ {named = 1}
+    /^(ThreadSanitizer: CHECK failed|SIG[A-Z]+:|fatal error:)/ {crashed = 1}
+    /^(ok|FAIL|\?)[ \t]+[^ \t]*\// {
+      if ($1 == "FAIL" && (!named || crashed) && $3 ~ /^[0-9.]+s$/) print $2
+      named = crashed = 0
+    }' "$1"
+}
+# has_detector_crash reports whether the runtime of the race detector crashed: by a check of its own or
+# in its code, for which Go has no stack ("panic:" is a fault of the program).
+has_detector_crash() { grep -qE '^(ThreadSanitizer: CHECK failed|SIGSEGV: segmentation violation)' "$1"; }
+# forget_crash removes a crash and its packages from a log: another run of them has a result.
+forget_crash() {
+  local log=$1 package; shift
+  sed -i -E '/^(ThreadSanitizer: CHECK failed|SIGSEGV: segmentation violation)/d' "$log"
+  for package in "$@"; do sed -i "\|^FAIL[[:space:]]*$package[[:space:]]|d" "$log"; done
+}
 run_tests() {
-  local log failing status attempt crashed
-  local raced=./... unraced=""
+  local log failing crashed status attempt
+  local raced=./... unraced="" again=-race
   log=$(mktemp)
   if [ "$(uname -m)" = aarch64 ]; then
     # The runtime of the race detector crashes in this package on arm64, in most runs.
     unraced=./internal/cwapp
     raced=$(go list ./... | grep -v '/internal/cwapp$')
+    # Another run with it may crash again in the longest package.
+    again=""
   fi
-  # The runtime of the race detector sometimes crashes before any test result. Only
-  # a run with such a crash is repeated.
-  for attempt in 1 2 3; do
-    # With the race detector the scenes of internal/cwapp take over 10 minutes on a busy machine.
-    go test -race -count=1 -timeout 40m $raced 2>&1 | tee "$log"
+  # With the race detector the scenes of internal/cwapp take over 10 minutes on a busy machine.
+  go test -race -count=1 -timeout 40m $raced 2>&1 | tee "$log"
+  status=${PIPESTATUS[0]}
+  # The runtime of the race detector sometimes crashes. Only packages whose run ended in that way,
+  # without a result, are run again.
+  for attempt in 1 2; do
+    crashed=$(list_crashed "$log")
+    [ -n "$crashed" ] && has_detector_crash "$log" || break
+    echo "== race detector crashed; once more${again:+ with it}:" $crashed
+    forget_crash "$log" $crashed
+    go test $again -count=1 -timeout 40m $crashed 2>&1 | tee -a "$log"
     status=${PIPESTATUS[0]}
-    [ "$status" = 0 ] && break
-    grep -q '^ThreadSanitizer: CHECK failed' "$log" || break
-    echo "== race detector crashed in attempt $attempt, no test result"
-    if [ "$(uname -m)" = aarch64 ]; then
-      # Another run with it may crash again in the longest package.
-      crashed=$(awk '$1 == "FAIL" && $3 ~ /^[0-9.]+s$/ {print $2}' "$log")
-      echo "== on this machine without the race detector:" $crashed
-      go test -count=1 -timeout 40m $crashed 2>&1 | tee -a "$log"
-      status=${PIPESTATUS[0]}
-      break
-    fi
   done
   if [ -n "$unraced" ]; then
     echo "== on this machine without the race detector: $unraced"
@@ -67,11 +82,12 @@
     [ "${PIPESTATUS[0]}" = 0 ] || status=1
   fi
   failing=$(grep -oE '^ *--- FAIL: [^ ]+' "$log" | awk '{print $3}' | sort -u)
-  # A build failure, a panic or a data race is not tied to one test, so
+  # A build failure, a panic, a data race or a run without a result is not tied to one test, so
   # KNOWN-RED.txt cannot excuse it.
   grep -qE '^(panic:|FAIL.*\[(build|setup) failed\]|WARNING: DATA RACE)' "$log" && return 1
-  [ "$status" = 0 ] && [ -z "$failing" ] && return 0
-  [ -n "$failing" ] || return 1
+  crashed=$(list_crashed "$log")
+  [ -z "$crashed" ] || { echo "ended without a result:" $crashed; return 1; }
+  [ -n "$failing" ] || return "$status"
   for name in $failing; do
     grep -q "^${name%%/*}\b" KNOWN-RED.txt 2>/dev/null || { echo "failing and not listed in KNOWN-RED.txt: $name"; return 1; }
   done
