Requests of callers that have left are not sent

What callers saw: nothing; endpoints began work on requests whose callers had left long before, while their requests waited in the socket of an instance that is short of processor time or just starting. Cause: net/http looks at the caller's connection only while the handler runs, in a goroutine beside it. The request and the close lie in the socket together; the handler has sent the request before the close is read. And a call whose context had ended was sent nevertheless, and then cancelled. Change: after the body is read, and before the first attempt, the socket is looked at without waiting; a caller that has left is refused as one that leaves later. A call whose context has ended is not sent, on an idle connection or a new one.

--- a/internal/cwconn/pool.go
+++ b/internal/cwconn/pool.go
@@ -101,6 +101,9 @@
 // is a *CallError. The end of ctx closes the connection, also while the body is read. The
 // caller must read the body to its end or close the response.
 func (p *Pool) Do(ctx context.Context, call *Call) (*Response, error) {
+	if ctx.Err() != nil {
+		return nil, notSentError(ctx, call)
+	}
 	pool := p.addressPool(call.Address)
 	var c *conn
 	if !call.ForceNewConn {
@@ -111,6 +114,10 @@
 		if c, err = p.open(ctx, pool, call, DialTimeout); err != nil {
 			return nil, &CallError{Step: "connect to", Peer: call.Address, Err: err}
 		}
+		if ctx.Err() != nil {
+			c.keepUnused()
+			return nil, notSentError(ctx, call)
+		}
 		if call.Admit != nil {
 			if err := call.Admit(); err != nil {
 				c.keepUnused()
@@ -121,6 +128,11 @@
 	return c.do(ctx, call)
 }
 
+// notSentError returns the error of a call whose context has ended before it was sent.
+func notSentError(ctx context.Context, call *Call) *CallError {
+	return &CallError{Step: "send to", Peer: call.Address, Err: context.Cause(ctx)}
+}
+
 // Preconnect opens a connection and keeps it for the next call. The error is a
 // *CallError; it wraps ErrConnLimit if maxConns connections are open already. A maxConns
 // of 0 means no limit.
--- a/internal/cwgate/serve.go
+++ b/internal/cwgate/serve.go
@@ -33,7 +33,10 @@
 	maxTotalAttempts = 5
 )
 
-var errDeadline = errors.New("request deadline exceeded")
+var (
+	errDeadline   = errors.New("request deadline exceeded")
+	errCallerLeft = errors.New("caller left before its request was read")
+)
 
 // Serve responds to one request. It panics with http.ErrAbortHandler, which closes the
 // connection, if a response that has begun can't be completed.
@@ -115,6 +118,10 @@
 		g.refuseBlocked(ctx, routed, b)
 		return
 	}
+	if cwserver.HasPeerLeft(ctx) {
+		g.finishCancelled(routed, result{err: errCallerLeft})
+		return
+	}
 	next := g.beginAttempt(ctx, routed)
 	for next != nil {
 		a := next
--- a/internal/cwnet/idle_conn.go
+++ b/internal/cwnet/idle_conn.go
@@ -22,6 +22,13 @@
 	return isSupported && err == nil && n > 0
 }
 
+// HasPeerClosed reports whether the peer has closed the connection, or it has failed, and all bytes were
+// read. It does not block. It returns false if the connection does not implement syscall.Conn.
+func HasPeerClosed(conn net.Conn) bool {
+	n, isSupported, err := peek(conn)
+	return isSupported && n == 0 && err != unix.EAGAIN && err != unix.EINTR
+}
+
 // peek looks for a received byte without taking it. It returns false if the connection does
 // not implement syscall.Conn.
 func peek(conn net.Conn) (n int, isSupported bool, err error) {
