Streams: nothing left to send is an end, not a failure

What callers saw: a stream that had brought all its events failed, because its endpoint ended after the last event and before the end of the response: 502 for a caller that takes it up, and a broken connection where the stream came from another region. Cause: a response without an event was a failure, wherever no event had gone to the caller of this instance before. For a stream that goes on behind an event it is the end. At an entry, the end marker of such a relayed stream was held back as a comment before the first event. A response that breaks off, or has no length and whose endpoint has ended, is still none. TestStreamResumesAfterLastCompleteEvent waits for the retry budget as the others do."

--- a/internal/cwapp/routed_stream_resumed_test.go
+++ b/internal/cwapp/routed_stream_resumed_test.go
@@ -21,7 +21,7 @@
 			cwscene.NewRoute("once", "streaming", nil))
 		workers := []*cwstandin.Worker{s.AddWorker("north-a", "10.1.1.1"), s.AddWorker("north-a", "10.1.1.2")}
 		i := s.AddInstance("10.1.0.1", "north-a")
-		s.AwaitReady()
+		s.AwaitRetries()
 		cwstandin.SetFirstRequestFault(workers, cwstandin.FaultTruncateStream)
 		resp := s.Do(t.Context(), i, cwscene.RoutedRequest{Path: "/r/x", Header: newPromptHeader()})
 		is.NoErr(resp.Err)
--- a/internal/cwevent/relay.go
+++ b/internal/cwevent/relay.go
@@ -76,6 +76,17 @@
 	return stripped, nil
 }
 
+// End checks the rest of a stream. The error wraps ErrMissingChunk if the end marker was not read.
+func (r *RelayReader) End(rest []byte) error {
+	if _, err := r.StripMarkers(rest); err != nil {
+		return err
+	}
+	if !r.hasEnded {
+		return ErrMissingChunk
+	}
+	return nil
+}
+
 // HasEnded reports whether the end marker was read.
 func (r *RelayReader) HasEnded() bool {
 	return r.hasEnded
--- a/internal/cwevent/splitter.go
+++ b/internal/cwevent/splitter.go
@@ -121,6 +121,13 @@
 	return end
 }
 
+// TakeHeld returns and removes the comments that were held, at the end of a stream without an event.
+func (s *Splitter) TakeHeld() []byte {
+	held := s.pending[:s.heldBytes]
+	s.pending, s.heldBytes = s.pending[s.heldBytes:], 0
+	return held
+}
+
 // TakePartial returns and removes the bytes after the last whole event.
 func (s *Splitter) TakePartial() []byte {
 	partial := s.pending
--- a/internal/cwgate/attempt_move.go
+++ b/internal/cwgate/attempt_move.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
@@ -123,7 +124,7 @@
 		outcome, err = cwanswer.Ran, fmt.Errorf("%s responded with status %d", a.address, o.response.StatusCode)
 	case a.isOtherOrigin(o.head):
 		err = fmt.Errorf("response from %s: %w", a.address, errOtherOrigin)
-	case o.hasChunk && len(o.chunk) == 0:
+	case o.hasChunk && len(o.chunk) == 0 && !(a.lastEventID != "" && errors.Is(o.chunkErr, io.EOF)):
 		err = fmt.Errorf("read stream from %s: %w", a.address, errors.Join(errNoEvent, o.chunkErr))
 	default:
 		return
--- a/internal/cwgate/attempt_stream.go
+++ b/internal/cwgate/attempt_stream.go
@@ -52,10 +52,13 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			if hasMarkers && !relayReader.HasEnded() {
-				return a.failUnknown(ctx, fmt.Errorf("read stream from %s: %w", a.address, cwevent.ErrMissingChunk))
+			held := splitter.TakeHeld()
+			if hasMarkers {
+				if markerErr := relayReader.End(held); markerErr != nil {
+					return a.failUnknown(ctx, fmt.Errorf("read stream from %s: %w", a.address, markerErr))
+				}
 			}
-			return a.finishStream(ctx, splitter, response.IsDelimited())
+			return a.finishStream(ctx, splitter, o)
 		}
 		if err != nil {
 			if cause := context.Cause(ctx); cause != nil {
@@ -69,11 +72,16 @@
 
 // writeEvents writes whole events, or comments between them.
 func (a *attempt) writeEvents(o *opening, events []byte) error {
+	a.beginResponse(o)
+	return a.req.responder.writeEvents(events)
+}
+
+// beginResponse sends the head of the stream, unless that has been done.
+func (a *attempt) beginResponse(o *opening) {
 	if !a.req.responder.hasBegun {
 		a.beginStream(o.head)
 	}
 	a.req.responder.beginStream(o.response.StatusCode, o.response.Header)
-	return a.req.responder.writeEvents(events)
 }
 
 // readChunk reads the next bytes of a stream into buf.
@@ -103,14 +111,15 @@
 }
 
 // finishStream handles the end of a stream and checks that it is complete. One that ends between
-// two events is. If it is not delimited, the endpoint must also have outlived it.
-func (a *attempt) finishStream(ctx context.Context, splitter *cwevent.Splitter, isDelimited bool) result {
+// two events is, and one without an event that goes on with another. If it is not delimited, the endpoint
+// must also have outlived it.
+func (a *attempt) finishStream(ctx context.Context, splitter *cwevent.Splitter, o *opening) result {
 	switch {
 	case len(splitter.TakePartial()) > 0:
 		return a.failBroken(ctx, errPartialEvent)
-	case !a.req.responder.hasBegun:
+	case !a.req.responder.hasBegun && a.lastEventID == "":
 		return a.failBroken(ctx, errNoEvent)
-	case !isDelimited:
+	case !o.response.IsDelimited():
 		a.confirmOrigin() // before the dial that may tell that the endpoint has ended
 		if !a.outlivesResponse(ctx) {
 			r := a.failUnknown(ctx, errEndedWithResponse)
@@ -124,6 +133,7 @@
 	a.recordEnd(ctx, cwplacement.Served)
 	a.recordSurvival()
 	r := result{outcome: cwanswer.Ran, mayHaveRun: true}
+	a.beginResponse(o)
 	if r.err = a.req.responder.endStream(); r.err == nil {
 		a.streams.Complete(a.req.streamID())
 		r.done = true
--- a/internal/cwstandin/worker_fault.go
+++ b/internal/cwstandin/worker_fault.go
@@ -32,6 +32,8 @@
 	// FaultTruncateSlowStream sends an event every SlowStreamInterval and closes the
 	// connection within the last event of a stream.
 	FaultTruncateSlowStream
+	// FaultLoseStreamEnd closes the connection after the last event of a stream, before its end.
+	FaultLoseStreamEnd
 	// FaultPauseStream pauses for StreamPause before the third event that it sends of a
 	// stream.
 	FaultPauseStream
--- a/internal/cwstandin/worker_stream.go
+++ b/internal/cwstandin/worker_stream.go
@@ -39,6 +39,9 @@
 		_ = http.NewResponseController(rw).Flush()
 		w.SetReportedRun(id, n-lastID)
 	}
+	if fault == FaultLoseStreamEnd {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 func (w *Worker) formatEvent(n int) string {
