Streams: an empty rest of a relayed stream is sent in chunks

What callers saw: the comment ":cw-end 0" behind the last event of a stream that had gone on at another exit where nothing was left to send. Cause: net/http gives a response that the handler writes in one piece a length. The instance that relayed the request takes a stream with a length for one that the exit has buffered, which has no markers, and passes the end marker on. Change: the head is flushed before the end marker.

--- a/internal/cwapp/routed_stream_end_test.go
+++ b/internal/cwapp/routed_stream_end_test.go
@@ -16,6 +16,10 @@
 // arrived: its endpoint ended before the end of the response, and the one that goes on has no event to
 // send.
 func TestStreamGoesOnWhereNothingIsLeft(t *testing.T) {
+	whole := ""
+	for n := range 6 {
+		whole += fmt.Sprintf("id: %d\ndata: piece %d\n\n", n+1, n+1)
+	}
 	for _, isRelayed := range []bool{false, true} {
 		for _, isTakenUp := range []bool{false, true} {
 			t.Run(fmt.Sprintf("relayed=%t, taken up=%t", isRelayed, isTakenUp), func(t *testing.T) {
@@ -45,6 +49,9 @@
 						is.Equal(resp.Body, "")
 					}
 					is.NoErr(resp.Err)
+					if !isTakenUp {
+						is.Equal(resp.Body, whole)
+					}
 					is.Equal(len(collectRuns(workers)), 2)
 				})
 			})
--- a/internal/cwgate/attempt_stream.go
+++ b/internal/cwgate/attempt_stream.go
@@ -133,7 +133,14 @@
 	a.recordEnd(ctx, cwplacement.Served)
 	a.recordSurvival()
 	r := result{outcome: cwanswer.Ran, mayHaveRun: true}
-	a.beginResponse(o)
+	if !a.req.responder.hasBegun {
+		a.beginResponse(o)
+		// A response that is sent in one piece gets a length, and counts as no stream at the instance
+		// that relayed the request.
+		if r.err = a.req.responder.flush(); r.err != nil {
+			return r
+		}
+	}
 	if r.err = a.req.responder.endStream(); r.err == nil {
 		a.streams.Complete(a.req.streamID())
 		r.done = true
--- a/internal/cwsoak/soak_test.go
+++ b/internal/cwsoak/soak_test.go
@@ -60,6 +60,7 @@
 	20004,      // each request to a service panicked after a configuration had given it an engine
 	1333, 1357, // after a stall near the end of a grace, connections were closed before their requests were ended
 	95002, // the stand-in worker took a request for its report for one to run
+	97100, // a relayed stream with nothing left to send had a length, so its end marker reached the caller
 	20008, // a stream went on at another worker after a part of an endless event was passed on
 }
 
