--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -52,18 +52,31 @@
   sed -i -E '/^(ThreadSanitizer: CHECK failed|SIGSEGV: segmentation violation)/d' "$log"
   for package in "$@"; do sed -i "\|^FAIL[[:space:]]*$package[[:space:]]|d" "$log"; done
 }
+# run_in_parts runs the tests of a package with the race detector, in several processes one after the
+# other, and appends what they print to a log. A part in which the detector crashed is run again.
+run_in_parts() {
+  local package=$1 parts=$2 log=$3 names pattern part attempt part_log
+  part_log=$(mktemp)
+  names=$(go test -race -list . "$package" | grep -E '^(Test|Example|Fuzz)') || return 1
+  for ((part = 0; part < parts; part++)); do
+    pattern=$(awk -v n="$parts" -v part="$part" 'NR % n == part' <<<"$names" | paste -sd'|')
+    for attempt in 1 2 3; do
+      go test -race -count=1 -timeout 40m -run "^($pattern)\$" "$package" 2>&1 | tee "$part_log"
+      [ -n "$(list_crashed "$part_log")" ] && has_detector_crash "$part_log" && [ "$attempt" -lt 3 ] || break
+      echo "== race detector crashed; once more with it: part $part of $package"
+      forget_crash "$part_log" "$package"
+      cat "$part_log" >>"$log"
+    done
+    cat "$part_log" >>"$log"
+  done
+}
 run_tests() {
   local log failing crashed status attempt
-  local raced=./... unraced="" again=-race
+  local raced long=./internal/cwapp again=-race
   log=$(mktemp)
-  if [ "$(uname -m)" = aarch64 ]; then
-    # The runtime of the race detector crashes in this package on arm64, in most runs.
-    unraced=./internal/cwapp
-    raced=$(go list ./... | grep -v '/internal/cwapp$')
-    # Another run with it may crash again in the longest package.
-    again=""
-  fi
-  # With the race detector the scenes of internal/cwapp take over 10 minutes on a busy machine.
+  raced=$(go list ./... | grep -v '/internal/cwapp$')
+  # Another run with it may crash again in the longest package.
+  [ "$(uname -m)" = aarch64 ] && again=""
   go test -race -count=1 -timeout 40m $raced 2>&1 | tee "$log"
   status=${PIPESTATUS[0]}
   # The runtime of the race detector sometimes crashes. Only packages whose run ended in that way,
@@ -76,10 +89,14 @@
     go test $again -count=1 -timeout 40m $crashed 2>&1 | tee -a "$log"
     status=${PIPESTATUS[0]}
   done
-  if [ -n "$unraced" ]; then
-    echo "== on this machine without the race detector: $unraced"
-    go test -count=1 -timeout 40m $unraced 2>&1 | tee -a "$log"
+  # The runtime of the race detector crashes in this package: on arm64 in most runs, on x86-64 in runs
+  # of all its tests in one process.
+  if [ "$(uname -m)" = aarch64 ]; then
+    echo "== on this machine without the race detector: $long"
+    go test -count=1 -timeout 40m $long 2>&1 | tee -a "$log"
     [ "${PIPESTATUS[0]}" = 0 ] || status=1
+  else
+    run_in_parts $long 6 "$log" || status=1
   fi
   failing=$(grep -oE '^ *--- FAIL: [^ ]+' "$log" | awk '{print $3}' | sort -u)
   # A build failure, a panic, a data race or a run without a result is not tied to one test, so
