--- a/review/fleet2/fleet.go
+++ b/review/fleet2/fleet.go
@@ -157,7 +157,12 @@
 
 // register writes the entry of a worker and returns the time of the acknowledgement.
 func (f *fleet) register(w *worker, state string) time.Time {
-	return f.store.put("servers/"+w.ID, map[string]any{
+	return f.put(w.ID, w, state)
+}
+
+// put writes the entry of a worker with an identifier.
+func (f *fleet) put(id string, w *worker, state string) time.Time {
+	return f.store.put("servers/"+id, map[string]any{
 		"service": w.service, "address": w.address, "zone": w.zone, "version": w.version, "slots": 64, "state": state,
 		"cold-remaining-ms": 0, "sequence": 1, "born": w.born,
 	})
