--- a/review/fleet2/fleet.go
+++ b/review/fleet2/fleet.go
@@ -29,6 +29,9 @@
 
 const host = "ficu95.example"
 
+// startInterval is the time between the starts of two instances: all start within 0.3 s.
+const startInterval = 35 * time.Millisecond
+
 // worker is a stand-in worker with its entry.
 type worker struct {
 	*cwstandin.Worker
@@ -43,8 +46,12 @@
 	network      int
 	store        *store
 	storeAddress string
-	gateways     []*gateway
-	workers      []*worker
+	// ownStoreAddresses is set if each instance calls the store at an address of its own, which are in
+	// storeAddresses by the instance's.
+	ownStoreAddresses bool
+	storeAddresses    map[string]string
+	gateways          []*gateway
+	workers           []*worker
 
 	mu     sync.Mutex
 	record *bufio.Writer
@@ -120,17 +127,39 @@
 	for zone, count := range gatewaysIn {
 		for n := range count {
 			ip := f.ip(zone, n+1)
+			storeAddress, err := f.storeAddressOf(ip)
+			if err != nil {
+				return err
+			}
 			name := fmt.Sprintf("front-%s-%d", places[zone].zone, n+1)
-			g := &gateway{program: f.program, dir: f.dir, ip: ip, zone: places[zone].zone, settings: formatSettings(name, ip, places[zone], places, seeds, f.storeAddress)}
+			g := &gateway{program: f.program, dir: f.dir, ip: ip, zone: places[zone].zone, settings: formatSettings(name, ip, places[zone], places, seeds, storeAddress)}
 			f.gateways = append(f.gateways, g)
 			if err := g.start(); err != nil {
 				return err
 			}
+			time.Sleep(startInterval)
 		}
 	}
 	return nil
 }
 
+// storeAddressOf returns the address at which an instance calls the store.
+func (f *fleet) storeAddressOf(ip string) (string, error) {
+	if !f.ownStoreAddresses {
+		return f.storeAddress, nil
+	}
+	l, err := net.Listen("tcp", f.ip(201, len(f.gateways)+1)+":8142")
+	if err != nil {
+		return "", fmt.Errorf("listen for the store: %w", err)
+	}
+	go func() { _ = http.Serve(l, f.store.handler()) }()
+	if f.storeAddresses == nil {
+		f.storeAddresses = make(map[string]string)
+	}
+	f.storeAddresses[ip] = l.Addr().String()
+	return l.Addr().String(), nil
+}
+
 // addWorker starts a worker of a service in a zone and writes its entry.
 func (f *fleet) addWorker(service string, zone, number int) (*worker, error) {
 	id := fmt.Sprintf("i-%s-%d-%d", service, zone, number)
--- a/review/fleet2/main.go
+++ b/review/fleet2/main.go
@@ -20,6 +20,7 @@
 
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(f *fleet, hasTrouble bool) (bool, error){
+	"drill": playDrill,
 	"herd":  playHerd,
 	"renew": playRenew,
 	"storm": playStorm,
