--- a/review/fleet2/storm.go
+++ b/review/fleet2/storm.go
@@ -29,7 +29,10 @@
 	}
 	routes := []map[string]any{route("move", moveTo), route(fmt.Sprint("version", version), moveTo)}
 	for n := range extraRoutes {
-		routes = append(routes, route(fmt.Sprintf("idle%04d", n), "old-app"))
+		r := route(fmt.Sprintf("idle%04d", n), "")
+		delete(r, "service")
+		r["traffic-split"] = []map[string]any{{"service": "old-app", "weight": 90}, {"service": "new-app", "weight": 10}}
+		routes = append(routes, r)
 	}
 	service := func(name string) map[string]any {
 		return map[string]any{"name": name, "health-path": "/health", "max-connections": 110, "protocol": "h1", "tls": false, "cold-s": 0.0, "cold-per-s": 0.0}
@@ -63,7 +66,7 @@
 	f.logf("all instances serve")
 	version += 3
 	f.store.put("op/config", stormConfig(version, addedRoutes, "old-app"))
-	f.logf("version %d is acknowledged: %d routes more", version, addedRoutes)
+	f.logf("version %d is acknowledged: %d routes more, %d bytes", version, addedRoutes, f.store.size("op/config"))
 	if err := f.awaitServing(fmt.Sprintf("/version%d/", version), 10*time.Second); err != nil {
 		return false, err
 	}
