Streams go on after the loss of all instances if only one version can have begun them

Cause: what began a stream was known from records of instances and from runs in progress only. After the loss of all instances, and of the runs with their callers' connections, nothing was left to ask, and that no other version can have begun the stream was never derived.

Evidence: with absence=neverTold at all instances, the store held nine entries of one version, and its history from the first of them on.

Why this works: an instance remembers the versions that a service has lost, and reads the history of endpoints that the store keeps once, when the first stream arrives that nobody knows. If the route's only service had one version since before the stream can have begun, that is its origin. What could hide another version fails the proof: a removed entry of unknown version, an endpoint replaced in place, another configuration, a history that was cut, an unread store, an instance that doubts the stream's origin.

The stand-in for the store now drops changes after 20 s and serves watches of a prefix.

--- a/internal/cwapp/routed_app.go
+++ b/internal/cwapp/routed_app.go
@@ -56,7 +56,8 @@
 		r.Control.TryPost(cwcontrol.PublishedApplied{Revision: uint64(revision)})
 	}
 	r.State.OnStoreContact = func(unreachable bool) { r.Control.TryPost(cwcontrol.SelfStoreUnreachable{IsUnreachable: unreachable}) }
-	r.follower = cwpublished.NewFollower(r.Common, r.State, cwwire.NewStoreClient(site.StoreAddress, n, r.Budget), r.IsReader)
+	store := cwwire.NewStoreClient(site.StoreAddress, n, r.Budget)
+	r.follower = cwpublished.NewFollower(r.Common, r.State, store, r.IsReader)
 	r.gate = cwgate.NewGate(r.Common, site, r.Control, r.State, cwwire.Codec{}, newSeed())
 	puller := cwsync.NewPublishedPuller(r.Common, r.State, r.peerClient, r.follower)
 	r.exchanger = cwpeer.NewExchanger(r.Common, r.Control, r.peerClient, r.gate, puller)
@@ -64,6 +65,7 @@
 	spreader := cwpeer.NewCrashSpreader(r.Common, r.Control, r.peerClient, r.gate.Crashes())
 	streamSpreader := cwpeer.NewStreamSpreader(r.Common, r.Control, r.peerClient, r.gate.Streams())
 	r.gate.StreamFinder = streamSpreader
+	r.gate.VersionHistory = cwpublished.NewVersionHistory(r.Common, r.State, store, site.StoreHistory)
 	peerServer := cwpeer.NewServer(r.Common, r.Control, r.gate, cwpeer.Sources{Published: r.State, Crashes: r.gate.Crashes(), Quotas: r.gate.Quotas(), Streams: r.gate.Streams()}, puller, r.auth)
 	adminHandler := cwadmin.NewRoutedHandler(r.Common, r.Control, r.State, r.gate, r.gate.Burn, r.metricsHandler, cwwire.ParsePromptParts)
 	r.forwardingServers = []*cwserver.Server{
--- a/internal/cwapp/routed_stream_version_test.go
+++ b/internal/cwapp/routed_stream_version_test.go
@@ -21,9 +21,14 @@
 }
 
 func newVersionedFleet(s *cwscene.RoutedScene, route cwscene.RoutedRoute) *versionedFleet {
+	return newFleetOf(s, route, "v2", "v1", "v1", "v2", "v2", "v1")
+}
+
+// newFleetOf returns a fleet whose workers have the versions, four of them in the north.
+func newFleetOf(s *cwscene.RoutedScene, route cwscene.RoutedRoute, versions ...string) *versionedFleet {
 	f := &versionedFleet{RoutedScene: s, workers: make(map[*cwstandin.Worker]string)}
 	s.Publish(cwscene.NewEngineService(0), route)
-	for n, version := range []string{"v2", "v1", "v1", "v2", "v2", "v1"} {
+	for n, version := range versions {
 		f.addWorker(map[bool]string{true: "north-a", false: "south-a"}[n < 4], fmt.Sprintf("10.%d.1.%d", 1+n/4, n+1), version)
 	}
 	for n := range 3 {
--- a/internal/cwgate/contact_gap.go
+++ b/internal/cwgate/contact_gap.go
@@ -1,12 +1,9 @@
 package cwgate
 
 import (
-	"context"
 	"time"
 
-	"github.com/clementinewell/clementinewell/internal/cwcommon"
 	"github.com/clementinewell/clementinewell/internal/cwcontrol"
-	"github.com/clementinewell/clementinewell/internal/cwpublished"
 )
 
 const (
@@ -19,8 +16,6 @@
 	// revisionWait is how long a stream that is taken up waits for these changes. Its caller comes
 	// back after the same time.
 	revisionWait = 500 * time.Millisecond
-	// revisionCheckInterval is the interval at which it is checked whether they have arrived.
-	revisionCheckInterval = 10 * time.Millisecond
 )
 
 // contactGap detects that this instance was cut off from all others, or stood still.
@@ -68,15 +63,3 @@
 	g.sync(now)
 	return g.contactGap.isOutOfStep(now)
 }
-
-// awaitRevision waits until the published state has reached a revision. It returns false if that
-// takes longer than revisionWait.
-func (g *Gate) awaitRevision(ctx context.Context, revision cwpublished.Revision) bool {
-	for deadline := time.Now().Add(revisionWait); g.state.Revision() < revision; {
-		if ctx.Err() != nil || !time.Now().Before(deadline) {
-			return false
-		}
-		cwcommon.Sleep(ctx, revisionCheckInterval)
-	}
-	return true
-}
--- a/internal/cwgate/gate.go
+++ b/internal/cwgate/gate.go
@@ -28,6 +28,8 @@
 	Burn *cwburn.Recorder
 	// StreamFinder asks other instances about streams; nil if there are none.
 	StreamFinder StreamFinder
+	// VersionHistory tells the origin of streams that nobody knows; nil without one.
+	VersionHistory VersionHistory
 
 	site    *cwsite.Site
 	control *cwcontrol.Control
--- a/internal/cwgate/log.go
+++ b/internal/cwgate/log.go
@@ -138,7 +138,8 @@
 	if r.absence == "" || r.origin.IsKnown() {
 		return fields
 	}
-	return append(fields, zap.String("absence", string(r.absence)), zap.Int("asked", r.inquiry.Asked), zap.Int("answered", r.inquiry.Answered))
+	return append(fields, zap.String("absence", string(r.absence)), zap.Int("asked", r.inquiry.Asked), zap.Int("answered", r.inquiry.Answered),
+		zap.String("doubt", string(r.versionDoubt)))
 }
 
 // accountFields returns the fields that tell an operator which key a request had and which
--- a/internal/cwgate/routed_request.go
+++ b/internal/cwgate/routed_request.go
@@ -8,6 +8,7 @@
 	"github.com/clementinewell/clementinewell/internal/cwcrash"
 	"github.com/clementinewell/clementinewell/internal/cwlimit"
 	"github.com/clementinewell/clementinewell/internal/cwplacement"
+	"github.com/clementinewell/clementinewell/internal/cwpublished"
 	"github.com/clementinewell/clementinewell/internal/cwroute"
 	"github.com/clementinewell/clementinewell/internal/cwstream"
 	"github.com/clementinewell/clementinewell/pkg/cwanswer"
@@ -71,6 +72,8 @@
 	// absence and inquiry tell why the origin of a stream that the caller takes up is not known.
 	absence cwstream.Absence
 	inquiry cwstream.Inquiry
+	// versionDoubt is why the origin can't be derived from the versions of the service.
+	versionDoubt cwpublished.VersionDoubt
 	// isKeyRefused is set once an exit has refused the request because of its key.
 	isKeyRefused bool
 	// ends is the number of endpoints that ended while the request may have been the cause.
--- a/internal/cwgate/stream_origin.go
+++ b/internal/cwgate/stream_origin.go
@@ -6,6 +6,9 @@
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/clementinewell/clementinewell/internal/cwpublished"
 	"github.com/clementinewell/clementinewell/internal/cwroute"
 	"github.com/clementinewell/clementinewell/internal/cwstream"
 )
@@ -16,6 +19,12 @@
 	FindStream(ctx context.Context, id cwstream.ID) (cwstream.Record, cwstream.Inquiry)
 }
 
+// VersionHistory tells which software versions the endpoints of a service have had.
+type VersionHistory interface {
+	// SoleVersion returns the only one since the given time before now, or why it is not known.
+	SoleVersion(ctx context.Context, service string, window time.Duration) (string, cwpublished.VersionDoubt)
+}
+
 var errOtherOrigin = errors.New("the stream was begun by another software version or service")
 
 // streamID identifies the stream of the request, which another attempt of the caller may have
@@ -42,10 +51,13 @@
 		g.askForStream(ctx, routed)
 	}
 	switch {
+	case !routed.origin.IsKnown() && routed.versionDoubt.IsTemporary():
+		refusal := newNotRunRefusal("streamUnknown", revisionWait)
+		return &refusal
 	case !routed.origin.IsKnown():
 		refusal := newNotRunRefusal("streamUnknown", 0)
 		return &refusal
-	case isOutOfStep && !g.awaitRevision(ctx, routed.inquiry.Revision):
+	case isOutOfStep && !g.state.Await(ctx, routed.inquiry.Revision, revisionWait):
 		refusal := newNotRunRefusal("stateBehind", revisionWait)
 		return &refusal
 	case !routed.route.LeadsTo(routed.origin.Service):
@@ -80,10 +92,42 @@
 		g.metrics.countTakenUp("peer")
 		return found.Origin
 	}
+	if origin := g.findSoleOrigin(ctx, routed); origin.IsKnown() {
+		g.metrics.countTakenUp("soleVersion")
+		return origin
+	}
 	g.metrics.countTakenUp("unknown")
 	return cwstream.Origin{}
 }
 
+// removalMargin is how long an endpoint may get new streams after its entry was removed. The platform
+// allows 4 s.
+const removalMargin = 4 * time.Second
+
+// findSoleOrigin returns the origin of a stream that nobody knows if it can have only one: the route
+// leads to one service, whose endpoints have had one software version since before the stream began.
+func (g *Gate) findSoleOrigin(ctx context.Context, routed *routedRequest) cwstream.Origin {
+	if g.VersionHistory == nil || routed.absence == cwstream.Uncertain || routed.inquiry.IsContradicted || routed.inquiry.IsUncertain {
+		return cwstream.Origin{}
+	}
+	service := routed.route.SoleService()
+	if service == "" {
+		routed.versionDoubt = cwpublished.SeveralVersions
+		return cwstream.Origin{}
+	}
+	g.mu.Lock()
+	longest := max(g.longestStream(service), routed.Timeout)
+	g.mu.Unlock()
+	version, doubt := g.VersionHistory.SoleVersion(ctx, service, longest+removalMargin)
+	routed.versionDoubt = doubt
+	if doubt != "" {
+		return cwstream.Origin{}
+	}
+	g.Log.Info("origin of a stream derived from the only version", zap.String("request", routed.ID), zap.String("resumes", routed.Resumes),
+		zap.String("service", service), zap.String("version", version))
+	return cwstream.Origin{Service: service, Version: version}
+}
+
 // compareObserved compares what this instance has observed of a stream with what others found. It
 // returns false if they contradict each other.
 func (g *Gate) compareObserved(routed *routedRequest, own, found cwstream.Record) (cwstream.Record, bool) {
--- a/internal/cwpeer/client.go
+++ b/internal/cwpeer/client.go
@@ -114,23 +114,22 @@
 	return nil
 }
 
-// FindStream returns what the peer knows of a stream, nil if that is nothing, and the revision of
-// the peer's published state.
-func (c *Client) FindStream(ctx context.Context, address string, id cwstream.ID) (*cwstream.Record, cwpublished.Revision, error) {
+// FindStream returns what the peer knows of a stream.
+func (c *Client) FindStream(ctx context.Context, address string, id cwstream.ID) (StreamAnswer, error) {
 	resp, err := c.peerAt(address).FindStream(ctx, &cwproto.FindStreamRequest{Stream: uint64(id)})
 	if err != nil {
-		return nil, 0, fmt.Errorf("ask %s about a stream: %w", address, cwlimit.ShortenError(err))
+		return StreamAnswer{}, fmt.Errorf("ask %s about a stream: %w", address, cwlimit.ShortenError(err))
 	}
-	revision := cwpublished.Revision(resp.GetRevision())
+	answer := StreamAnswer{Revision: cwpublished.Revision(resp.GetRevision()), IsUncertain: resp.GetUncertain()}
 	if resp.GetGroup() == nil {
-		return nil, revision, nil
+		return answer, nil
 	}
 	for _, r := range streamRecordsOf([]*cwproto.StreamGroup{resp.GetGroup()}, time.Now()) {
 		if r.ID == id {
-			return &r, revision, nil
+			answer.Record = &r
 		}
 	}
-	return nil, revision, nil
+	return answer, nil
 }
 
 // TakeOver hands tickets over to the peer and returns the peer's incarnation. It returns
--- a/internal/cwpeer/server.go
+++ b/internal/cwpeer/server.go
@@ -120,9 +120,12 @@
 		return resp, nil
 	}
 	now := time.Now()
-	if r, isKnown := s.sources.Streams.Find(cwstream.ID(req.GetStream()), now); isKnown {
+	id := cwstream.ID(req.GetStream())
+	if r, isKnown := s.sources.Streams.Find(id, now); isKnown {
 		resp.Group = protoStreamGroups([]cwstream.Record{r}, now)[0]
+		return resp, nil
 	}
+	resp.Uncertain = s.sources.Streams.ExplainAbsence(id, now) == cwstream.Uncertain
 	return resp, nil
 }
 
--- a/internal/cwpeer/stream_message.go
+++ b/internal/cwpeer/stream_message.go
@@ -15,6 +15,8 @@
 	Merge(records []cwstream.Record, now time.Time)
 	// Find returns the record of a stream, false if it is not known.
 	Find(id cwstream.ID, now time.Time) (cwstream.Record, bool)
+	// ExplainAbsence returns why Find returns no record of a stream.
+	ExplainAbsence(id cwstream.ID, now time.Time) cwstream.Absence
 }
 
 func protoStreamGroups(records []cwstream.Record, now time.Time) []*cwproto.StreamGroup {
--- a/internal/cwpeer/stream_spreader.go
+++ b/internal/cwpeer/stream_spreader.go
@@ -10,7 +10,6 @@
 	"github.com/clementinewell/clementinewell/internal/cwcommon"
 	"github.com/clementinewell/clementinewell/internal/cwcontrol"
 	"github.com/clementinewell/clementinewell/internal/cwpolicy"
-	"github.com/clementinewell/clementinewell/internal/cwpublished"
 	"github.com/clementinewell/clementinewell/internal/cwstream"
 )
 
@@ -66,13 +65,6 @@
 	}
 }
 
-// streamAnswer is the answer of one instance to the question for a stream.
-type streamAnswer struct {
-	record   *cwstream.Record
-	revision cwpublished.Revision
-	err      error
-}
-
 // FindStream asks other instances about a stream that this one does not know, and returns the first
 // record in time. A record that was only observed counts if no other one contradicts it.
 func (s *StreamSpreader) FindStream(ctx context.Context, id cwstream.ID) (cwstream.Record, cwstream.Inquiry) {
@@ -80,7 +72,7 @@
 	defer cancel()
 	snapshot := s.control.Snapshot()
 	witnesses := cwpolicy.StreamWitnesses(&snapshot.Self, snapshot.Members, time.Now())
-	found := make(chan streamAnswer, len(witnesses))
+	found := make(chan StreamAnswer, len(witnesses))
 	for _, address := range witnesses {
 		s.Go("findStream", func() { found <- s.ask(ctx, address, id) })
 	}
@@ -88,16 +80,17 @@
 	var observed []cwstream.Record
 	for range witnesses {
 		answer := <-found
-		inquiry.Revision = max(inquiry.Revision, answer.revision)
+		inquiry.Revision = max(inquiry.Revision, answer.Revision)
+		inquiry.IsUncertain = inquiry.IsUncertain || answer.IsUncertain
 		switch {
-		case answer.record == nil && answer.err == nil:
+		case answer.Record == nil && answer.Err == nil:
 			inquiry.Answered++
-		case answer.record == nil:
-		case !answer.record.IsObserved:
+		case answer.Record == nil:
+		case !answer.Record.IsObserved:
 			inquiry.IsFound = true
-			return *answer.record, inquiry
+			return *answer.Record, inquiry
 		default:
-			observed = append(observed, *answer.record)
+			observed = append(observed, *answer.Record)
 		}
 	}
 	if len(observed) == 0 {
@@ -108,11 +101,12 @@
 	return observed[0], inquiry
 }
 
-// ask returns what an instance knows of a stream; no record if that is nothing.
-func (s *StreamSpreader) ask(ctx context.Context, address string, id cwstream.ID) streamAnswer {
-	r, revision, err := s.client.FindStream(ctx, address, id)
+// ask returns what an instance knows of a stream.
+func (s *StreamSpreader) ask(ctx context.Context, address string, id cwstream.ID) StreamAnswer {
+	answer, err := s.client.FindStream(ctx, address, id)
 	if err != nil && ctx.Err() == nil {
 		s.Log.Debug("instance not asked about a stream", zap.String("peer", address), zap.Error(err))
 	}
-	return streamAnswer{record: r, revision: revision, err: err}
+	answer.Err = err
+	return answer
 }
--- a/internal/cwpublished/interpreter.go
+++ b/internal/cwpublished/interpreter.go
@@ -46,6 +46,7 @@
 	// lostEvacuations holds, for evacuations that a copy of the store does not have, until
 	// when they are kept.
 	lostEvacuations map[string]time.Time
+	versions        *versionLog
 }
 
 const (
@@ -82,6 +83,7 @@
 		removed:          make(map[incarnation]time.Time),
 		lostEntries:      make(map[string]bool),
 		lostEvacuations:  make(map[string]time.Time),
+		versions:         newVersionLog(),
 	}
 }
 
@@ -102,7 +104,7 @@
 	case record == nil:
 	case record.Config != nil:
 		if in.config == nil || record.Config.Version >= in.config.Version {
-			in.config, in.configItem = record.Config, item
+			in.config, in.configItem, in.versions.configSince = record.Config, item, now
 		}
 	case record.Evacuation != nil:
 		in.evacuationByKey[item.Key] = record.Evacuation.Domain
@@ -120,6 +122,9 @@
 		in.draining[current] = true
 	}
 	known, isKnown := in.endpoints[e.ID]
+	if isKnown {
+		in.versions.recordLost(known.Service, known.Version, now)
+	}
 	if in.isRestoring && (in.isRemoved(current) || isKnown && e.StartedAtMillis < known.StartedAtMillis) {
 		return
 	}
@@ -225,6 +230,7 @@
 		e := in.endpoints[id]
 		dropped := incarnation{id: id, startedAtMillis: e.StartedAtMillis}
 		delete(in.draining, dropped)
+		in.versions.recordLost(e.Service, e.Version, now)
 		in.removed[dropped] = now
 		delete(in.endpoints, id)
 	}
--- a/internal/cwpublished/item.go
+++ b/internal/cwpublished/item.go
@@ -14,4 +14,7 @@
 	Revision Revision
 	// IsRemoved is set if the item was removed at the revision.
 	IsRemoved bool
+	// IsCreation is set if the item did not exist before the change. It is known only of items that
+	// come from the store.
+	IsCreation bool
 }
--- a/internal/cwpublished/state.go
+++ b/internal/cwpublished/state.go
@@ -1,6 +1,7 @@
 package cwpublished
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -84,6 +85,9 @@
 		return
 	}
 	var changed []Item
+	if d.IsFull && d.Revision > previousRevision || s.removesUnknown(d.Items, previousRevision) {
+		s.interpreter.versions.restart(previousRevision, d.Revision, now)
+	}
 	if d.IsFull {
 		changed = s.items.Replace(d.Items, d.Revision)
 	} else {
@@ -102,6 +106,7 @@
 		s.interpreter.isRestoring = false
 		s.keepConfig()
 	}
+	s.recognizeFirstConfig(d.Items)
 	if len(changed) > 0 || previousRevision == 0 {
 		s.Log.Info("published state changed", zap.String("source", source), zap.Int("changes", len(changed)),
 			zap.Uint64("revision", s.items.Revision().StoreRevision()), zap.Uint64("before", previousRevision.StoreRevision()), zap.Uint64("era", s.items.Revision().Era()))
@@ -109,6 +114,31 @@
 	s.updateView(now)
 }
 
+// removesUnknown reports whether changes after the revision remove an item that this instance has never
+// had: it came and went between two changes that a peer passed on. The caller holds mu.
+func (s *State) removesUnknown(items []Item, revision Revision) bool {
+	isWritten := make(map[string]bool)
+	for _, item := range items {
+		if !item.IsRemoved {
+			isWritten[item.Key] = true
+		} else if _, isKnown := s.items.Items()[item.Key]; !isKnown && !isWritten[item.Key] && item.Revision > revision {
+			return true
+		}
+	}
+	return false
+}
+
+// recognizeFirstConfig records that there was no other configuration before the one in force. The
+// caller holds mu.
+func (s *State) recognizeFirstConfig(items []Item) {
+	current := s.interpreter.configItem
+	for _, item := range items {
+		if item.IsCreation && item.Key == current.Key && item.Revision == current.Revision {
+			s.interpreter.versions.configSince = time.Time{}
+		}
+	}
+}
+
 // beginEra prepares for the items of a store that was restored from a copy. The caller holds
 // mu.
 func (s *State) beginEra(previous Revision, now time.Time) {
@@ -128,6 +158,21 @@
 	}
 }
 
+// awaitInterval is the interval at which Await checks the revision.
+const awaitInterval = 10 * time.Millisecond
+
+// Await waits until the state has reached a revision. It returns false if that takes longer than the
+// timeout.
+func (s *State) Await(ctx context.Context, revision Revision, timeout time.Duration) bool {
+	for deadline := time.Now().Add(timeout); s.Revision() < revision; {
+		if ctx.Err() != nil || !time.Now().Before(deadline) {
+			return false
+		}
+		cwcommon.Sleep(ctx, awaitInterval)
+	}
+	return true
+}
+
 // SetStoreUnreachable records whether the store is unreachable for this instance, and
 // calls OnStoreContact if that is a change.
 func (s *State) SetStoreUnreachable(isUnreachable bool) {
--- a/internal/cwroute/route.go
+++ b/internal/cwroute/route.go
@@ -59,6 +59,21 @@
 	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service && s.Weight > 0 })
 }
 
+// SoleService returns the service to which the route sends all requests; empty if there are several.
+func (r *Route) SoleService() string {
+	sole := ""
+	for _, s := range r.Shares {
+		if s.Weight <= 0 {
+			continue
+		}
+		if sole != "" && s.Service != sole {
+			return ""
+		}
+		sole = s.Service
+	}
+	return sole
+}
+
 // PickService returns the service for a random number in [0,1), by weight; empty if the
 // route has no services.
 func (r *Route) PickService(random float64) string {
--- a/internal/cwscene/routed_scene.go
+++ b/internal/cwscene/routed_scene.go
@@ -180,7 +180,7 @@
 	site := &cwsite.Site{
 		Name: ip, IP: ip, Domain: domain, Region: s.RegionByDomain[domain], RegionByDomain: s.RegionByDomain,
 		CallerAddress: ip + routedCallerPort, ReadyAddress: ip + routedReadyPort, DirectoryAddress: ip + routedDirectoryPort, PeerAddress: ip + routedPeerPort, RelayAddress: ip + routedRelayPort,
-		SeedPeers: s.SeedPeers, StoreAddress: StoreIP + routedBackendPort, CapacityCores: 1, Bounds: DefaultBounds(),
+		SeedPeers: s.SeedPeers, StoreAddress: StoreIP + routedBackendPort, StoreHistory: cwstandin.HistoryTime, CapacityCores: 1, Bounds: DefaultBounds(),
 	}
 	flags := pflag.NewFlagSet(ip, pflag.ContinueOnError)
 	cwsetting.AddFlags(flags)
--- a/internal/cwsite/site.go
+++ b/internal/cwsite/site.go
@@ -24,6 +24,8 @@
 	SeedPeers []string
 	// StoreAddress is the host and port of the store of published state.
 	StoreAddress string
+	// StoreHistory is how long the store keeps changes; 0 if that is not known.
+	StoreHistory time.Duration
 	// CapacityCores is the instance's share of the machine's processors, in cores.
 	CapacityCores float64
 	// MemoryBytes is the memory limit of the process; 0 if it is not known.
--- a/internal/cwstandin/store.go
+++ b/internal/cwstandin/store.go
@@ -42,8 +42,13 @@
 	Revision        uint64 `json:"revision"`
 	CreatedRevision uint64 `json:"created-rev,omitempty"`
 	IsRemoved       bool   `json:"removed,omitempty"`
+
+	changedAt time.Time
 }
 
+// HistoryTime is how long the store keeps changes.
+const HistoryTime = 20 * time.Second
+
 // NewStore returns an empty store.
 func NewStore() *Store {
 	return &Store{items: make(map[string]storeItem), changed: make(chan struct{}), shouldRefuse: never, shouldHang: never}
@@ -88,11 +93,20 @@
 
 // recordChange adds a change to the history and wakes all watches. The caller holds mu.
 func (s *Store) recordChange(item storeItem) {
+	item.changedAt = time.Now()
 	s.history = append(s.history, item)
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// dropOldChanges drops the changes that are older than HistoryTime. The caller holds mu.
+func (s *Store) dropOldChanges() {
+	for len(s.history) > 0 && time.Since(s.history[0].changedAt) > HistoryTime {
+		s.compactedRevision = s.history[0].Revision
+		s.history = s.history[1:]
+	}
+}
+
 // Compact drops the history. Watches from an older revision then fail with status 410.
 func (s *Store) Compact() {
 	s.mu.Lock()
@@ -207,16 +221,18 @@
 }
 
 func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request) {
+	prefix := r.URL.Query().Get("path-prefix")
 	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait-ms"))
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
+		s.dropOldChanges()
 		changed, compacted, current := s.changed, s.compactedRevision, s.revision
 		w.Header().Set(eraHeader, s.formatEra())
 		events := []storeItem{}
 		for _, item := range s.history {
-			if item.Revision > after {
+			if item.Revision > after && strings.HasPrefix(item.Key, prefix) {
 				events = append(events, item)
 			}
 		}
