A status that ends no request fails the call

What callers saw: an endpoint in trouble answers with status 000, and the own interface's client returns it as a response, as it does 101, 600 and 999; the handler panics or passes it on. On the users' platform the call skipped 000 to 199 as interim responses, so that the body of such an answer was read as the next response: a 200 in it, with the request's identifier and a signature, reached the caller.

Cause: http.ReadResponse takes any three digits for a status, and nobody checked further.

Why this works: one check, 200 to 599, in the transport of all net/http clients, in cwconn and for the heads that instances pass to each other. 100 to 199 but 101 stay interim. The connection isn't used again, and the request may have run.

The stand-in instance of TestSilentConnectionsCostOneForward now states a status, as instances do.

--- a/internal/cwconn/check.go
+++ b/internal/cwconn/check.go
@@ -44,7 +44,7 @@
 		return nil, fmt.Errorf("send check after a response that names no request: %w", err)
 	}
 	for {
-		resp, err := c.readFinalHead(&http.Request{Method: call.Method})
+		resp, err := c.readFinalHead(call.Address, &http.Request{Method: call.Method})
 		if err != nil {
 			return nil, fmt.Errorf("await answer to check after a response that names no request: %w", err)
 		}
--- a/internal/cwconn/conn.go
+++ b/internal/cwconn/conn.go
@@ -178,7 +178,7 @@
 func (c *conn) readMatchingHead(call *Call, reused bool) (*http.Response, error) {
 	req := &http.Request{Method: call.Method}
 	for {
-		resp, err := c.readFinalHead(req)
+		resp, err := c.readFinalHead(call.Address, req)
 		if err != nil {
 			return nil, err
 		}
@@ -239,9 +239,9 @@
 	return n, nil
 }
 
-// readFinalHead reads a response head and skips informational (1xx) ones. Together they are
-// limited to cwlimit.MaxHeadBytes.
-func (c *conn) readFinalHead(req *http.Request) (*http.Response, error) {
+// readFinalHead reads a response head and skips informational (1xx) ones, of which the request asks for
+// none that ends it. Together they are limited to cwlimit.MaxHeadBytes.
+func (c *conn) readFinalHead(address string, req *http.Request) (*http.Response, error) {
 	buffered, _ := c.reader.Peek(c.reader.Buffered())
 	c.headReader.BeginHead(buffered)
 	for {
@@ -250,10 +250,15 @@
 			c.headReader.EndHead(nil)
 			return nil, err
 		}
-		if resp.StatusCode >= http.StatusOK {
-			c.headReader.EndHead(resp.Header)
-			return resp, nil
+		if resp.StatusCode >= http.StatusContinue && resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
+			continue
+		}
+		if err := cwlimit.CheckStatus(address, resp.StatusCode); err != nil {
+			c.headReader.EndHead(nil)
+			return nil, err
 		}
+		c.headReader.EndHead(resp.Header)
+		return resp, nil
 	}
 }
 
--- a/internal/cwlimit/transport.go
+++ b/internal/cwlimit/transport.go
@@ -4,7 +4,8 @@
 	"net/http"
 )
 
-// Transport limits the responses that an http.Transport returns, and the texts of its errors.
+// Transport limits the responses that an http.Transport returns, and the texts of its errors. It returns
+// only responses with the status of a final one.
 type Transport struct {
 	base         *http.Transport
 	budget       *Budget
@@ -27,6 +28,12 @@
 	if err != nil {
 		return nil, ShortenError(err)
 	}
+	if err := CheckStatus(req.URL.Host, resp.StatusCode); err != nil {
+		_ = resp.Body.Close()
+		// A response without a body has made its connection idle, and what follows on it is uncertain.
+		t.base.CloseIdleConnections()
+		return nil, err
+	}
 	if t.maxBodyBytes == 0 {
 		return resp, nil
 	}
--- a/internal/cwpeer/forwarder.go
+++ b/internal/cwpeer/forwarder.go
@@ -169,6 +169,9 @@
 	if response.Head.AttemptID != attemptID {
 		return nil, forwardProblem(cwanswer.Unknown, address, errors.New("answer belongs to another attempt"))
 	}
+	if err := cwlimit.CheckStatus(address, response.Head.Status); err != nil {
+		return nil, forwardProblem(cwanswer.Unknown, address, err)
+	}
 	return response, nil
 }
 
@@ -176,7 +179,7 @@
 // invalid frame it returns a problem with an unknown outcome.
 func problemOf(frame cwframe.Frame, address string) *cwanswer.Problem {
 	p := &cwanswer.Problem{}
-	if err := json.Unmarshal(frame.Payload, p); err != nil || p.Status == 0 {
+	if err := json.Unmarshal(frame.Payload, p); err != nil || cwlimit.CheckStatus(address, p.Status) != nil {
 		return forwardProblem(cwanswer.Unknown, address, errors.New("unreadable failure"))
 	}
 	p.Detail = cwlimit.ShortenText(p.Detail)
--- a/internal/cwpeer/silent_forward_test.go
+++ b/internal/cwpeer/silent_forward_test.go
@@ -29,7 +29,7 @@
 		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			time.Sleep(10 * time.Millisecond)
 			frames := cwframe.NewWriter(w)
-			_ = frames.WriteMessage(cwframe.Head, cwpeer.ResponseHead{AttemptID: "a"})
+			_ = frames.WriteMessage(cwframe.Head, cwpeer.ResponseHead{AttemptID: "a", Status: http.StatusOK})
 			_ = frames.Close("")
 		})}
 		go func() { _ = server.Serve(l) }()
