--- a/internal/cwapp/final_status_test.go
+++ b/internal/cwapp/final_status_test.go
@@ -67,4 +67,3 @@
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 %03d None\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
 	})
 }
-
--- a/internal/cwconn/early_answer_test.go
+++ b/internal/cwconn/early_answer_test.go
@@ -55,4 +55,3 @@
 		}
 	}
 }
-
--- a/internal/cwendpoint/early_answer_test.go
+++ b/internal/cwendpoint/early_answer_test.go
@@ -62,4 +62,3 @@
 		}
 	}
 }
-
