A storm of large configurations doesn't stop instances from following the store

Cause: the response to the next watch holds all versions since the one before, exceeds the client's limit of 8 MiB, and the same watch is repeated. It only grows, until the store drops its history 20 s later.

Why this works: such a response is told from other failures, and all items are read as they are now, as after a compaction. The read of the history for streams of unknown origin gives up in the same case instead of being repeated.

Before: TestStormOfLargeConfigurationsIsFollowed red (version 2 of 26 after 4 s).

--- a/internal/cwpublished/follower.go
+++ b/internal/cwpublished/follower.go
@@ -83,8 +83,8 @@
 		if ctx.Err() != nil {
 			break
 		}
-		if errors.Is(err, ErrCompacted) || errors.Is(err, ErrRestored) {
-			f.Log.Info("store has compacted its history; reading all items", zap.Uint64("revision", f.state.Revision().StoreRevision()), zap.Error(err))
+		if needsAllItems(err) {
+			f.Log.Info("changes can't be read; reading all items", zap.Uint64("revision", f.state.Revision().StoreRevision()), zap.Error(err))
 			f.hasAllItems = false
 			cwcommon.Sleep(ctx, minRetryPause/2+rand.N(minRetryPause))
 			continue
@@ -100,6 +100,12 @@
 	return nil
 }
 
+// needsAllItems reports whether the changes since the present revision can't be had: only the items as they
+// are now tell what has changed.
+func needsAllItems(err error) bool {
+	return errors.Is(err, ErrCompacted) || errors.Is(err, ErrTooLarge) || errors.Is(err, ErrRestored)
+}
+
 // IsReader reports whether this instance is one of those that watch the store for their
 // domain.
 func (f *Follower) IsReader() bool {
--- a/internal/cwpublished/store.go
+++ b/internal/cwpublished/store.go
@@ -13,6 +13,10 @@
 // revision of an earlier era are unknown.
 var ErrRestored = errors.New("the store was restored from a copy")
 
+// ErrTooLarge means that the requested changes exceed what one response may hold. The same call fails
+// again, and with more changes.
+var ErrTooLarge = errors.New("the changes exceed the limit for one response")
+
 // Page is one page of the list of all items.
 type Page struct {
 	// Items are ordered by key.
@@ -37,8 +41,9 @@
 	// afterKey is empty.
 	Range(ctx context.Context, afterKey string) (Page, error)
 	// Watch returns the changes after the revision. If there are none, it waits for one, at
-	// most for the given time. It returns ErrCompacted if the store no longer has them, and
-	// ErrRestored if the store is in another era than the revision.
+	// most for the given time. It returns ErrCompacted if the store no longer has them,
+	// ErrTooLarge if one response can't hold them, and ErrRestored if the store is in another era
+	// than the revision.
 	Watch(ctx context.Context, after Revision, wait time.Duration) (Changes, error)
 	// Probe returns a revision that the store had at most a few seconds ago. It is a cheap
 	// call that responds at once.
--- a/internal/cwpublished/version_history.go
+++ b/internal/cwpublished/version_history.go
@@ -27,7 +27,8 @@
 // implements it.
 type HistoryStore interface {
 	// ReadHistory returns the changes of endpoints after the revision at once. It returns ErrCompacted if
-	// the store no longer has them, and ErrRestored if the store is in another era than the revision.
+	// the store no longer has them, ErrTooLarge if one response can't hold them, and ErrRestored if the
+	// store is in another era than the revision.
 	ReadHistory(ctx context.Context, after Revision) (Changes, error)
 }
 
@@ -100,6 +101,8 @@
 	changes, oldest, err := h.findOldest(ctx)
 	if err != nil {
 		h.failedAt = time.Now()
+		// A history that is too large is not read again.
+		h.hasRead, h.readTo = errors.Is(err, ErrTooLarge), h.state.versionsCompleteFrom()
 		h.Log.Warn("history of the store not read", zap.Error(err))
 		return
 	}
