Endpoints that are replaced in place are noticed

Cause: the connection that an instance keeps to each endpoint ended, and as the next one was accepted at once it counted as closed for being idle. Broken streams then went on at an endpoint whose entry was out of date.

Why this works: a process takes all its connections with it, an idle timeout one. 30 ms after the kept one has ended, the state of the others tells which it was; without others, whether the kept one lasted as long as one that was idle. The version is uncertain until the new entry arrives, 3 s at most. A stream whose first event came before keeps its origin.

--- a/internal/cwapp/routed_config_storm_test.go
+++ b/internal/cwapp/routed_config_storm_test.go
@@ -15,7 +15,7 @@
 // store drops its history: a storm of large configurations makes the response to a watch exceed the limit,
 // and the same watch is repeated, with a response that only grows.
 func TestStormOfLargeConfigurationsIsFollowed(t *testing.T) {
-	inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+	inRoutedScene(t, func(_ *testing.T, is *is.I, s *cwscene.RoutedScene) {
 		const (
 			routes        = 100
 			routeBytes    = 7 << 10
--- a/internal/cwconn/address_pool.go
+++ b/internal/cwconn/address_pool.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/clementinewell/clementinewell/internal/cwnet"
 )
 
 // addressPool holds the connections to one address.
@@ -11,6 +13,9 @@
 	mu sync.Mutex
 	// idle are the idle connections; the one used most recently is last.
 	idle []*conn
+	// inUse are the connections of the calls in progress, and lostAt is when the peer last ended one.
+	inUse  map[*conn]struct{}
+	lostAt time.Time
 	// openConns is the number of connections that are open or being opened.
 	openConns int
 	// lastTakenAt is when an idle connection was last requested.
@@ -58,6 +63,50 @@
 	p.idle = append(p.idle, c)
 }
 
+// beginUse records that a call uses a connection.
+func (p *addressPool) beginUse(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.inUse == nil {
+		p.inUse = make(map[*conn]struct{})
+	}
+	p.inUse[c] = struct{}{}
+}
+
+// endUse records that a call no longer uses a connection, and whether its peer has ended it.
+func (p *addressPool) endUse(c *conn, isLost bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, isInUse := p.inUse[c]; isInUse && isLost {
+		p.lostAt = time.Now()
+	}
+	delete(p.inUse, c)
+}
+
+// survivors returns what Pool.Survivors does.
+func (p *addressPool) survivors(at time.Time) (hasOpen, hasLost bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	hasLost = p.lostAt.After(at.Add(-lossNoticeTime))
+	check := func(c *conn, isInUse bool) {
+		isEstablished, isKnown := cwnet.IsEstablished(c.Conn)
+		switch {
+		case !c.openedAt.Before(at):
+		case isEstablished, !isKnown && isInUse:
+			hasOpen = true
+		case isKnown:
+			hasLost = true
+		}
+	}
+	for _, c := range p.idle {
+		check(c, false)
+	}
+	for c := range p.inUse {
+		check(c, true)
+	}
+	return hasOpen, hasLost
+}
+
 // releaseConn reduces the count by a connection that was closed or could not be opened.
 func (p *addressPool) releaseConn() {
 	p.mu.Lock()
--- a/internal/cwconn/conn.go
+++ b/internal/cwconn/conn.go
@@ -54,6 +54,8 @@
 	reader     *bufio.Reader
 	// budget is what is kept of responses counts in; it may be nil.
 	budget *cwlimit.Budget
+	// openedAt is when the connection was opened.
+	openedAt time.Time
 	// used is set after the first call.
 	used bool
 	// carried are the identifiers of the calls so far.
@@ -94,6 +96,7 @@
 func (c *conn) do(ctx context.Context, call *Call) (*Response, error) {
 	reused := c.used
 	c.used = true
+	c.pool.beginUse(c)
 	c.carried.add(call.ID)
 	c.cancelCloseHook = context.AfterFunc(ctx, c.interrupt)
 	isKept := false
@@ -275,9 +278,12 @@
 			c.hasReadDeadline = false
 		}
 		c.idleUntil = time.Now().Add(parseIdleTimeout(header))
+		c.pool.endUse(c, false)
 		c.pool.putIdle(c)
 		return
 	}
+	isEstablished, _ := cwnet.IsEstablished(c.Conn)
+	c.pool.endUse(c, stopped && !isEstablished)
 	if stopped {
 		_ = c.Conn.Close()
 	} else {
--- a/internal/cwconn/pool.go
+++ b/internal/cwconn/pool.go
@@ -197,6 +197,15 @@
 	return closed, nil
 }
 
+// lossNoticeTime is within which all connections of a process that has ended are noticed to have ended.
+const lossNoticeTime = 50 * time.Millisecond
+
+// Survivors tells what became of the connections to an address that were open before a time: whether one
+// still is, and whether the peer has ended one since, or within lossNoticeTime before.
+func (p *Pool) Survivors(address string, at time.Time) (hasOpen, hasLost bool) {
+	return p.addressPool(address).survivors(at)
+}
+
 // Hold opens a connection and keeps it without a call until the peer closes it or ctx ends. It does not
 // count against the limits of calls. The error is a *CallError.
 func (p *Pool) Hold(ctx context.Context, address string, timeout time.Duration) error {
@@ -234,7 +243,7 @@
 	}
 	isOpen = true
 	headReader := cwlimit.NewHeadReader(raw, call.Address, p.Budget)
-	return &conn{Conn: raw, pool: pool, headReader: headReader, budget: p.Budget, reader: bufio.NewReaderSize(headReader, readBufferBytes)}, nil
+	return &conn{Conn: raw, openedAt: time.Now(), pool: pool, headReader: headReader, budget: p.Budget, reader: bufio.NewReaderSize(headReader, readBufferBytes)}, nil
 }
 
 func isDialTimeout(err error) bool {
--- a/internal/cwgate/endpoint_watch.go
+++ b/internal/cwgate/endpoint_watch.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/clementinewell/clementinewell/internal/cwcommon"
 	"github.com/clementinewell/clementinewell/internal/cwconn"
 	"github.com/clementinewell/clementinewell/internal/cwplacement"
@@ -84,6 +87,7 @@
 // its new entry arrives its software version is uncertain.
 func (g *Gate) watch(ctx context.Context, e *cwplacement.Endpoint, address string) {
 	wasHeld, shortWatches := false, 0
+	var idleTimeout atomic.Int64
 	for ctx.Err() == nil {
 		start := time.Now()
 		err := g.conns.Hold(ctx, address, cwconn.DialTimeout)
@@ -100,6 +104,9 @@
 			}
 		case callErr.Sent:
 			pause, shortWatches = 0, 0
+			end := watchEnd{endpoint: e, address: address, at: time.Now(), idleTimeout: &idleTimeout}
+			end.held = end.at.Sub(start)
+			g.Go("checkReplaced", func() { g.checkReplaced(ctx, end) })
 		case errors.Is(err, cwconn.ErrNoAnswer):
 		case wasHeld:
 			g.recordWatchEnd(e, start)
@@ -109,6 +116,49 @@
 	}
 }
 
+// survivorCheckDelay is the time after which the ends of all connections of a process have been noticed.
+const survivorCheckDelay = 30 * time.Millisecond
+
+// watchEnd is the end of a watched connection that its endpoint did not follow up with a refusal.
+type watchEnd struct {
+	endpoint *cwplacement.Endpoint
+	address  string
+	// at is when the connection ended, and held how long it lasted.
+	at   time.Time
+	held time.Duration
+	// idleTimeout is how long, in nanoseconds, the latest one lasted that was closed for being idle; 0
+	// if none was.
+	idleTimeout *atomic.Int64
+}
+
+// isIdleTimeout reports whether the connection lasted as long as one that was closed for being idle.
+func (w *watchEnd) isIdleTimeout() bool {
+	return (w.held - time.Duration(w.idleTimeout.Load())).Abs() <= w.held/idleTimeoutTolerance
+}
+
+// idleTimeoutTolerance is the part of a timeout, as a divisor, by which two of them may differ.
+const idleTimeoutTolerance = 20
+
+// checkReplaced marks an endpoint whose watched connection has ended if no other connection to it has
+// survived that: an idle one is closed alone, and a process that is replaced takes all of them with it. If
+// there was no other one, the time decides that it lasted.
+func (g *Gate) checkReplaced(ctx context.Context, w watchEnd) {
+	cwcommon.Sleep(ctx, survivorCheckDelay)
+	hasOpen, hasLost := g.conns.Survivors(w.address, w.at)
+	if hasOpen {
+		w.idleTimeout.Store(int64(w.held))
+	}
+	if hasOpen || !hasLost && w.isIdleTimeout() {
+		return
+	}
+	e := w.endpoint
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	e.MarkReplaced(w.at)
+	g.metrics.replacements.Inc(1)
+	g.Log.Info("endpoint may have been replaced", zap.String("endpoint", e.ID), zap.String("service", e.Service), zap.String("version", e.Version))
+}
+
 // recordWatchEnd records that an endpoint refused a connection that was begun at a time.
 func (g *Gate) recordWatchEnd(e *cwplacement.Endpoint, dialedAt time.Time) {
 	g.mu.Lock()
--- a/internal/cwgate/metrics.go
+++ b/internal/cwgate/metrics.go
@@ -33,6 +33,8 @@
 	blocks tally.Counter
 	// cutOffs counts how often this instance was cut off from all endpoints.
 	cutOffs tally.Counter
+	// replacements counts the endpoints whose process may have been replaced.
+	replacements tally.Counter
 	// coldChecks counts the health checks that ask endpoints whether they are cold.
 	coldChecks tally.Counter
 	// unmatchedCalls counts the calls that ended since no response was certainly their own.
@@ -60,6 +62,7 @@
 		limitedSends:  root.Counter("routed_limited_sends"),
 		blocks:        root.Counter("crash_blocks"),
 		cutOffs:       root.Counter("endpoint_cut_offs"),
+		replacements:  root.Counter("endpoint_replacements"),
 		coldChecks:    root.Counter("cold_checks"),
 		streamReports: root.Counter("stream_reports"),
 
--- a/internal/cwgate/stream_origin.go
+++ b/internal/cwgate/stream_origin.go
@@ -188,7 +188,11 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.sync(now)
-	if e := a.pools[a.req.service].Endpoint(a.placement.EndpointID); e != nil && (e.Version != a.placement.Version || e.MayHaveRestarted(now)) {
+	sentBy := now
+	if !a.firstEventAt.IsZero() {
+		sentBy = a.firstEventAt
+	}
+	if e := a.pools[a.req.service].Endpoint(a.placement.EndpointID); e != nil && (e.Version != a.placement.Version || e.MayHaveRestartedBy(sentBy, now)) {
 		return cwstream.Origin{}
 	}
 	return cwstream.Origin{Service: a.req.service, Version: a.placement.Version}
--- a/internal/cwmemnet/conn.go
+++ b/internal/cwmemnet/conn.go
@@ -19,8 +19,10 @@
 	// network.mu.
 	isStalled bool
 
-	clientEnd, clientInner net.Conn
-	serverEnd, serverInner net.Conn
+	clientEnd   *connEnd
+	clientInner net.Conn
+	serverEnd   *connEnd
+	serverInner net.Conn
 }
 
 func newConn(n *Network, from, to string) *conn {
@@ -29,8 +31,8 @@
 	serverPipe, serverInner := net.Pipe()
 	c.clientEnd, c.clientInner = newConnEnd(clientPipe, from, to), clientInner
 	c.serverEnd, c.serverInner = newConnEnd(serverPipe, to, from), serverInner
-	c.startForwarding(c.clientInner, c.serverInner, from, to)
-	c.startForwarding(c.serverInner, c.clientInner, to, from)
+	c.startForwarding(c.clientInner, c.serverInner, c.serverEnd, from, to)
+	c.startForwarding(c.serverInner, c.clientInner, c.clientEnd, to, from)
 	return c
 }
 
@@ -56,8 +58,8 @@
 
 // startForwarding starts to copy bytes in one direction. It reads and writes in separate
 // goroutines, so that a delay does not block the sender until maxQueuedPackets are in
-// transit.
-func (c *conn) startForwarding(in, out net.Conn, from, to string) {
+// transit. The receiver is the end at which the bytes arrive.
+func (c *conn) startForwarding(in, out net.Conn, receiver *connEnd, from, to string) {
 	packets := make(chan packet, maxQueuedPackets)
 	go func() {
 		defer close(packets)
@@ -96,6 +98,7 @@
 		c.network.awaitAudible(from, to)
 		// A connection that drops data does not deliver its close either.
 		if _, dropped := c.deliveryState(from, to); !dropped {
+			receiver.hasPeerClosed.Store(true)
 			_ = out.Close()
 			_ = in.Close()
 		}
--- a/internal/cwnet/dialed_conn.go
+++ b/internal/cwnet/dialed_conn.go
@@ -33,9 +33,6 @@
 		return true
 	}
 	isClosed := false
-	err = raw.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		isClosed = err == nil && info.State == unix.BPF_TCP_CLOSE
-	})
+	err = raw.Control(func(fd uintptr) { isClosed = tcpState(fd) == unix.BPF_TCP_CLOSE })
 	return err != nil || isClosed
 }
--- a/internal/cwplacement/endpoint.go
+++ b/internal/cwplacement/endpoint.go
@@ -266,10 +266,23 @@
 	return e.coldRate > 0 && (now.Before(e.ColdUntil) || e.isSuspected(e.readAt, now))
 }
 
-// MayHaveRestarted reports whether the endpoint could not be reached since its entry was read. Until
-// the new entry arrives its software version is uncertain.
+// MayHaveRestarted reports whether the endpoint could not be reached since its entry was read, or may have
+// been replaced. Until the new entry arrives its software version is uncertain.
 func (e *Endpoint) MayHaveRestarted(now time.Time) bool {
-	return e.isSuspected(e.readAt, now)
+	return e.MayHaveRestartedBy(now, now)
+}
+
+// MayHaveRestartedBy reports that of what the endpoint had sent at an earlier time: a replacement after it
+// leaves that certain.
+func (e *Endpoint) MayHaveRestartedBy(by, now time.Time) bool {
+	return e.isSuspected(e.readAt, now) || e.mayBeReplaced(e.readAt, by, now)
+}
+
+// MarkReplaced records that all connections of this instance to the endpoint have ended at a time, so that
+// its process may have been replaced by one that listens at once. It isn't taken for a cold one: nothing
+// else tells that.
+func (e *Endpoint) MarkReplaced(at time.Time) {
+	e.replacedAt = at
 }
 
 // IsUsable reports whether this instance may send a new request to the endpoint now.
--- a/internal/cwplacement/restart_suspicion.go
+++ b/internal/cwplacement/restart_suspicion.go
@@ -17,6 +17,9 @@
 	unreachableAt, peerUnreachableAt, cutOffUnreachableAt time.Time
 	// unreachableSince is the first of these times since the latest answer.
 	unreachableSince time.Time
+	// replacedAt is when its process may have been replaced, without a moment in which it could not be
+	// reached.
+	replacedAt time.Time
 }
 
 // answered records that the endpoint answered this instance.
@@ -48,6 +51,16 @@
 	return false
 }
 
+// replacementDuration is how long the version of an endpoint is uncertain that may have been replaced: by
+// then its new entry has arrived, after an interval of heartbeats and the time to read it.
+const replacementDuration = 3 * time.Second
+
+// mayBeReplaced reports whether the endpoint may have been replaced since its entry was read, at a time
+// that is not after by.
+func (s *restartSuspicion) mayBeReplaced(readAt, by, now time.Time) bool {
+	return s.replacedAt.After(readAt) && !s.replacedAt.After(by) && now.Sub(s.replacedAt) < replacementDuration
+}
+
 // clearCutOff ends the suspicions of this instance, while it was cut off from all endpoints, and of
 // others that are.
 func (s *restartSuspicion) clearCutOff() {
