A configuration that the store has lost is in force everywhere

What callers saw: the store comes back from a copy right after it acknowledged a configuration.

Cause: instances offer each other the revision of their published state. One that keeps a lost configuration is at the revision of the copy, like all others, so nobody fetches it.

Evidence: TestLostConfigurationIsInForceEverywhere lets 1 to 4 of 5 instances read the configuration, cuts all off from each other until each has read the copy, and heals: on the others stay at the old one.

Why this works: an offer names the kept version in the hash, which is empty otherwise. An instance at the same revision with an older configuration fetches all items and takes over the newer one, and passes it on.

--- a/internal/cwapp/routed_app.go
+++ b/internal/cwapp/routed_app.go
@@ -52,8 +52,8 @@
 func NewRoutedApp(settings *cwsetting.Settings, site *cwsite.Site, log *zap.Logger, n cwnet.Net) *RoutedApp {
 	r := &RoutedApp{instance: newInstance(settings, log, n, site.MemoryBytes), seedPeers: site.SeedPeers}
 	r.State = cwpublished.NewState(r.Common, cwwire.DecodeRecord)
-	r.State.OnApply = func(revision cwpublished.Revision) {
-		r.Control.TryPost(cwcontrol.PublishedApplied{Revision: uint64(revision)})
+	r.State.OnApply = func(p cwpublished.Position) {
+		r.Control.TryPost(cwcontrol.PublishedApplied{Revision: uint64(p.Revision), KeptConfig: p.KeptConfig})
 	}
 	r.State.OnStoreContact = func(unreachable bool) { r.Control.TryPost(cwcontrol.SelfStoreUnreachable{IsUnreachable: unreachable}) }
 	store := cwwire.NewStoreClient(site.StoreAddress, n, r.Budget)
--- a/internal/cwapp/routed_store_era_test.go
+++ b/internal/cwapp/routed_store_era_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -116,3 +118,58 @@
 		})
 	}
 }
+
+// setPartitioned cuts all instances off from each other, or ends that.
+func (s *restoreScene) setPartitioned(isPartitioned bool) {
+	for n, a := range s.instances {
+		for _, b := range s.instances[:n] {
+			s.Net.SetPartitioned(a.IP, b.IP, isPartitioned)
+		}
+	}
+}
+
+// TestLostConfigurationIsInForceEverywhere guards against instances that disagree about the configuration after
+// the store has lost it: those that had read it keep it, and all others serve the one of before, since both
+// are at the same revision.
+func TestLostConfigurationIsInForceEverywhere(t *testing.T) {
+	for known := 1; known <= 4; known++ {
+		t.Run(fmt.Sprintf("%d of 5 had read it", known), func(t *testing.T) {
+			inRestoreScene(t, func(s *restoreScene) {
+				s.AddWorker("north-a", "10.1.1.1")
+				s.AwaitReady()
+				time.Sleep(configApplyLimit)
+				storeCopy := s.Store.Copy()
+				s.setPartitioned(true)
+				s.Store.HangIf(func(remote string) bool {
+					return !slices.ContainsFunc(s.instances[:known], func(i *cwscene.RoutedInstance) bool { return strings.HasPrefix(remote, i.IP+":") })
+				})
+				s.publishVersion()
+				hasRead := func(i *cwscene.RoutedInstance) bool {
+					return i.State.View().Config.Version == uint64(s.ConfigVersion())
+				}
+				for _, i := range s.instances[:known] {
+					s.Await(func() bool { return hasRead(i) })
+				}
+				s.Store.Restore(storeCopy)
+				s.Store.HangIf(nil)
+				time.Sleep(configApplyLimit) // each instance reads the store by itself
+				s.setPartitioned(false)
+				time.Sleep(configApplyLimit)
+				for _, i := range s.instances {
+					s.is.True(s.isServed(i, s.ConfigVersion()))
+				}
+				// One that starts now gets it from the others.
+				started := s.AddInstance("10.2.0.9", "south-a")
+				time.Sleep(configApplyLimit)
+				s.is.True(s.isServed(started, s.ConfigVersion()))
+				// What the operator writes is in force as always.
+				s.publishVersion()
+				time.Sleep(configApplyLimit)
+				for _, i := range append(s.instances, started) {
+					s.is.True(s.isServed(i, s.ConfigVersion()))
+					s.is.Equal(i.State.Position().KeptConfig, uint64(0))
+				}
+			})
+		})
+	}
+}
--- a/internal/cwpublished/interpreter.go
+++ b/internal/cwpublished/interpreter.go
@@ -20,7 +20,10 @@
 	// config is the configuration with the highest version, and configItem its item.
 	config     *cwroute.Config
 	configItem Item
-	endpoints  map[string]Registration
+	// isConfigKept is set while that configuration is newer than the one of the store, which came back
+	// from a copy.
+	isConfigKept bool
+	endpoints    map[string]Registration
 	// missingSince holds, for endpoints whose entry was removed, the time of the removal.
 	missingSince map[string]time.Time
 	// endpointByKey and evacuationByKey hold the endpoint or the evacuated domain of each item,
@@ -104,7 +107,7 @@
 	case record == nil:
 	case record.Config != nil:
 		if in.config == nil || record.Config.Version >= in.config.Version {
-			in.config, in.configItem, in.versions.configSince = record.Config, item, now
+			in.config, in.configItem, in.isConfigKept, in.versions.configSince = record.Config, item, false, now
 		}
 	case record.Evacuation != nil:
 		in.evacuationByKey[item.Key] = record.Evacuation.Domain
--- a/internal/cwpublished/state.go
+++ b/internal/cwpublished/state.go
@@ -1,6 +1,7 @@
 package cwpublished
 
 import (
+	"bytes"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -14,9 +15,9 @@
 // State is this instance's copy of the published state.
 type State struct {
 	*cwcommon.Common
-	// OnApply is called after each Apply with the revision of the state. Like
+	// OnApply is called after each Apply with the position of the state. Like
 	// OnStoreContact it must be set before the state is used.
-	OnApply func(revision Revision)
+	OnApply func(position Position)
 	// OnStoreContact is called when the store becomes unreachable or reachable again.
 	OnStoreContact func(isUnreachable bool)
 
@@ -58,7 +59,7 @@
 	s.apply(source, d)
 	s.lag.recordHeld(source, s.Revision())
 	if s.OnApply != nil {
-		s.OnApply(s.Revision())
+		s.OnApply(s.Position())
 	}
 }
 
@@ -106,6 +107,7 @@
 		s.interpreter.isRestoring = false
 		s.keepConfig()
 	}
+	s.adoptKeptConfig(d, now)
 	s.recognizeFirstConfig(d.Items)
 	if len(changed) > 0 || previousRevision == 0 {
 		s.Log.Info("published state changed", zap.String("source", source), zap.Int("changes", len(changed)),
@@ -154,10 +156,41 @@
 	if item := s.interpreter.configItem; s.items.Items()[item.Key].Revision != item.Revision && item.Key != "" {
 		item.Revision = s.items.Revision()
 		s.items.Keep(item)
-		s.interpreter.configItem = item
+		s.interpreter.configItem, s.interpreter.isConfigKept = item, true
 	}
 }
 
+// adoptKeptConfig takes over a configuration that is newer than the own one although its item is not: a
+// peer has kept it since the store came back from a copy. The caller holds mu.
+func (s *State) adoptKeptConfig(d Delta, now time.Time) {
+	in := s.interpreter
+	if in.config == nil || d.Revision.Era() != s.items.Revision().Era() {
+		return
+	}
+	for _, item := range d.Items {
+		if item.Key != in.configItem.Key || item.IsRemoved || item.Revision > in.configItem.Revision || bytes.Equal(item.Value, in.configItem.Value) {
+			continue
+		}
+		record, err := in.decode(item.Key, item.Value)
+		if err != nil || record == nil || record.Config == nil || record.Config.Version <= in.config.Version {
+			continue
+		}
+		s.items.Keep(item)
+		in.config, in.configItem, in.isConfigKept, in.versions.configSince = record.Config, item, true, now
+	}
+}
+
+// Position returns how far the state has come.
+func (s *State) Position() Position {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := Position{Revision: s.items.Revision()}
+	if s.interpreter.isConfigKept {
+		p.KeptConfig = s.interpreter.config.Version
+	}
+	return p
+}
+
 // awaitInterval is the interval at which Await checks the revision.
 const awaitInterval = 10 * time.Millisecond
 
--- a/internal/cwsync/published_puller.go
+++ b/internal/cwsync/published_puller.go
@@ -9,6 +9,7 @@
 
 	"github.com/clementinewell/clementinewell/internal/cwcommon"
 	"github.com/clementinewell/clementinewell/internal/cwpeer"
+	"github.com/clementinewell/clementinewell/internal/cwpolicy"
 	"github.com/clementinewell/clementinewell/internal/cwpublished"
 	"github.com/clementinewell/clementinewell/pkg/cwconfig"
 )
@@ -43,14 +44,20 @@
 }
 
 // Pull fetches the published state of the peer at the address if this instance is behind
-// the offered version, whose number is a revision of the published state. If this instance watches
-// the store, it first waits for its own watch to deliver the revision.
+// the offered version, whose number is a revision of the published state and whose hash names a
+// configuration that the store has lost. If this instance watches the store, it first waits for its own
+// watch to deliver the revision.
 func (p *PublishedPuller) Pull(ctx context.Context, address string, offered cwconfig.Version) {
 	p.state.RecordOffer(address, cwpublished.Revision(offered.Number))
-	if !p.beginPull(cwpublished.Revision(offered.Number)) {
+	lacksConfig := p.lacksConfig(offered)
+	if !p.beginPull(cwpublished.Revision(offered.Number), lacksConfig) {
 		return
 	}
 	defer p.endPull()
+	if lacksConfig {
+		p.pullAll(ctx, address)
+		return
+	}
 	if p.expectsFromWatch() {
 		cwcommon.Sleep(ctx, watchGracePeriod)
 		if p.state.Revision() >= cwpublished.Revision(offered.Number) {
@@ -76,6 +83,23 @@
 	}
 }
 
+// lacksConfig reports whether a peer at the same revision has a newer configuration, which the store has
+// lost.
+func (p *PublishedPuller) lacksConfig(offered cwconfig.Version) bool {
+	config := p.state.View().Config
+	return config != nil && cwpublished.Revision(offered.Number) == p.state.Revision() && cwpolicy.ParseKeptConfig(offered.Hash) > config.Version
+}
+
+// pullAll fetches all items of a peer: what the store has lost is in no change since a revision.
+func (p *PublishedPuller) pullAll(ctx context.Context, address string) {
+	delta, err := p.client.FetchPublished(ctx, address, 0)
+	if err != nil {
+		p.Log.Warn("published state not pulled", zap.String("peer", address), zap.Uint64("revision", 0), zap.Error(err))
+		return
+	}
+	p.state.Apply(address, delta)
+}
+
 // expectsFromWatch reports whether this instance's watch of the store should deliver
 // the missing changes.
 func (p *PublishedPuller) expectsFromWatch() bool {
@@ -83,12 +107,13 @@
 }
 
 // beginPull marks a pull as in progress. It returns false, and marks nothing, if one that is
-// not overdue already is in progress or if this instance is not behind the offered revision.
-func (p *PublishedPuller) beginPull(offered cwpublished.Revision) bool {
+// not overdue already is in progress, or if this instance is not behind the offered revision and does not
+// lack a configuration.
+func (p *PublishedPuller) beginPull(offered cwpublished.Revision, lacksConfig bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	isBusy := p.pulls > 0 && time.Since(p.pullBeganAt) < overduePullTime
-	if isBusy || offered <= p.state.Revision() {
+	if isBusy || offered <= p.state.Revision() && !lacksConfig {
 		return false
 	}
 	p.pulls++
