A connection to the next process is no survivor

Cause: a call that breaks off with its endpoint dials at once. Where that was before the end of the kept connection was noticed, the new connection, accepted by the next process, counted as one that had survived.

Why this works: only connections count that were open 50 ms before. One that still seems open is looked at once more after 150 ms, since a busy peer closes its connections one by one.

Before: TestSurvivors red in the row "both are closed, and a new one is opened". After: green.

--- a/internal/cwconn/address_pool.go
+++ b/internal/cwconn/address_pool.go
@@ -87,11 +87,13 @@
 func (p *addressPool) survivors(at time.Time) (hasOpen, hasLost bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	hasLost = p.lostAt.After(at.Add(-lossNoticeTime))
+	noticedFrom := at.Add(-lossNoticeTime)
+	hasLost = p.lostAt.After(noticedFrom)
 	check := func(c *conn, isInUse bool) {
 		isEstablished, isKnown := cwnet.IsEstablished(c.Conn)
 		switch {
-		case !c.openedAt.Before(at):
+		case !c.openedAt.Before(noticedFrom):
+			// The next process may have accepted it: a call that broke off dials at once.
 		case isEstablished, !isKnown && isInUse:
 			hasOpen = true
 		case isKnown:
--- a/internal/cwconn/pool.go
+++ b/internal/cwconn/pool.go
@@ -200,8 +200,8 @@
 // lossNoticeTime is within which all connections of a process that has ended are noticed to have ended.
 const lossNoticeTime = 50 * time.Millisecond
 
-// Survivors tells what became of the connections to an address that were open before a time: whether one
-// still is, and whether the peer has ended one since, or within lossNoticeTime before.
+// Survivors tells what became of the connections to an address that were open lossNoticeTime before a
+// time: whether one still is, and whether the peer has ended one since.
 func (p *Pool) Survivors(address string, at time.Time) (hasOpen, hasLost bool) {
 	return p.addressPool(address).survivors(at)
 }
--- a/internal/cwgate/endpoint_watch.go
+++ b/internal/cwgate/endpoint_watch.go
@@ -116,8 +116,12 @@
 	}
 }
 
-// survivorCheckDelay is the time after which the ends of all connections of a process have been noticed.
-const survivorCheckDelay = 30 * time.Millisecond
+const (
+	// survivorCheckDelay is the time after which the ends of all connections of a process have usually been
+	// noticed, and lateSurvivorCheckDelay that on a busy machine.
+	survivorCheckDelay     = 30 * time.Millisecond
+	lateSurvivorCheckDelay = 150 * time.Millisecond
+)
 
 // watchEnd is the end of a watched connection that its endpoint did not follow up with a refusal.
 type watchEnd struct {
@@ -145,6 +149,10 @@
 func (g *Gate) checkReplaced(ctx context.Context, w watchEnd) {
 	cwcommon.Sleep(ctx, survivorCheckDelay)
 	hasOpen, hasLost := g.conns.Survivors(w.address, w.at)
+	if hasOpen {
+		cwcommon.Sleep(ctx, lateSurvivorCheckDelay-survivorCheckDelay)
+		hasOpen, hasLost = g.conns.Survivors(w.address, w.at)
+	}
 	if hasOpen {
 		w.idleTimeout.Store(int64(w.held))
 	}
