A reset of all connections is no replacement of all endpoints

Cause: reset_conns ends all connections of an instance at once. Each endpoint of its region then counted as replaced in place, and for 3 s none could go on with a stream.

Evidence: at 32.65 s front-hobart-a-2 notes all five endpoints of its region as replaced within 1 ms.

Why this works: a process that is replaced takes its own connections with it, not those to other endpoints. If the kept connections to two endpoints end within 100 ms, neither counts as replaced.

--- a/internal/cwapp/routed_stream_replaced_test.go
+++ b/internal/cwapp/routed_stream_replaced_test.go
@@ -52,6 +52,11 @@
 	w.SetPartInterval(replacedPartInterval)
 	f.workers[w] = version
 	r.current.Store(w)
+	r.closeConns()
+}
+
+// closeConns ends all connections.
+func (r *replaceableWorker) closeConns() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for c, isOpen := range r.conns {
@@ -61,6 +66,23 @@
 	}
 }
 
+// newReplaceableFleet returns three instances with four replaceable workers.
+func newReplaceableFleet(s *cwscene.RoutedScene) (*versionedFleet, []*replaceableWorker) {
+	f := &versionedFleet{RoutedScene: s, workers: make(map[*cwstandin.Worker]string)}
+	s.Publish(cwscene.NewEngineService(0), cwscene.NewRoute("r", "streaming", cwscene.RoutedRoute{"resumable": true, "timeout-ms": 12000}))
+	var workers []*replaceableWorker
+	for n := range 4 {
+		r := f.addReplaceableWorker(fmt.Sprintf("10.1.1.%d", n+1))
+		s.RegisterWorker("worker-"+r.ip, "north-a", r.ip, map[string]any{"version": "v1"})
+		workers = append(workers, r)
+	}
+	for n := range 3 {
+		f.north = append(f.north, s.AddInstance(fmt.Sprintf("10.1.0.%d", n+1), "north-a"))
+	}
+	s.AwaitRetries()
+	return f, workers
+}
+
 const (
 	// replacedPartInterval is the time between two events of these streams.
 	replacedPartInterval = 500 * time.Millisecond
@@ -72,18 +94,7 @@
 // place by another version, one after the other: they refuse no connection, and their entries follow late.
 func TestStreamsBesideReplacementsInPlace(t *testing.T) {
 	inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
-		f := &versionedFleet{RoutedScene: s, workers: make(map[*cwstandin.Worker]string)}
-		s.Publish(cwscene.NewEngineService(0), cwscene.NewRoute("r", "streaming", cwscene.RoutedRoute{"resumable": true, "timeout-ms": 12000}))
-		var workers []*replaceableWorker
-		for n := range 4 {
-			r := f.addReplaceableWorker(fmt.Sprintf("10.1.1.%d", n+1))
-			s.RegisterWorker("worker-"+r.ip, "north-a", r.ip, map[string]any{"version": "v1"})
-			workers = append(workers, r)
-		}
-		for n := range 3 {
-			f.north = append(f.north, s.AddInstance(fmt.Sprintf("10.1.0.%d", n+1), "north-a"))
-		}
-		s.AwaitRetries()
+		f, workers := newReplaceableFleet(s)
 		const streams = 400
 		var wg sync.WaitGroup
 		responses := make([]cwscene.RoutedResponse, streams)
@@ -119,3 +130,34 @@
 		is.True(complete >= streams*9/10)
 	})
 }
+
+// TestStreamsAreTakenUpAfterResetOfConnections guards against streams that can't go on because the connections
+// to all endpoints were reset at once: that is no replacement of all of them.
+func TestStreamsAreTakenUpAfterResetOfConnections(t *testing.T) {
+	inRoutedScene(t, func(t *testing.T, is *is.I, s *cwscene.RoutedScene) {
+		f, workers := newReplaceableFleet(s)
+		for w := range f.workers {
+			w.SetPartInterval(0)
+		}
+		var begun []cwscene.RoutedResponse
+		for n := range 12 {
+			begun = append(begun, f.begin(t, f.north[n%3]))
+		}
+		for _, r := range workers {
+			r.closeConns()
+		}
+		time.Sleep(200 * time.Millisecond)
+		const callsOnIdleConns = 40 // these fail on connections in memory, which tell no close
+		for n := range callsOnIdleConns * len(f.north) {
+			s.Do(t.Context(), f.north[n%3], cwscene.RoutedRequest{Path: "/r/x", Header: newPromptHeader()})
+		}
+		goneOn := 0
+		for n, b := range begun {
+			if f.takeUp(t, f.north[n%3], b).Status == http.StatusOK {
+				goneOn++
+			}
+		}
+		t.Logf("%d of %d went on", goneOn, len(begun))
+		is.True(2*goneOn >= len(begun))
+	})
+}
--- a/internal/cwgate/endpoint_watch.go
+++ b/internal/cwgate/endpoint_watch.go
@@ -106,6 +106,7 @@
 			pause, shortWatches = 0, 0
 			end := watchEnd{endpoint: e, address: address, at: time.Now(), idleTimeout: &idleTimeout}
 			end.held = end.at.Sub(start)
+			g.recordHeldEnd(e, end.at)
 			g.Go("checkReplaced", func() { g.checkReplaced(ctx, end) })
 		case errors.Is(err, cwconn.ErrNoAnswer):
 		case wasHeld:
@@ -143,6 +144,33 @@
 // idleTimeoutTolerance is the part of a timeout, as a divisor, by which two of them may differ.
 const idleTimeoutTolerance = 20
 
+// commonEndTime is the time within which the connections to several endpoints end if this instance loses
+// them all.
+const commonEndTime = 100 * time.Millisecond
+
+// recordHeldEnd records when the watched connection to an endpoint has ended.
+func (g *Gate) recordHeldEnd(e *cwplacement.Endpoint, at time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for other, endedAt := range g.heldEnds {
+		if at.Sub(endedAt) > time.Second {
+			delete(g.heldEnds, other)
+		}
+	}
+	g.heldEnds[e] = at
+}
+
+// isCommonEnd reports whether the watched connection to another endpoint ended at the same time: this
+// instance has lost its connections, and no process was replaced. The caller holds mu.
+func (g *Gate) isCommonEnd(w *watchEnd) bool {
+	for other, endedAt := range g.heldEnds {
+		if other != w.endpoint && endedAt.Sub(w.at).Abs() < commonEndTime {
+			return true
+		}
+	}
+	return false
+}
+
 // checkReplaced marks an endpoint whose watched connection has ended if no other connection to it has
 // survived that: an idle one is closed alone, and a process that is replaced takes all of them with it. If
 // there was no other one, the time decides that it lasted.
@@ -162,6 +190,9 @@
 	e := w.endpoint
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.isCommonEnd(&w) {
+		return
+	}
 	e.MarkReplaced(w.at)
 	g.metrics.replacements.Inc(1)
 	g.Log.Info("endpoint may have been replaced", zap.String("endpoint", e.ID), zap.String("service", e.Service), zap.String("version", e.Version))
--- a/internal/cwgate/gate.go
+++ b/internal/cwgate/gate.go
@@ -71,6 +71,8 @@
 	reach cwplacement.Reachability
 	// watches are the endpoints to which a connection is kept, with what ends that.
 	watches map[*cwplacement.Endpoint]context.CancelFunc
+	// heldEnds are the latest ends of these connections, for a second.
+	heldEnds map[*cwplacement.Endpoint]time.Time
 	// watchedServices are the services to whose endpoints connections are kept. One of the share
 	// of each endpoint's limit of connections is for that.
 	watchedServices map[string]bool
@@ -127,6 +129,7 @@
 		exitsSilentSince: make(map[string]time.Time),
 		exitsCutOffUntil: make(map[string]time.Time),
 		watches:          make(map[*cwplacement.Endpoint]context.CancelFunc),
+		heldEnds:         make(map[*cwplacement.Endpoint]time.Time),
 		watchedServices:  make(map[string]bool),
 		redialing:        make(map[*cwplacement.Endpoint]bool),
 		awaited:          make(map[*cwplacement.Endpoint]bool),
