--- a/review/fleet3/fleet.go
+++ b/review/fleet3/fleet.go
@@ -245,6 +245,10 @@
 	id, service, zone, address string
 	work                       time.Duration
 	slots                      int
+	// version is that of the software. A stream has events, one in each interval.
+	version       string
+	events        int
+	eventInterval time.Duration
 	// slowPath is the prefix of the paths of requests that take slowWork.
 	slowPath string
 	slowWork time.Duration
@@ -267,7 +271,7 @@
 
 // startWorker starts a worker and writes its entry.
 func (f *fleet) startWorker(n int, id, service, zone string, slots int) (*worker, error) {
-	w := &worker{f: f, id: id, service: service, zone: zone, address: f.ip(n) + ":" + workerPort, work: 5 * time.Millisecond, slots: slots, bornMillis: time.Now().UnixMilli()}
+	w := &worker{f: f, id: id, service: service, zone: zone, address: f.ip(n) + ":" + workerPort, work: 5 * time.Millisecond, slots: slots, bornMillis: time.Now().UnixMilli(), version: "v1", events: 3}
 	stop, err := f.serve(w.address, w)
 	if err != nil {
 		return nil, err
@@ -282,7 +286,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return map[string]any{
-		"service": w.service, "address": w.address, "zone": w.zone, "version": "v1", "slots": w.slots, "state": state,
+		"service": w.service, "address": w.address, "zone": w.zone, "version": w.version, "slots": w.slots, "state": state,
 		"cold-remaining-ms": w.coldMillis(), "sequence": sequence, "born": w.bornMillis,
 	}
 }
@@ -292,13 +296,6 @@
 	return max(time.Until(w.coldUntil), 0).Milliseconds()
 }
 
-// setCold makes the worker cold for a time from now on.
-func (w *worker) setCold(d time.Duration) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.coldUntil = time.Now().Add(d)
-}
-
 // beat writes the worker's entry.
 func (w *worker) beat(state string, sequence int) {
 	w.f.store.PutJSON(cwstandin.WorkerKeyPrefix+w.id, w.entry(state, sequence))
@@ -349,10 +346,21 @@
 		_, _ = fmt.Fprintf(rw, "answer of %s to %s\n", w.id, id)
 		return
 	}
+	w.stream(rw, r)
+}
+
+// stream sends numbered events, beginning after the last one that the client has, until the caller leaves.
+func (w *worker) stream(rw http.ResponseWriter, r *http.Request) {
 	rw.Header().Set("Content-Type", "text/event-stream")
-	for n := 1; n <= 3; n++ {
-		_, _ = fmt.Fprintf(rw, "id: %d\ndata: %s\n\n", n, w.id)
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for n := last + 1; n <= w.events; n++ {
+		_, _ = fmt.Fprintf(rw, "id: %d\ndata: %s of %s\n\n", n, w.version, w.id)
 		_ = http.NewResponseController(rw).Flush()
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(w.eventInterval):
+		}
 	}
 }
 
@@ -384,11 +392,6 @@
 
 var client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 5 * time.Second, DisableCompression: true}}
 
-// send sends one request without a prompt to a gateway and records what is answered.
-func (f *fleet) send(g *gateway, method, host, path string, deadline time.Duration) answer {
-	return f.sendWith(g, method, host, path, deadline, nil)
-}
-
 // sendPrompt sends one request for a stream, with a prompt of its own.
 func (f *fleet) sendPrompt(g *gateway, host, path string, deadline time.Duration) answer {
 	return f.sendWith(g, http.MethodPost, host, path, deadline, map[string]string{
